--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of mangowell, run by ``make bench``."""
--- /dev/null
+++ b/packages/cli/src/mangowell_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command of mangowell."""
--- /dev/null
+++ b/packages/core/src/mangowell_core/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of the document and the instance list between nodes."""
--- /dev/null
+++ b/packages/core/src/mangowell_core/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the path of a request."""
--- /dev/null
+++ b/packages/node/src/mangowell_node/__init__.py
@@ -0,0 +1,1 @@
+"""Node process that runs beside each backend server."""
--- /dev/null
+++ b/packages/standins/src/mangowell_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for demo, tests and measurement."""
