--- /dev/null
+++ b/packages/node/src/mangowell_node/telemetry.py
@@ -0,0 +1,201 @@
+"""Metrics, numbered events and the log of one node."""
+
+import time
+from collections import deque
+
+import logbook
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from mangowell_core.events import Event, EventCode
+
+LATENCY_BUCKETS_S = (
+    0.0005,
+    0.001,
+    0.002,
+    0.003,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+DELAY_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 14.0, 30.0, 60.0)
+
+# Events without an entry are logged at the info level.
+EVENT_LEVELS = {
+    EventCode.SOURCE_DOWN: logbook.WARNING,
+    EventCode.SOURCE_STALE: logbook.WARNING,
+    EventCode.VERSION_REFUSED: logbook.ERROR,
+    EventCode.VERSION_CONFLICT: logbook.ERROR,
+    EventCode.INSTANCES_DOUBTED: logbook.WARNING,
+    EventCode.JOIN_ALONE: logbook.ERROR,
+    EventCode.PAUSE_DETECTED: logbook.WARNING,
+    EventCode.CALL_REFUSED: logbook.DEBUG,
+    EventCode.CALL_RETRIED: logbook.DEBUG,
+    EventCode.CALL_UNKNOWN: logbook.WARNING,
+    EventCode.CALL_SHED: logbook.DEBUG,
+    EventCode.KEY_REPLAYED: logbook.DEBUG,
+    EventCode.FINGERPRINT_SUSPECT: logbook.WARNING,
+    EventCode.FINGERPRINT_REFUSED: logbook.WARNING,
+    EventCode.BACKEND_DOWN: logbook.WARNING,
+    EventCode.LINK_OPENED: logbook.DEBUG,
+    EventCode.LINK_CLOSED: logbook.DEBUG,
+    EventCode.LINK_SILENT: logbook.WARNING,
+    EventCode.PEER_MESSAGE_DROPPED: logbook.WARNING,
+    EventCode.PEER_REFUSED: logbook.WARNING,
+}
+
+
+class Telemetry:
+    """Metrics, event ring and log of one node.
+
+    Parameters
+    ----------
+    instance : str
+        Named in each log line.
+    events_kept : int
+        Length of the event ring.
+    level : str
+        Lowest level that is logged.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_control_bytes",
+        "_control_messages",
+        "_control_total",
+        "_delay",
+        "_events",
+        "_events_total",
+        "_gauges",
+        "_log",
+        "_registry",
+        "_source_reads",
+        "_source_total",
+    )
+
+    def __init__(self, instance: str, events_kept: int = 5000, level: str = "info"):
+        self._log = logbook.Logger(instance, level=logbook.lookup_level(level.upper()))
+        self._events: deque[tuple[float, Event]] = deque(maxlen=events_kept)
+        self._registry = registry = Registry()
+        self._calls = Histogram(
+            "mangowell_call_seconds",
+            "Time from the arrival of a call to the end of its answer",
+            registry=registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._delay = Histogram(
+            "mangowell_convergence_seconds",
+            "Time from the first sight of a version by a reader to its use here",
+            registry=registry,
+            buckets=DELAY_BUCKETS_S,
+        )
+        self._control_bytes = Counter(
+            "mangowell_control_bytes", "Control traffic in bytes", registry=registry
+        )
+        self._control_messages = Counter(
+            "mangowell_control_messages", "Control messages", registry=registry
+        )
+        self._source_reads = Counter(
+            "mangowell_source_reads",
+            "Calls to the configuration service",
+            registry=registry,
+        )
+        self._events_total = Counter(
+            "mangowell_events", "Numbered events", registry=registry
+        )
+        self._gauges: dict[str, Gauge] = {}
+        self._control_total = 0
+        self._source_total = 0
+
+    @classmethod
+    def from_settings(cls, settings):
+        """Build from `NodeSettings`."""
+        return cls(settings.instance, settings.log.events_kept, settings.log.level)
+
+    def emit(self, event: Event) -> None:
+        """Record an event in the ring, the log and the metrics."""
+        self._events.append((time.time(), event))
+        code = event.code
+        self._events_total.inc({"code": str(int(code)), "name": code.name.lower()})
+        if code is EventCode.VERSION_APPLIED and "delay_ms" in event.fields:
+            self._delay.observe({}, float(event.fields["delay_ms"]) / 1000)
+        level = EVENT_LEVELS.get(code, logbook.INFO)
+        if level >= self._log.level:
+            self._log.log(level, "{}", format_event(event))
+
+    def observe_call(
+        self, tenant: str, traffic_class: str, route: str, outcome: str, seconds: float
+    ) -> None:
+        """Record the end of a call."""
+        self._calls.observe(
+            {
+                "tenant": tenant,
+                "class": traffic_class,
+                "route": route,
+                "outcome": outcome,
+            },
+            seconds,
+        )
+
+    def count_control(self, direction: str, kind: str, size: int) -> None:
+        """Count one control message of `size` bytes, ``in`` or ``out``."""
+        labels = {"direction": direction, "kind": kind}
+        self._control_bytes.add(labels, size)
+        self._control_messages.inc(labels)
+        self._control_total += size
+
+    def count_source_read(self, key: str, status: str, size: int = 0) -> None:
+        """Count one call to the configuration service and its answer's bytes."""
+        self._source_reads.inc({"key": key, "status": status})
+        self._source_total += 1
+        self.count_control("in", "source", size)
+
+    @property
+    def control_bytes(self) -> int:
+        """Bytes of control traffic in both directions since the start."""
+        return self._control_total
+
+    @property
+    def source_reads(self) -> int:
+        """Calls to the configuration service since the start."""
+        return self._source_total
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set the gauge ``mangowell_<name>``."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            doc = name.replace("_", " ").capitalize()
+            gauge = Gauge(f"mangowell_{name}", doc, registry=self._registry)
+            self._gauges[name] = gauge
+        gauge.set({}, value)
+
+    def find_events(self, **fields: str) -> list[dict]:
+        """Find events whose fields equal all those given, oldest first."""
+        wanted = {name: value for name, value in fields.items() if value}
+        return [
+            {
+                "time": at,
+                "code": int(event.code),
+                "name": event.code.name.lower(),
+                "fields": event.fields,
+            }
+            for at, event in self._events
+            if all(str(event.fields.get(n)) == str(v) for n, v in wanted.items())
+        ]
+
+    def render(self) -> bytes:
+        """Render the metrics in the Prometheus text format."""
+        return render(self._registry, ["text/plain"])[0]
+
+
+def format_event(event: Event) -> str:
+    """Format an event as one log line."""
+    fields = " ".join(f"{name}={value}" for name, value in event.fields.items())
+    return f"E{int(event.code)} {event.code.name.lower()} {fields}".rstrip()
