--- /dev/null
+++ b/packages/node/src/mangowell_node/app.py
@@ -0,0 +1,82 @@
+"""Program ``mangowell-node``."""
+
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import aiomisc
+import cappa
+import logbook
+from result import Err, Ok
+
+from mangowell_core.settings import NodeSettings, parse_settings
+from mangowell_node.control import ControlError
+from mangowell_node.node import Node
+
+EXIT_INVALID_SETTINGS = 2
+EXIT_CANNOT_START = 3
+# Longer than any route's timeout, so that a planned stop cuts no call.
+STOP_GRACE_S = 30.0
+SHUTDOWN_MARGIN_S = 5.0
+
+
+@dataclass(slots=True)
+class Arguments:
+    """Run one node beside its backend server.
+
+    Parameters
+    ----------
+    settings
+        INI file; see docs/settings.md.
+    """
+
+    settings: Annotated[Path, cappa.Arg()]
+
+
+class NodeService(aiomisc.Service):
+    """Runs a `Node` under the aiomisc entrypoint, which handles SIGTERM."""
+
+    __required__ = ("settings",)
+
+    async def start(self) -> None:
+        """Start the node."""
+        self.node = Node.from_settings(self.settings)
+        await self.node.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop the node gracefully."""
+        await self.node.stop(STOP_GRACE_S)
+
+
+def main() -> None:
+    """Read the settings and run the node until it is told to stop."""
+    settings = load_settings(cappa.parse(Arguments).settings)
+    handler = logbook.StreamHandler(sys.stderr, level=settings.log.level.upper())
+    with handler.applicationbound():
+        try:
+            with aiomisc.entrypoint(
+                NodeService(settings=settings),
+                log_config=False,
+                shutdown_timeout=STOP_GRACE_S + SHUTDOWN_MARGIN_S,
+            ) as loop:
+                loop.run_forever()
+        except (ControlError, OSError) as exc:
+            print(f"mangowell-node: {exc}", file=sys.stderr)
+            sys.exit(EXIT_CANNOT_START)
+
+
+def load_settings(path: Path) -> NodeSettings:
+    """Read settings from `path`; on errors print each and exit with code 2."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        print(f"mangowell-node: cannot read {path}: {exc}", file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    match parse_settings(text, str(path)):
+        case Ok(settings):
+            return settings
+        case Err(errors):
+            for error in errors:
+                print(error, file=sys.stderr)
+            sys.exit(EXIT_INVALID_SETTINGS)
--- /dev/null
+++ b/packages/node/src/mangowell_node/control.py
@@ -0,0 +1,255 @@
+"""Control messages between nodes over ZeroMQ.
+
+Each node binds one ROUTER socket and opens a DEALER socket to each peer that
+it sends to. Traffic on a DEALER goes one way only, so a silent peer can not
+hold back what others send, and a reply travels on the replier's own DEALER.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+
+import msgspec
+import zmq
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from mangowell_core.distribution.io import Peer
+from mangowell_core.events import Event, EventCode
+from mangowell_core.messages import (
+    MAX_MESSAGE_BYTES,
+    Message,
+    MessageError,
+    decode_message,
+    encode_message,
+)
+from mangowell_node.reach import Reach
+from mangowell_node.telemetry import Telemetry
+
+ENVELOPE_LIMIT_BYTES = MAX_MESSAGE_BYTES + 1024
+SEND_QUEUE_MESSAGES = 64
+# A node talks to the parents and children of two trees and to one random peer
+# at a time; more open sockets than this are leftovers.
+OPEN_PEERS_LIMIT = 32
+RECONNECT_MIN_MS = 200
+RECONNECT_MAX_MS = 5000
+# Probes of the transport notice connections that went silent.
+PROBE_INTERVAL_MS = 5000
+PROBE_TIMEOUT_MS = 4000
+# Sizes on the wire besides the payload: TCP/IP headers and CURVE framing of a
+# message, and the CURVE handshake of a connection.
+MESSAGE_OVERHEAD_BYTES = 85
+HANDSHAKE_BYTES = 1100
+
+
+class ControlError(Exception):
+    """The control socket could not be opened; raised by `ControlSocket.start`."""
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """Sender's address and the encoded message."""
+
+    instance: str
+    host: str
+    control_port: int
+    payload: bytes
+
+
+class _FleetKey:
+    """Admits peers that hold the fleet's CURVE key.
+
+    pyzmq calls `callback` for each connection.
+    """
+
+    __slots__ = ("_on_refused", "_public")
+
+    def __init__(self, public: str, on_refused: Callable[[], None]):
+        self._public = public.encode()
+        self._on_refused = on_refused
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        if key == self._public:
+            return True
+        self._on_refused()
+        return False
+
+
+class ControlSocket:
+    """Sends and receives control messages of one node.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    telemetry : Telemetry
+    reach : Reach
+    on_message : callable
+        Called with the sender's `Peer` and the `Message`.
+    """
+
+    __slots__ = (
+        "_authenticator",
+        "_context",
+        "_decoder",
+        "_encoder",
+        "_on_message",
+        "_peers",
+        "_reach",
+        "_receiver",
+        "_router",
+        "_security",
+        "_self",
+        "_telemetry",
+    )
+
+    def __init__(
+        self,
+        settings,
+        telemetry: Telemetry,
+        reach: Reach,
+        on_message: Callable[[Peer, Message], None],
+    ):
+        self._self = Peer(settings.instance, settings.host, settings.control_port)
+        self._security = settings.security
+        self._telemetry = telemetry
+        self._reach = reach
+        self._on_message = on_message
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._peers: OrderedDict[tuple[str, int], zmq.Socket] = OrderedDict()
+        self._context: zmq.asyncio.Context | None = None
+        self._authenticator: AsyncioAuthenticator | None = None
+        self._router: zmq.asyncio.Socket | None = None
+        self._receiver: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Bind the socket and start to receive.
+
+        Raises
+        ------
+        ControlError
+            If the address is taken.
+        """
+        self._context = zmq.asyncio.Context()
+        if self._security.curve_public:
+            self._authenticator = AsyncioAuthenticator(self._context)
+            self._authenticator.start()
+            self._authenticator.configure_curve_callback(
+                credentials_provider=_FleetKey(
+                    self._security.curve_public, self._count_refused_peer
+                )
+            )
+        self._router = self._context.socket(zmq.ROUTER)
+        self._router.setsockopt(zmq.LINGER, 0)
+        self._router.setsockopt(zmq.MAXMSGSIZE, ENVELOPE_LIMIT_BYTES)
+        self._set_probes(self._router)
+        if self._security.curve_public:
+            self._router.curve_server = True
+            self._set_keys(self._router)
+        address = f"tcp://{self._self.host}:{self._self.control_port}"
+        try:
+            self._router.bind(address)
+        except zmq.ZMQError as exc:
+            self.close()
+            raise ControlError(f"cannot bind {address}: {exc}") from exc
+        self._receiver = asyncio.create_task(self._receive())
+
+    def send(self, peer: Peer, message: Message) -> bool:
+        """Send without waiting; tell whether the message was queued."""
+        if self._context is None or not self._reach.allows(
+            peer.host, peer.control_port
+        ):
+            return False
+        me = self._self
+        data = self._encoder.encode(
+            Envelope(me.instance, me.host, me.control_port, encode_message(message))
+        )
+        try:
+            self._connect(peer).send(data, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        self._count("out", message, len(data))
+        return True
+
+    def close(self) -> None:
+        """Close all sockets; what is still queued is dropped."""
+        if self._receiver is not None:
+            self._receiver.cancel()
+            self._receiver = None
+        if self._authenticator is not None:
+            self._authenticator.stop()
+            self._authenticator = None
+        for socket in self._peers.values():
+            socket.close(0)
+        self._peers.clear()
+        if self._router is not None:
+            self._router.close(0)
+            self._router = None
+        if self._context is not None:
+            self._context.destroy(0)
+            self._context = None
+
+    async def _receive(self) -> None:
+        while True:
+            frames = await self._router.recv_multipart()
+            try:
+                envelope = self._decoder.decode(frames[-1])
+                message = decode_message(envelope.payload)
+            except (MessageError, msgspec.DecodeError) as exc:
+                self._drop(frames, str(exc))
+                continue
+            if not self._reach.allows(envelope.host, envelope.control_port):
+                continue
+            self._count("in", message, len(frames[-1]))
+            sender = Peer(envelope.instance, envelope.host, envelope.control_port)
+            self._on_message(sender, message)
+
+    def _connect(self, peer: Peer) -> zmq.Socket:
+        address = (peer.host, peer.control_port)
+        socket = self._peers.get(address)
+        if socket is not None:
+            self._peers.move_to_end(address)
+            return socket
+        if len(self._peers) >= OPEN_PEERS_LIMIT:
+            _, oldest = self._peers.popitem(last=False)
+            oldest.close(0)
+        # A plain socket: sends do not wait, so it needs no event loop.
+        socket = zmq.Socket(self._context, zmq.DEALER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        self._set_probes(socket)
+        if self._security.curve_public:
+            socket.curve_serverkey = self._security.curve_public.encode()
+            self._set_keys(socket)
+        socket.connect(f"tcp://{peer.host}:{peer.control_port}")
+        self._peers[address] = socket
+        self._telemetry.count_control("out", "handshake", HANDSHAKE_BYTES)
+        return socket
+
+    def _set_probes(self, socket: zmq.Socket) -> None:
+        socket.setsockopt(zmq.HEARTBEAT_IVL, PROBE_INTERVAL_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, PROBE_TIMEOUT_MS)
+
+    def _set_keys(self, socket: zmq.Socket) -> None:
+        socket.curve_publickey = self._security.curve_public.encode()
+        socket.curve_secretkey = self._security.curve_secret.encode()
+
+    def _count(self, direction: str, message: Message, size: int) -> None:
+        kind = message.__struct_config__.tag
+        self._telemetry.count_control(direction, kind, size + MESSAGE_OVERHEAD_BYTES)
+
+    def _drop(self, frames: list[bytes], reason: str) -> None:
+        size = sum(map(len, frames))
+        self._telemetry.count_control("in", "dropped", size)
+        self._telemetry.emit(
+            Event(
+                EventCode.PEER_MESSAGE_DROPPED,
+                {"reason": reason, "size_bytes": size},
+            )
+        )
+
+    def _count_refused_peer(self) -> None:
+        self._telemetry.emit(
+            Event(EventCode.PEER_REFUSED, {"reason": "peer lacks the fleet's key"})
+        )
--- /dev/null
+++ b/packages/node/src/mangowell_node/node.py
@@ -0,0 +1,168 @@
+"""One node: the core, its adapters and their life."""
+
+import asyncio
+import random
+import time
+
+from mangowell_core.distribution import DistributionCore
+from mangowell_core.distribution.io import Peer, PeerMessage, Stopping
+from mangowell_core.messages import (
+    CrashReport,
+    FenceQuery,
+    FenceReply,
+    Leaving,
+    Message,
+)
+from mangowell_core.model import Instance, Snapshot
+from mangowell_core.policy import RequestPolicy
+from mangowell_core.settings import NodeSettings
+from mangowell_node.admin import AdminServer
+from mangowell_node.calls import CallPath
+from mangowell_node.control import ControlSocket
+from mangowell_node.driver import DistributionDriver
+from mangowell_node.reach import Reach
+from mangowell_node.source import SourceClient
+from mangowell_node.telemetry import Telemetry
+
+CALL_MESSAGES = (CrashReport, FenceQuery, FenceReply, Leaving)
+
+
+class Node:
+    """Process-wide object that owns the core and every adapter.
+
+    Several nodes may run in one process; they share nothing.
+    """
+
+    __slots__ = (
+        "_admin",
+        "_calls",
+        "_control",
+        "_core",
+        "_draining",
+        "_driver",
+        "_policy",
+        "_ready",
+        "_settings",
+        "_source",
+        "_telemetry",
+    )
+
+    def __init__(self, settings: NodeSettings, reach: Reach, rng: random.Random):
+        incarnation = time.time_ns() // 1_000_000
+        self._settings = settings
+        self._ready = False
+        self._draining = False
+        self._telemetry = telemetry = Telemetry.from_settings(settings)
+        self._core = DistributionCore.from_settings(settings, rng, incarnation)
+        self._policy = RequestPolicy.from_settings(settings, rng, incarnation)
+        self._control = ControlSocket(settings, telemetry, reach, self._receive)
+        self._source = SourceClient(settings, telemetry, reach, self._feed)
+        self._driver = DistributionDriver(
+            self._core,
+            self._control,
+            self._source,
+            telemetry,
+            on_snapshot=self._apply,
+            on_serving=self._set_serving,
+        )
+        self._calls = CallPath.from_settings(
+            settings, self._policy, telemetry, reach, self._send_control
+        )
+        self._admin = AdminServer(
+            settings.host, settings.admin_port, telemetry, self.status
+        )
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: NodeSettings,
+        reach: Reach | None = None,
+        rng: random.Random | None = None,
+    ) -> "Node":
+        """Build a node that is not started yet.
+
+        Parameters
+        ----------
+        settings : NodeSettings
+        reach : Reach, optional
+            Addresses that the node may contact; all by default.
+        rng : random.Random, optional
+            Seeded for a run that is to be replayed.
+        """
+        return cls(settings, reach or Reach(), rng or random.Random())
+
+    async def start(self) -> None:
+        """Open the sockets and join; calls are taken once the join completes."""
+        await self._control.start()
+        await self._source.start()
+        await self._admin.start()
+        self._calls.pause_calls("joining")
+        await self._calls.start()
+        self._driver.start()
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop gracefully.
+
+        Calls in flight are finished for at most `grace_s` seconds.
+        """
+        self._draining = True
+        self._driver.feed(Stopping())
+        await self._calls.stop(asyncio.get_running_loop().time() + grace_s)
+        await self._close()
+
+    async def abort(self) -> None:
+        """Stop at once, as a crash would; calls in flight are cut."""
+        await self._calls.stop(asyncio.get_running_loop().time())
+        await self._close()
+
+    def status(self) -> dict:
+        """Describe what the node runs and since when, for ``/status``."""
+        now = asyncio.get_running_loop().time()
+        settings = self._settings
+        return {
+            "instance": settings.instance,
+            "failure_domain": settings.failure_domain,
+            "environment": settings.environment,
+            "ready": self._ready,
+            **self._core.status(now),
+            "control_bytes": self._telemetry.control_bytes,
+            "source_reads": self._telemetry.source_reads,
+            "in_flight": self._policy.in_flight(),
+            "draining": self._draining,
+        }
+
+    @property
+    def telemetry(self) -> Telemetry:
+        """Metrics and events of the node."""
+        return self._telemetry
+
+    async def _close(self) -> None:
+        self._driver.stop()
+        await self._source.close()
+        self._control.close()
+        await self._admin.stop()
+
+    def _feed(self, event) -> None:
+        self._driver.feed(event)
+
+    def _receive(self, sender: Peer, message: Message) -> None:
+        if isinstance(message, CALL_MESSAGES):
+            self._calls.handle_control(sender, message)
+        else:
+            self._driver.feed(PeerMessage(sender, message))
+
+    def _send_control(self, instance: Instance, message: Message) -> bool:
+        peer = Peer(instance.name, instance.host, instance.control_port)
+        return self._control.send(peer, message)
+
+    def _apply(self, snapshot: Snapshot) -> None:
+        self._calls.apply(snapshot)
+        self._telemetry.set_gauge("document_version", snapshot.document.version)
+
+    def _set_serving(self, serving: bool) -> None:
+        self._ready = serving
+        self._telemetry.set_gauge("ready", float(serving))
+        if serving:
+            self._calls.resume_calls()
+        else:
+            self._calls.pause_calls("configuration not confirmed")
