--- /dev/null
+++ b/tests/node/test_control.py
@@ -0,0 +1,164 @@
+"""Guards the control sockets against peers that are strange, late or hostile."""
+
+import asyncio
+import random
+import socket
+from dataclasses import replace
+
+import pytest
+import zmq
+import zmq.asyncio
+
+from mangowell_core.distribution.io import Peer
+from mangowell_core.events import EventCode
+from mangowell_core.messages import DigestQuery, KeyVersion, Leaving
+from mangowell_core.settings import NodeSettings, SecuritySettings, SourceSettings
+from mangowell_node.control import ENVELOPE_LIMIT_BYTES, ControlError, ControlSocket
+from mangowell_node.reach import Reach
+from mangowell_node.telemetry import Telemetry
+
+FLEET_KEY = tuple(key.decode() for key in zmq.curve_keypair())
+OTHER_KEY = tuple(key.decode() for key in zmq.curve_keypair())
+QUERY = DigestQuery([KeyVersion("instances", 3, "d" * 64)], [])
+ARRIVAL_S = 10
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_settings(name, key=FLEET_KEY):
+    return NodeSettings(
+        instance=name,
+        service="stock",
+        failure_domain="a",
+        environment="test",
+        host="127.0.0.1",
+        control_port=free_port(),
+        link_port=1,
+        call_port=2,
+        admin_port=3,
+        backend_port=4,
+        source=SourceSettings("http://127.0.0.1:1"),
+        security=SecuritySettings(*key),
+    )
+
+
+class Endpoint:
+    """A control socket that keeps what it received."""
+
+    def __init__(self, name, key=FLEET_KEY, reach=None):
+        self.settings = make_settings(name, key)
+        self.peer = Peer(name, "127.0.0.1", self.settings.control_port)
+        self.telemetry = Telemetry(name, level="critical")
+        self.received = asyncio.Queue()
+        self.socket = ControlSocket(
+            self.settings,
+            self.telemetry,
+            reach or Reach(),
+            lambda sender, message: self.received.put_nowait((sender, message)),
+        )
+
+    def events(self, code):
+        return [e for e in self.telemetry.find_events() if e["code"] == code]
+
+    async def wait_event(self, code):
+        async with asyncio.timeout(ARRIVAL_S):
+            while not self.events(code):
+                await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def endpoints():
+    opened = []
+
+    async def open_endpoint(*args, **kwargs):
+        endpoint = Endpoint(*args, **kwargs)
+        await endpoint.socket.start()
+        opened.append(endpoint)
+        return endpoint
+
+    yield open_endpoint
+    for endpoint in opened:
+        endpoint.socket.close()
+
+
+async def test_message_arrives_with_its_sender(endpoints):
+    one, two = await endpoints("one"), await endpoints("two")
+    assert one.socket.send(two.peer, QUERY)
+    sender, message = await asyncio.wait_for(two.received.get(), ARRIVAL_S)
+    assert (sender, message) == (one.peer, QUERY)
+    assert two.telemetry.control_bytes > 0
+
+
+@pytest.mark.parametrize("key", [OTHER_KEY, ("", "")], ids=["other-key", "no-key"])
+async def test_peer_without_fleet_key_changes_nothing(endpoints, key):
+    """A process outside the fleet must not be able to inject a message."""
+    stranger, node = await endpoints("stranger", key), await endpoints("node")
+    friend = await endpoints("friend")
+    stranger.socket.send(node.peer, Leaving("node"))
+    friend.socket.send(node.peer, QUERY)
+    sender, message = await asyncio.wait_for(node.received.get(), ARRIVAL_S)
+    assert (sender, message) == (friend.peer, QUERY)
+    node.socket.send(stranger.peer, QUERY)
+    friend.socket.send(node.peer, QUERY)
+    await asyncio.wait_for(node.received.get(), ARRIVAL_S)
+    assert node.received.empty()
+    assert stranger.received.empty()
+
+
+async def test_malformed_messages_are_dropped(endpoints):
+    """Random bytes from a faulty peer must not stop the receiver."""
+    node, friend = await endpoints("node"), await endpoints("friend")
+    public, secret = (key.encode() for key in FLEET_KEY)
+    context = zmq.asyncio.Context()
+    raw = context.socket(zmq.DEALER)
+    raw.curve_serverkey, raw.curve_publickey = public, public
+    raw.curve_secretkey = secret
+    raw.connect(f"tcp://127.0.0.1:{node.peer.control_port}")
+    rng = random.Random(11)
+    for size in (0, 1, 40, 5000):
+        await raw.send(rng.randbytes(size))
+    await node.wait_event(EventCode.PEER_MESSAGE_DROPPED)
+    friend.socket.send(node.peer, QUERY)
+    assert (await asyncio.wait_for(node.received.get(), ARRIVAL_S))[1] == QUERY
+    # The library closes the connection of a peer that sends an oversized one.
+    await raw.send(bytes(ENVELOPE_LIMIT_BYTES + 1))
+    friend.socket.send(node.peer, QUERY)
+    assert (await asyncio.wait_for(node.received.get(), ARRIVAL_S))[1] == QUERY
+    raw.close(0)
+    context.destroy(0)
+
+
+async def test_partition_blocks_both_directions(endpoints):
+    """A cut that only blocks new sends would leak what peers send."""
+
+    class Cut(Reach):
+        def allows(self, host, port):
+            return False
+
+    cut, other = await endpoints("cut", reach=Cut()), await endpoints("other")
+    assert not cut.socket.send(other.peer, QUERY)
+    other.socket.send(cut.peer, QUERY)
+    third = await endpoints("third")
+    third.socket.send(other.peer, QUERY)
+    await asyncio.wait_for(other.received.get(), ARRIVAL_S)
+    assert other.received.empty() and cut.received.empty()
+
+
+async def test_full_queue_is_reported(endpoints):
+    """A dead peer must not collect messages without bound."""
+    node = await endpoints("node")
+    dead = Peer("dead", "127.0.0.1", free_port())
+    assert not all(node.socket.send(dead, QUERY) for _ in range(200))
+
+
+async def test_taken_address_is_refused(endpoints):
+    node = await endpoints("node")
+    second = Endpoint("second")
+    settings = replace(second.settings, control_port=node.peer.control_port)
+    twin = ControlSocket(settings, second.telemetry, Reach(), lambda *_: None)
+    with pytest.raises(ControlError, match="cannot bind"):
+        await twin.start()
