--- /dev/null
+++ b/packages/node/src/mangowell_node/backend.py
@@ -0,0 +1,548 @@
+"""Connections to the node's own backend server."""
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Callable
+from time import monotonic
+
+import msgspec
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import HttpResponseParser
+from aiohttp.streams import StreamReader
+
+from mangowell_core.policy.types import Cause, Outcome
+from mangowell_node.exchange import (
+    ANSWER_DROPPED,
+    MAX_INLINE_BODY,
+    Answer,
+    AnswerHead,
+    AttemptError,
+    Body,
+    HeaderError,
+    RequestHead,
+    join_headers,
+)
+from mangowell_node.reach import Reach
+
+CONNECT_TIMEOUT_S = 1.0
+# Below the 5 s after which common HTTP servers close an idle connection.
+MAX_IDLE_S = 4.0
+HEALTH_INTERVAL_S = 0.5
+HEALTH_TIMEOUT_S = 1.0
+READ_BUFFER = 65_536  # bytes; reading pauses at twice this size
+_BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
+_NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class BackendConnection(BaseProtocol):
+    """HTTP/1.1 connection that carries one request at a time.
+
+    It returns to its pool only after a complete, well-formed answer; every
+    other end closes it, so a late answer never meets another request.
+    """
+
+    __slots__ = (
+        "_body",
+        "_head",
+        "_pool",
+        "_reusable",
+        "_timer",
+        "_waiter",
+        "idle_since",
+        "received",
+        "used",
+    )
+
+    def __init__(self, pool: "BackendPool") -> None:
+        super().__init__(pool.loop, None)
+        self._pool = pool
+        self._waiter: asyncio.Future | None = None
+        self._head: AnswerHead | None = None
+        self._body: StreamReader | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._reusable = True
+        self.used = False
+        self.received = False
+        self.idle_since = 0.0
+        self._make_parser(True)
+
+    def _make_parser(self, with_body: bool) -> None:
+        self._parser = HttpResponseParser(
+            self,
+            self._loop,
+            READ_BUFFER,
+            payload_exception=ConnectionError,
+            response_with_body=with_body,
+            read_until_eof=False,
+            auto_decompress=False,
+            max_line_size=16_384,
+            max_field_size=16_384,
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a request can be written."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def start(self, head: RequestHead, deadline: float) -> asyncio.Future:
+        """Write a request's head and buffered body.
+
+        Returns
+        -------
+        asyncio.Future
+            Done when the answer's head has arrived; result ``None``.
+        """
+        remaining = deadline - monotonic()
+        if head.method == "HEAD":
+            self._make_parser(False)
+            self._reusable = False
+        if head.streaming:
+            if head.length >= 0:
+                framing = b"Content-Length: %d\r\n\r\n" % head.length
+            else:
+                framing = b"Transfer-Encoding: chunked\r\n\r\n"
+        elif head.body or head.method not in _BODILESS_METHODS:
+            framing = b"Content-Length: %d\r\n\r\n" % len(head.body)
+        else:
+            framing = b"\r\n"
+        self.received = False
+        waiter = self._waiter = self._loop.create_future()
+        self._timer = self._loop.call_later(remaining, self._expire)
+        self.transport.write(
+            b"%b %b HTTP/1.1\r\n%bMangowell-Deadline-Ms: %d\r\n%b%b"
+            % (
+                head.method.encode(),
+                head.target.encode("utf-8", "surrogateescape"),
+                head.headers,
+                max(0, remaining * 1000),
+                framing,
+                head.body,
+            )
+        )
+        self.used = True
+        return waiter
+
+    async def send_body(self, body: Body) -> None:
+        """Write a streamed request body.
+
+        Raises
+        ------
+        AttemptError
+            If the body is cut off; the connection is closed.
+        """
+        chunked = body.length < 0
+        sent = 0
+        try:
+            while chunk := await body.read():
+                sent += len(chunk)
+                if not self.is_open:
+                    return
+                if chunked:
+                    self.transport.writelines((b"%x\r\n" % len(chunk), chunk, b"\r\n"))
+                else:
+                    self.transport.write(chunk)
+                if self._paused:
+                    await self._drain_helper()
+            if chunked and self.is_open:
+                self.transport.write(b"0\r\n\r\n")
+            elif sent != body.length and self.is_open:
+                raise AttemptError(Outcome.UNKNOWN, Cause.CANCELLED, "body cut off")
+        except ConnectionError:
+            return
+        except BaseException:
+            self.abort()
+            raise
+
+    def take_answer(self) -> tuple[AnswerHead, StreamReader]:
+        """Return the answer's head and its body."""
+        return self._head, self._body
+
+    def finish(self) -> None:
+        """End the exchange and give the connection back, if it is reusable."""
+        self._stop_timer()
+        body, self._head, self._body = self._body, None, None
+        if (
+            self._reusable
+            and self.is_open
+            and body is not None
+            and body.is_eof()
+            and body.exception() is None
+        ):
+            self._pool.put(self)
+        else:
+            self.abort()
+
+    def abort(self) -> None:
+        """Close the connection, which makes the backend server stop its work."""
+        self._stop_timer()
+        self._waiter = None
+        self._head = None
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        self._timer = None
+        self._fail(AttemptError(Outcome.UNKNOWN, Cause.DEADLINE, "deadline passed"))
+
+    def _fail(self, error: AttemptError) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(error)
+        body = self._body
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(error)
+        self._stop_timer()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the backend server."""
+        if self._waiter is None and (self._body is None or self._body.is_eof()):
+            if data:
+                # Nothing was asked for, or the answer is already complete.
+                self._reusable = False
+                self.transport.abort()
+            return
+        if data:
+            self.received = True
+        try:
+            messages, upgraded, tail = self._parser.feed_data(data)
+        except (HttpProcessingError, ValueError, AssertionError) as exc:
+            reason = f"backend server sent a malformed answer: {exc}"
+            self._fail(AttemptError(Outcome.FAILED, Cause.BAD_ANSWER, reason))
+            return
+        if upgraded or tail:
+            self._fail(
+                AttemptError(Outcome.FAILED, Cause.BAD_ANSWER, "unexpected upgrade")
+            )
+            return
+        for message, payload in messages:
+            if 100 <= message.code < 200:
+                continue
+            if self._waiter is None:
+                self._reusable = False
+                break
+            try:
+                self._head = _make_head(message, self._parser_has_body())
+            except HeaderError as exc:
+                self._fail(AttemptError(Outcome.FAILED, Cause.BAD_ANSWER, str(exc)))
+                return
+            if message.should_close:
+                self._reusable = False
+            self._body = payload
+            waiter, self._waiter = self._waiter, None
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def _parser_has_body(self) -> bool:
+        return self._reusable
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Resume only if paused; the parser calls this after each answer."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the exchange; a body that is not complete is an error."""
+        super().connection_lost(exc)
+        self._pool.forget(self)
+        if self._body is None:
+            error = AttemptError(
+                Outcome.UNKNOWN, Cause.CONNECTION_LOST, "backend server closed"
+            )
+        else:
+            error = AttemptError(
+                Outcome.FAILED, Cause.CONNECTION_LOST, "answer cut off"
+            )
+        self._fail(error)
+
+
+def _make_head(message, with_body: bool) -> AnswerHead:
+    headers = message.headers
+    length = -1
+    stated = headers.get("Content-Length")
+    if stated is not None:
+        length = int(stated)
+    elif with_body and not message.chunked and message.code not in _NO_BODY_STATUSES:
+        # Its end would be the end of the connection, which a crash looks like.
+        raise HeaderError("answer without Content-Length or chunked encoding")
+    if message.chunked:
+        length = -1
+        if headers.get("Transfer-Encoding", "").lower() != "chunked":
+            raise HeaderError("unknown transfer encoding")
+    return AnswerHead(
+        status=message.code,
+        reason=message.reason,
+        headers=join_headers(
+            message.raw_headers, ANSWER_DROPPED, headers.get("Connection")
+        ),
+        length=length,
+        retried="Mangowell-Retried" in headers,
+    )
+
+
+class BackendBody:
+    """Body of an answer that is longer than one unit."""
+
+    __slots__ = ("_conn", "_on_end", "_reader", "length")
+
+    def __init__(
+        self,
+        conn: BackendConnection,
+        reader: StreamReader,
+        length: int,
+        on_end: Callable[[AttemptError | None], None],
+    ) -> None:
+        self._conn: BackendConnection | None = conn
+        self._reader = reader
+        self._on_end = on_end
+        self.length = length
+
+    async def read(self) -> bytes:
+        """Return the next chunk, or ``b""`` at the end."""
+        if self._conn is None:
+            return b""
+        try:
+            chunk = await self._reader.readany()
+        except AttemptError as exc:
+            self._end(exc)
+            raise
+        except BaseException:
+            self.close()
+            raise
+        if not chunk:
+            self._end(None)
+        return chunk
+
+    def close(self) -> None:
+        """Abort the exchange."""
+        if self._conn is not None:
+            self._conn.abort()
+            self._end(AttemptError(Outcome.UNKNOWN, Cause.CANCELLED, "cancelled"))
+
+    def _end(self, error: AttemptError | None) -> None:
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            conn.finish()
+            self._on_end(error)
+
+
+class BackendPool:
+    """Connections to one backend server.
+
+    Parameters
+    ----------
+    host, port : str, int
+    reach : Reach
+    limit : int
+        Connections that may be open at once.
+    """
+
+    def __init__(self, host: str, port: int, reach: Reach, limit: int = 120) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.limit = limit
+        self._host = host
+        self._port = port
+        self._reach = reach
+        self._idle: deque[BackendConnection] = deque()
+        self._open: set[BackendConnection] = set()
+        self._opening = 0
+        self._waiters: deque[asyncio.Future] = deque()
+        self._closed = False
+
+    @property
+    def open_connections(self) -> frozenset[BackendConnection]:
+        """Connections that are open now."""
+        return frozenset(self._open)
+
+    def put(self, conn: BackendConnection) -> None:
+        """Take back a connection after a complete answer."""
+        if self._closed:
+            conn.abort()
+            return
+        conn.idle_since = monotonic()
+        self._idle.append(conn)
+        self._wake()
+
+    def forget(self, conn: BackendConnection) -> None:
+        """Drop a connection that has closed."""
+        self._open.discard(conn)
+        with contextlib.suppress(ValueError):
+            self._idle.remove(conn)
+        self._wake()
+
+    def _wake(self) -> None:
+        while self._waiters:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def take_idle(self) -> BackendConnection | None:
+        """Return the most recently used idle connection, if there is one."""
+        now = monotonic()
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_open and now - conn.idle_since < MAX_IDLE_S:
+                return conn
+            conn.abort()
+        return None
+
+    async def open(self, deadline: float) -> BackendConnection:
+        """Open a connection, waiting for room if the limit is reached.
+
+        Raises
+        ------
+        AttemptError
+            If none opens before `deadline`; the request has not run.
+        """
+        while len(self._open) + self._opening >= self.limit:
+            if self._idle:
+                conn = self._idle.popleft()
+                self._open.discard(conn)
+                conn.abort()
+                continue
+            waiter = self.loop.create_future()
+            self._waiters.append(waiter)
+            try:
+                async with asyncio.timeout(max(0, deadline - monotonic())):
+                    await waiter
+            except TimeoutError:
+                raise AttemptError(
+                    Outcome.NOT_RUN, Cause.DEADLINE, "no free connection"
+                ) from None
+            finally:
+                if not waiter.done():
+                    self._waiters.remove(waiter)
+        if not self._reach.allows(self._host, self._port):
+            raise AttemptError(
+                Outcome.NOT_RUN, Cause.CONNECT_FAILED, "backend server unreachable"
+            )
+        self._opening += 1
+        try:
+            timeout = min(CONNECT_TIMEOUT_S, max(0, deadline - monotonic()))
+            async with asyncio.timeout(timeout):
+                _, conn = await self.loop.create_connection(
+                    lambda: BackendConnection(self), self._host, self._port
+                )
+        except (OSError, TimeoutError) as exc:
+            raise AttemptError(
+                Outcome.NOT_RUN, Cause.CONNECT_FAILED, f"backend server: {exc}"
+            ) from exc
+        finally:
+            self._opening -= 1
+        self._open.add(conn)
+        return conn
+
+    async def read_answer(
+        self,
+        conn: BackendConnection,
+        head: RequestHead,
+        on_end: Callable[[AttemptError | None], None],
+    ) -> Answer:
+        """Read the answer whose head has arrived on `conn`.
+
+        A body of known length up to `MAX_INLINE_BODY` is read whole, so that a
+        truncated one is seen before anything of it is passed on.
+        """
+        answer, body = conn.take_answer()
+        if body.is_eof() and (body.total_bytes <= MAX_INLINE_BODY):
+            answer.body = body.read_nowait(-1)
+        elif 0 <= answer.length <= MAX_INLINE_BODY and head.method != "HEAD":
+            answer.body = await _read_whole(body)
+        else:
+            answer.streaming = True
+            stream = BackendBody(conn, body, answer.length, on_end)
+            return Answer(answer, stream)
+        conn.finish()
+        on_end(None)
+        return Answer(answer)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._closed = True
+        for conn in list(self._open):
+            conn.abort()
+
+
+async def _read_whole(body: StreamReader) -> bytes:
+    chunks = []
+    while chunk := await body.readany():
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+class HealthReply(msgspec.Struct):
+    """Body of the backend server's ``GET /health``."""
+
+    status: str
+    load: float = 0.0
+
+
+_health_decoder = msgspec.json.Decoder(HealthReply)
+_HEALTH_STATES = frozenset({"ok", "starting", "leaving", "failing"})
+
+
+class HealthPoller:
+    """Polls the health endpoint of the backend server.
+
+    Parameters
+    ----------
+    pool : BackendPool
+    on_health : callable
+        Called with status (``down`` if there is no valid answer) and load.
+    """
+
+    def __init__(self, pool: BackendPool, on_health: Callable[[str, float], None]):
+        self._pool = pool
+        self._on_health = on_health
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start polling."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            self._on_health(*await self.poll())
+            await asyncio.sleep(HEALTH_INTERVAL_S)
+
+    async def poll(self) -> tuple[str, float]:
+        """Ask once; return status and load."""
+        deadline = monotonic() + HEALTH_TIMEOUT_S
+        head = RequestHead(
+            "", "", "GET", "/health", b"Host: health\r\n", "", "", 0, False, 0, True
+        )
+        conn = None
+        try:
+            conn = self._pool.take_idle() or await self._pool.open(deadline)
+            await conn.start(head, deadline)
+            answer = await self._pool.read_answer(conn, head, lambda error: None)
+            conn = None
+            if answer.stream is not None:
+                answer.stream.close()
+                return "down", 0.0
+            if answer.head.status != 200:
+                return "failing", 0.0
+            reply = _health_decoder.decode(answer.head.body)
+        except (AttemptError, msgspec.DecodeError, ConnectionError):
+            return "down", 0.0
+        finally:
+            if conn is not None:
+                conn.abort()
+        if reply.status not in _HEALTH_STATES:
+            return "down", 0.0
+        return reply.status, min(1.0, max(0.0, reply.load))
