--- /dev/null
+++ b/packages/core/src/mangowell_core/policy/idempotency.py
@@ -0,0 +1,1 @@
+"""Ledger of idempotency keys at the egress, and the owner of a key."""
--- /dev/null
+++ b/packages/core/src/mangowell_core/policy/retries.py
@@ -0,0 +1,94 @@
+"""Retry and hedge budget: one token bucket per service."""
+
+from mangowell_core.policy.types import AttemptResult, Cause, Outcome, Plan
+
+BUCKET_LIMIT = 20.0  # retries after a quiet time; small against 213 calls/s
+BUCKET_START = 3.0  # lets the first calls after a start survive a failed instance
+RETRY_MARGIN_S = 0.005  # a retry with less time left cannot end in time
+
+# A retry repeats the same failure, or gives an answer that the caller awaits.
+_FINAL_CAUSES = frozenset(
+    {
+        Cause.NONE,
+        Cause.NO_ROUTE,
+        Cause.DEADLINE,
+        Cause.QUARANTINED,
+        Cause.KEY_IN_PROGRESS,
+        Cause.KEY_UNKNOWN,
+        Cause.KEY_OWNER_LOST,
+        Cause.KEY_REUSED,
+        Cause.CANCELLED,
+    }
+)
+_RETRIED_STATUSES = frozenset({502, 503, 504})
+
+
+class RetryBudget:
+    """Counts tokens earned by first attempts and spent by retries and hedges.
+
+    A retry never waits for a token: without one the failure goes to the
+    caller, marked as retried, so that the hops above do not retry either.
+    """
+
+    __slots__ = ("_tokens",)
+
+    def __init__(self):
+        self._tokens: dict[str, float] = {}
+
+    def apply(self, services) -> None:
+        """Keep the buckets of the services of a new document only."""
+        tokens = self._tokens
+        self._tokens = {name: tokens.get(name, BUCKET_START) for name in services}
+
+    def earn(self, service) -> None:
+        """Add the share of one first attempt."""
+        tokens = self._tokens.get(service.name, BUCKET_START)
+        self._tokens[service.name] = min(BUCKET_LIMIT, tokens + service.retry_ratio)
+
+    def spend(self, service) -> bool:
+        """Take one token if there is one."""
+        tokens = self._tokens.get(service.name, BUCKET_START)
+        if tokens < 1.0 or service.retry_ratio <= 0.0:
+            return False
+        self._tokens[service.name] = tokens - 1.0
+        return True
+
+    def may_retry(
+        self, plan: Plan, result: AttemptResult, attempts: int, now: float
+    ) -> bool:
+        """Decide on another attempt, and take its token if it is allowed."""
+        route = plan.route
+        if result.retried or result.cause in _FINAL_CAUSES:
+            return False
+        if result.cause is Cause.BACKEND_STATUS and (
+            result.status not in _RETRIED_STATUSES
+        ):
+            return False
+        if now + RETRY_MARGIN_S >= plan.deadline:
+            return False
+        if not route.idempotent and result.outcome is not Outcome.NOT_RUN:
+            return False
+        # A non-idempotent route has no retries of its own. An attempt that
+        # certainly did not run may be made once more without breaking I6.
+        limit = route.retries if route.idempotent else max(1, route.retries)
+        if attempts > limit:
+            return False
+        return self.spend(plan.service)
+
+    def may_hedge(self, plan: Plan, now: float) -> bool:
+        """Decide on a second attempt beside a slow one, and take its token."""
+        route = plan.route
+        if not route.idempotent or route.hedge_after_ms <= 0:
+            return False
+        if now + RETRY_MARGIN_S >= plan.deadline:
+            return False
+        return self.spend(plan.service)
+
+
+def find_hedge_deadline(plan: Plan, started_at: float) -> float | None:
+    """Return when a second attempt may start, or None if the route has none."""
+    route = plan.route
+    if not route.idempotent or route.hedge_after_ms <= 0:
+        return None
+    deadline = started_at + route.hedge_after_ms / 1000
+    return deadline if deadline < plan.deadline else None
--- a/packages/core/src/mangowell_core/policy/types.py
+++ b/packages/core/src/mangowell_core/policy/types.py
@@ -41,6 +41,7 @@
     KEY_IN_PROGRESS = "key-in-progress"
     KEY_UNKNOWN = "key-unknown"
     KEY_OWNER_LOST = "key-owner-lost"
+    KEY_REUSED = "key-reused"
     CANCELLED = "cancelled"
 
 
