--- /dev/null
+++ b/packages/core/src/mangowell_core/instances.py
@@ -0,0 +1,134 @@
+"""Instance list of the platform: parsing and rendering.
+
+The format is in section 4 of ``docs/design.md``.
+"""
+
+import hashlib
+import re
+from collections.abc import Iterable
+
+from result import Err, Ok, Result
+
+from mangowell_core.internal.schema import (
+    ErrorList,
+    SchemaError,
+    choice,
+    host,
+    name,
+    port,
+)
+from mangowell_core.model import Instance, InstanceList, InstanceState
+
+_REVISION = re.compile(r"# revision ([0-9]{1,15})")
+_STATES = {state.value: state for state in InstanceState}
+_FIELDS = (
+    ("instance", name),
+    ("service", name),
+    ("domain", name),
+    ("host", host),
+    ("control_port", port),
+    ("link_port", port),
+    ("call_port", port),
+    ("admin_port", port),
+    ("backend_port", port),
+    ("state", choice(*_STATES)),
+)
+
+
+def parse_instances(
+    text: str, filename: str = "instances", previous: InstanceList | None = None
+) -> Result[InstanceList, list[SchemaError]]:
+    """Parse an instance list.
+
+    Parameters
+    ----------
+    text : str
+    filename : str
+        Name shown in errors.
+    previous : InstanceList, optional
+        Result of an earlier call. Instances whose line is unchanged are taken
+        from it. The result is the same as without it.
+
+    Returns
+    -------
+    Ok of InstanceList, or Err of list of SchemaError
+        The key of an error is the name of the field. No text makes this
+        function raise.
+    """
+    errors = ErrorList(filename)
+    try:
+        digest = hashlib.sha256(text.encode()).hexdigest()
+    except UnicodeEncodeError as exc:
+        line = text.count("\n", 0, exc.start) + 1
+        errors.add(line, "", "", "", "text is not valid Unicode")
+        return Err(errors.sort())
+    first, *lines = text.split("\n")
+    match = _REVISION.fullmatch(first)
+    if match is None:
+        errors.add(1, "", "revision", first, "expected # revision <number>")
+    known = previous.instances if previous is not None else {}
+    unchanged = {_render_line(instance): instance for instance in known.values()}
+    instances: dict[str, Instance] = {}
+    for number, line in enumerate(lines, 2):
+        if not line:
+            continue
+        instance = unchanged.get(line) or _parse_line(number, line, errors)
+        if instance is None:
+            continue
+        if instance.name in instances:
+            errors.add(number, "", "instance", instance.name, "duplicate instance")
+        instances[instance.name] = instance
+    if match is None or errors:
+        return Err(errors.sort())
+    return Ok(InstanceList(int(match[1]), instances, text, digest))
+
+
+def _parse_line(number: int, line: str, errors: ErrorList) -> Instance | None:
+    """Parse one instance; report its errors and return None if it has any."""
+    words = line.split(" ")
+    if len(words) != len(_FIELDS):
+        reason = f"expected {len(_FIELDS)} fields, got {len(words)}"
+        errors.add(number, "", "", line, reason)
+        return None
+    values = []
+    for (key, convert), word in zip(_FIELDS, words, strict=True):
+        try:
+            values.append(convert(word))
+        except ValueError as exc:
+            errors.add(number, "", key, word, str(exc))
+    if len(values) < len(_FIELDS):
+        return None
+    return Instance(*values[:-1], state=_STATES[values[-1]])
+
+
+def _render_line(instance: Instance) -> str:
+    return (
+        f"{instance.name} {instance.service} {instance.failure_domain} "
+        f"{instance.host} {instance.control_port} {instance.link_port} "
+        f"{instance.call_port} {instance.admin_port} {instance.backend_port} "
+        f"{instance.state.value}"
+    )
+
+
+def render_instances(revision: int, instances: Iterable[Instance]) -> str:
+    """Render an instance list, ordered by instance name.
+
+    Parameters
+    ----------
+    revision : int
+        Not negative.
+    instances : iterable of Instance
+
+    Returns
+    -------
+    str
+
+    Raises
+    ------
+    ValueError
+        If `revision` is negative or no integer.
+    """
+    if type(revision) is not int or revision < 0:
+        raise ValueError(f"revision must be a non-negative integer, got {revision!r}")
+    lines = [_render_line(i) for i in sorted(instances, key=lambda i: i.name)]
+    return "\n".join([f"# revision {revision}", *lines, ""])
--- a/packages/core/src/mangowell_core/settings.py
+++ b/packages/core/src/mangowell_core/settings.py
@@ -1,7 +1,30 @@
 """Settings of a node."""
 
+import re
 from dataclasses import dataclass, field
 
+from result import Err, Ok, Result
+
+from mangowell_core.internal.schema import (
+    ErrorList,
+    Key,
+    Schema,
+    SchemaError,
+    SectionSchema,
+    choice,
+    host,
+    host_port,
+    integer,
+    name,
+    pattern,
+    port,
+    sequence,
+)
+
+# A curve key is 32 bytes, which Z85 writes as 40 characters.
+_CURVE_KEY = r"(?:[0-9A-Za-z.\-:+=^!/*?&<>()\[\]{}@%$#]{40})?"
+_URL = re.compile(r"https?://([0-9.]+|\[[0-9A-Fa-f:.]+\])(?::([0-9]{1,5}))?(/[!-~]*)?")
+
 
 @dataclass(slots=True, frozen=True)
 class SourceSettings:
@@ -51,7 +74,7 @@
     """CURVE key pair of the fleet, Z85 encoded; empty strings turn it off."""
 
     curve_public: str = ""
-    curve_secret: str = ""
+    curve_secret: str = field(default="", repr=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,3 +129,121 @@
     distribution: DistributionSettings = field(default_factory=DistributionSettings)
     security: SecuritySettings = field(default_factory=SecuritySettings)
     log: LogSettings = field(default_factory=LogSettings)
+
+
+def _url(value: str) -> str:
+    """Check the base URL of the configuration service."""
+    match = _URL.fullmatch(value)
+    if match is None:
+        raise ValueError("expected http://host:port with an IP address")
+    host(match[1].strip("[]"))
+    if match[2] is not None:
+        port(match[2])
+    return value
+
+
+SETTINGS_SCHEMA = Schema(
+    SectionSchema(
+        "node",
+        dict,
+        (
+            Key("instance", name, required=True),
+            Key("service", name, required=True),
+            Key("failure_domain", name, required=True),
+            Key("region", name),
+            Key("environment", name, required=True),
+            Key("host", host, required=True),
+            Key("control_port", port, required=True),
+            Key("link_port", port, required=True),
+            Key("call_port", port, required=True),
+            Key("admin_port", port, required=True),
+            Key("backend_host", host),
+            Key("backend_port", port, required=True),
+            Key("seeds", sequence(host_port)),
+            Key("invariants", choice("off", "cheap", "full")),
+        ),
+        required=True,
+    ),
+    SectionSchema(
+        "source",
+        SourceSettings,
+        (
+            Key("url", _url, required=True),
+            Key("timeout_ms", integer(10, 60_000)),
+            Key("expected_nodes", integer(1, 100_000)),
+            Key("reads_per_second", integer(1, 1_000_000)),
+        ),
+        required=True,
+    ),
+    SectionSchema(
+        "distribution",
+        DistributionSettings,
+        (
+            # A change must be active within 14 s, so it may not wait longer
+            # than a fraction of that at the reader.
+            Key("coalesce_ms", integer(0, 5000)),
+            Key("fanout", integer(1, 32)),
+            Key("rate_bytes_per_s", integer(1000, 100_000_000)),
+            # One piece of a bulk transfer is 16 KB.
+            Key("burst_bytes", integer(16_384, 100_000_000)),
+        ),
+    ),
+    SectionSchema(
+        "security",
+        SecuritySettings,
+        (
+            Key("curve_public", pattern(_CURVE_KEY, "40 characters of Z85")),
+            Key("curve_secret", pattern(_CURVE_KEY, "40 characters of Z85")),
+        ),
+        hidden=True,
+    ),
+    SectionSchema(
+        "log",
+        LogSettings,
+        (
+            Key("level", choice("debug", "info", "warning", "error")),
+            Key("events_kept", integer(0, 1_000_000)),
+        ),
+    ),
+)
+_PORTS = ("control_port", "link_port", "call_port", "admin_port")
+
+
+def parse_settings(
+    text: str, filename: str = "settings"
+) -> Result[NodeSettings, list[SchemaError]]:
+    """Parse and validate the settings of a node.
+
+    Parameters
+    ----------
+    text : str
+    filename : str
+        Name shown in errors.
+
+    Returns
+    -------
+    Ok of NodeSettings, or Err of list of SchemaError
+        Errors in the order of their lines. Values of ``[security]`` are not
+        shown in errors. No text makes this function raise.
+    """
+    errors = ErrorList(filename, SETTINGS_SCHEMA.hidden)
+    parsed = SETTINGS_SCHEMA.read(text, errors)
+    node = parsed.values["node"].get("")
+    if node is not None:
+        used: dict[tuple[str, int], str] = {}
+        ports = [(key, node["host"]) for key in _PORTS]
+        ports.append(("backend_port", node.get("backend_host", "127.0.0.1")))
+        for key, address in ports:
+            other = used.setdefault((address, node[key]), key)
+            if other != key:
+                errors.add(*parsed.locate("node", "", key), f"same port as {other}")
+    security = parsed.values["security"].get("")
+    if security and bool(security.curve_public) != bool(security.curve_secret):
+        key = "curve_secret" if security.curve_public else "curve_public"
+        reason = "curve_public and curve_secret must be set together"
+        errors.add(*parsed.locate("security", "", key), reason)
+    if errors:
+        return Err(errors.sort())
+    kinds = ("source", "distribution", "security", "log")
+    sections = {k: parsed.values[k][""] for k in kinds if parsed.values[k]}
+    return Ok(NodeSettings(**node, **sections))
