--- a/packages/node/src/mangowell_node/backend.py
+++ b/packages/node/src/mangowell_node/backend.py
@@ -12,7 +12,9 @@
 from aiohttp.http_parser import HttpResponseParser
 from aiohttp.streams import StreamReader
 
-from mangowell_core.policy.types import Cause, Outcome
+from mangowell_core.policy.deadlines import find_remaining_ms
+from mangowell_core.policy.outcome import Stage
+from mangowell_core.policy.types import Cause
 from mangowell_node.exchange import (
     ANSWER_DROPPED,
     MAX_INLINE_BODY,
@@ -20,7 +22,7 @@
     AnswerHead,
     AttemptError,
     Body,
-    HeaderError,
+    MessageFormatError,
     RequestHead,
     join_headers,
 )
@@ -50,6 +52,7 @@
         "_reusable",
         "_timer",
         "_waiter",
+        "_with_body",
         "idle_since",
         "received",
         "used",
@@ -69,6 +72,7 @@
         self._make_parser(True)
 
     def _make_parser(self, with_body: bool) -> None:
+        self._with_body = with_body
         self._parser = HttpResponseParser(
             self,
             self._loop,
@@ -94,8 +98,9 @@
         asyncio.Future
             Done when the answer's head has arrived; result ``None``.
         """
-        remaining = deadline - monotonic()
+        now = monotonic()
         if head.method == "HEAD":
+            # The parser has to know that no body follows; it is not reset.
             self._make_parser(False)
             self._reusable = False
         if head.streaming:
@@ -109,14 +114,14 @@
             framing = b"\r\n"
         self.received = False
         waiter = self._waiter = self._loop.create_future()
-        self._timer = self._loop.call_later(remaining, self._expire)
+        self._timer = self._loop.call_later(deadline - now, self._expire)
         self.transport.write(
             b"%b %b HTTP/1.1\r\n%bMangowell-Deadline-Ms: %d\r\n%b%b"
             % (
                 head.method.encode(),
                 head.target.encode("utf-8", "surrogateescape"),
                 head.headers,
-                max(0, remaining * 1000),
+                find_remaining_ms(deadline, now),
                 framing,
                 head.body,
             )
@@ -148,10 +153,11 @@
             if chunked and self.is_open:
                 self.transport.write(b"0\r\n\r\n")
             elif sent != body.length and self.is_open:
-                raise AttemptError(Outcome.UNKNOWN, Cause.CANCELLED, "body cut off")
+                raise AttemptError.at(Cause.CANCELLED, Stage.SENT, "body cut off")
         except ConnectionError:
+            # The loss of the connection has ended the exchange.
             return
-        except BaseException:
+        except AttemptError:
             self.abort()
             raise
 
@@ -174,6 +180,15 @@
         else:
             self.abort()
 
+    def release(self) -> None:
+        """Give back a connection on which nothing was sent."""
+        if self.is_open:
+            self._pool.put(self)
+
+    def poison(self) -> None:
+        """Close the connection after its present answer."""
+        self._reusable = False
+
     def abort(self) -> None:
         """Close the connection, which makes the backend server stop its work."""
         self._stop_timer()
@@ -189,7 +204,7 @@
 
     def _expire(self) -> None:
         self._timer = None
-        self._fail(AttemptError(Outcome.UNKNOWN, Cause.DEADLINE, "deadline passed"))
+        self._fail(AttemptError.at(Cause.DEADLINE, Stage.SENT, "deadline passed"))
 
     def _fail(self, error: AttemptError) -> None:
         waiter, self._waiter = self._waiter, None
@@ -216,11 +231,11 @@
             messages, upgraded, tail = self._parser.feed_data(data)
         except (HttpProcessingError, ValueError, AssertionError) as exc:
             reason = f"backend server sent a malformed answer: {exc}"
-            self._fail(AttemptError(Outcome.FAILED, Cause.BAD_ANSWER, reason))
+            self._fail(AttemptError.at(Cause.BAD_ANSWER, Stage.ANSWERED, reason))
             return
         if upgraded or tail:
             self._fail(
-                AttemptError(Outcome.FAILED, Cause.BAD_ANSWER, "unexpected upgrade")
+                AttemptError.at(Cause.BAD_ANSWER, Stage.ANSWERED, "unexpected upgrade")
             )
             return
         for message, payload in messages:
@@ -230,9 +245,9 @@
                 self._reusable = False
                 break
             try:
-                self._head = _make_head(message, self._parser_has_body())
-            except HeaderError as exc:
-                self._fail(AttemptError(Outcome.FAILED, Cause.BAD_ANSWER, str(exc)))
+                self._head = _make_head(message, self._with_body)
+            except MessageFormatError as exc:
+                self._fail(AttemptError.at(Cause.BAD_ANSWER, Stage.ANSWERED, str(exc)))
                 return
             if message.should_close:
                 self._reusable = False
@@ -241,9 +256,6 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    def _parser_has_body(self) -> bool:
-        return self._reusable
-
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume only if paused; the parser calls this after each answer."""
         if self._reading_paused:
@@ -254,13 +266,11 @@
         super().connection_lost(exc)
         self._pool.forget(self)
         if self._body is None:
-            error = AttemptError(
-                Outcome.UNKNOWN, Cause.CONNECTION_LOST, "backend server closed"
+            error = AttemptError.at(
+                Cause.CONNECTION_LOST, Stage.SENT, "backend server closed"
             )
         else:
-            error = AttemptError(
-                Outcome.FAILED, Cause.CONNECTION_LOST, "answer cut off"
-            )
+            error = AttemptError.at(Cause.CONNECTION_LOST, Stage.SENT, "answer cut off")
         self._fail(error)
 
 
@@ -272,11 +282,11 @@
         length = int(stated)
     elif with_body and not message.chunked and message.code not in _NO_BODY_STATUSES:
         # Its end would be the end of the connection, which a crash looks like.
-        raise HeaderError("answer without Content-Length or chunked encoding")
+        raise MessageFormatError("answer without Content-Length or chunked encoding")
     if message.chunked:
         length = -1
         if headers.get("Transfer-Encoding", "").lower() != "chunked":
-            raise HeaderError("unknown transfer encoding")
+            raise MessageFormatError("unknown transfer encoding")
     return AnswerHead(
         status=message.code,
         reason=message.reason,
@@ -325,7 +335,7 @@
         """Abort the exchange."""
         if self._conn is not None:
             self._conn.abort()
-            self._end(AttemptError(Outcome.UNKNOWN, Cause.CANCELLED, "cancelled"))
+            self._end(AttemptError.at(Cause.CANCELLED, Stage.SENT, "cancelled"))
 
     def _end(self, error: AttemptError | None) -> None:
         conn, self._conn = self._conn, None
@@ -415,15 +425,15 @@
                 async with asyncio.timeout(max(0, deadline - monotonic())):
                     await waiter
             except TimeoutError:
-                raise AttemptError(
-                    Outcome.NOT_RUN, Cause.DEADLINE, "no free connection"
+                raise AttemptError.at(
+                    Cause.DEADLINE, Stage.UNSENT, "no free connection"
                 ) from None
             finally:
                 if not waiter.done():
                     self._waiters.remove(waiter)
         if not self._reach.allows(self._host, self._port):
-            raise AttemptError(
-                Outcome.NOT_RUN, Cause.CONNECT_FAILED, "backend server unreachable"
+            raise AttemptError.at(
+                Cause.CONNECT_FAILED, Stage.UNSENT, "backend server unreachable"
             )
         self._opening += 1
         try:
@@ -433,8 +443,8 @@
                     lambda: BackendConnection(self), self._host, self._port
                 )
         except (OSError, TimeoutError) as exc:
-            raise AttemptError(
-                Outcome.NOT_RUN, Cause.CONNECT_FAILED, f"backend server: {exc}"
+            raise AttemptError.at(
+                Cause.CONNECT_FAILED, Stage.UNSENT, f"backend server: {exc}"
             ) from exc
         finally:
             self._opening -= 1
@@ -450,7 +460,8 @@
         """Read the answer whose head has arrived on `conn`.
 
         A body of known length up to `MAX_INLINE_BODY` is read whole, so that a
-        truncated one is seen before anything of it is passed on.
+        truncated one is seen before anything of it is passed on. `on_end` is
+        called at the end of a streamed body only.
         """
         answer, body = conn.take_answer()
         if body.is_eof() and (body.total_bytes <= MAX_INLINE_BODY):
@@ -462,7 +473,6 @@
             stream = BackendBody(conn, body, answer.length, on_end)
             return Answer(answer, stream)
         conn.finish()
-        on_end(None)
         return Answer(answer)
 
     def close(self) -> None:
--- /dev/null
+++ b/packages/node/src/mangowell_node/calls.py
@@ -0,0 +1,618 @@
+"""Lifecycle of one call: route, pick, send, retry, respond."""
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Callable
+from time import monotonic
+from urllib.parse import parse_qs
+
+from mangowell_core.distribution.io import Peer
+from mangowell_core.events import Event, EventCode
+from mangowell_core.messages import (
+    CrashReport,
+    FenceQuery,
+    FenceReply,
+    Leaving,
+    Message,
+)
+from mangowell_core.model import Instance, InstanceState, Snapshot
+from mangowell_core.policy import RequestPolicy, make_fingerprint, with_fingerprint
+from mangowell_core.policy.outcome import refuse
+from mangowell_core.policy.types import (
+    AttemptResult,
+    Cause,
+    Choice,
+    Outcome,
+    Plan,
+    Refusal,
+)
+from mangowell_core.settings import NodeSettings
+from mangowell_node.backend import BackendPool, HealthPoller
+from mangowell_node.egress import KEYS_TARGET, Egress, SendControl
+from mangowell_node.exchange import (
+    REQUEST_DROPPED,
+    Answer,
+    AttemptError,
+    Body,
+    MessageFormatError,
+    RequestHead,
+    join_headers,
+)
+from mangowell_node.ingress import CallerBody, IncomingCall, IngressServer, Reply
+from mangowell_node.link import LinkPool, LinkServer, derive_link_key
+from mangowell_node.reach import Reach
+from mangowell_node.telemetry import Telemetry
+
+HOUSEKEEPING_INTERVAL_S = 0.1
+# Time in which callers with open connections are told another address.
+DRAIN_LINGER_S = 0.5
+INTERNAL_PREFIX = "/.mangowell/"
+
+_REASONS = {
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    422: "Unprocessable Content",
+    499: "Client Closed Request",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+_HEADER_DONE = b"Mangowell-Outcome: done\r\n"
+_HEADER_FAILED = b"Mangowell-Outcome: failed\r\n"
+_HEADER_RETRIED = b"Mangowell-Retried: 1\r\n"
+
+
+class _ReportedBody:
+    """Body of an answer that reports the end of its attempt once."""
+
+    __slots__ = ("_body", "_on_end", "length")
+
+    def __init__(
+        self, body: Body, on_end: Callable[[AttemptError | None], None]
+    ) -> None:
+        self._body = body
+        self._on_end = on_end
+        self.length = body.length
+
+    async def read(self) -> bytes:
+        """Return the next chunk, or ``b""`` at the end."""
+        try:
+            chunk = await self._body.read()
+        except AttemptError as exc:
+            self._end(exc)
+            raise
+        if not chunk:
+            self._end(None)
+        return chunk
+
+    def close(self) -> None:
+        """Cancel what produces the body."""
+        self._body.close()
+        self._end(AttemptError(refuse(Cause.CANCELLED, "cancelled")))
+
+    def _end(self, error: AttemptError | None) -> None:
+        on_end, self._on_end = self._on_end, None
+        if on_end is not None:
+            on_end(error)
+
+
+class CallPath:
+    """Carries calls from callers and other nodes to backend servers."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        policy: RequestPolicy,
+        telemetry: Telemetry,
+        reach: Reach,
+        send_control: SendControl,
+    ) -> None:
+        self._settings = settings
+        self._policy = policy
+        self._telemetry = telemetry
+        self._reach = reach
+        self._send_control = send_control
+        self._instances: dict[str, Instance] = {}
+        self._alternates: tuple[Instance, ...] = ()
+        self._snapshot: Snapshot | None = None
+        self._paused = ""
+        self._draining = False
+        self._active = 0
+        self._count = 0
+        # Ids stay distinct over restarts of the process.
+        self._prefix = f"{settings.instance}-{time.time_ns() // 1_000_000:x}-"
+        self._ingress: IngressServer | None = None
+        self._egress: Egress | None = None
+        self._links: LinkPool | None = None
+        self._link_server: LinkServer | None = None
+        self._pool: BackendPool | None = None
+        self._poller: HealthPoller | None = None
+        self._housekeeper: asyncio.Task | None = None
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: NodeSettings,
+        policy: RequestPolicy,
+        telemetry: Telemetry,
+        reach: Reach,
+        send_control: SendControl,
+    ) -> "CallPath":
+        """Build the request path of one node.
+
+        Parameters
+        ----------
+        settings : NodeSettings
+        policy : RequestPolicy
+        telemetry : Telemetry
+        reach : Reach
+        send_control : callable
+            Sends a control message; takes an `Instance` and a `Message`.
+        """
+        return cls(settings, policy, telemetry, reach, send_control)
+
+    async def start(self) -> None:
+        """Open the sockets of the request path."""
+        settings = self._settings
+        emit = self._telemetry.emit
+        self._pool = BackendPool(
+            settings.backend_host, settings.backend_port, self._reach
+        )
+        self._egress = Egress(
+            settings.instance,
+            settings.service,
+            self._policy,
+            self._pool,
+            emit,
+            self._send_control,
+        )
+        self._apply_service()
+        self._poller = HealthPoller(self._pool, self._take_health)
+        key = derive_link_key(settings.security.curve_secret)
+        self._links = LinkPool(settings.instance, key, self._reach, emit)
+        self._link_server = LinkServer(key, self._egress.run, self._egress.load, emit)
+        self._ingress = IngressServer(self.serve)
+        await self._link_server.start(settings.host, settings.link_port)
+        await self._ingress.start(settings.host, settings.call_port)
+        self._poller.start()
+        self._housekeeper = asyncio.create_task(self._keep_house())
+
+    async def stop(self, deadline: float) -> None:
+        """Stop; calls in flight are finished until `deadline`.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic seconds; a time that has passed stops as a crash would.
+        """
+        if self._ingress is None:
+            return
+        now = monotonic()
+        graceful = deadline > now
+        if graceful and not self._draining:
+            self._start_drain(now)
+            linger_end = min(deadline, now + DRAIN_LINGER_S)
+            while monotonic() < deadline:
+                idle = not (self._active or self._egress.running)
+                if idle and monotonic() >= linger_end:
+                    break
+                await asyncio.sleep(0.01)
+            await self._link_server.stop(deadline)
+        self._housekeeper.cancel()
+        await self._poller.stop()
+        await self._ingress.stop(max(0.0, deadline - monotonic()))
+        if not graceful:
+            await self._link_server.stop(now)
+        self._links.close()
+        self._pool.close()
+        self._drain_events()
+
+    def _start_drain(self, now: float) -> None:
+        self._draining = self._ingress.draining = True
+        self._policy.start_drain(now)
+        self._announce_leaving()
+
+    def _announce_leaving(self) -> None:
+        """Tell the service's other instances and the nodes that send work here."""
+        message = Leaving(self._settings.instance)
+        names = self._link_server.peers | {i.name for i in self._egress.members}
+        for name in names - {self._settings.instance}:
+            instance = self._instances.get(name)
+            if instance is not None:
+                self._send_control(instance, message)
+
+    def apply(self, snapshot: Snapshot) -> None:
+        """Run a new snapshot."""
+        self._policy.apply(snapshot, monotonic())
+        self._snapshot = snapshot
+        self._instances = {
+            instance.name: instance
+            for members in snapshot.instances.values()
+            for instance in members
+        }
+        others = [
+            instance
+            for instance in self._instances.values()
+            if instance.name != self._settings.instance
+            and instance.state is InstanceState.LIVE
+        ]
+        own = self._settings.failure_domain
+        near = [instance for instance in others if instance.failure_domain == own]
+        self._alternates = tuple(near or others)
+        self._apply_service()
+
+    def _apply_service(self) -> None:
+        if self._snapshot is None or self._egress is None:
+            return
+        name = self._settings.service
+        service = self._snapshot.document.services.get(name)
+        if service is not None:
+            self._pool.limit = service.connections
+            self._egress.slots = service.slots
+        self._egress.members = self._snapshot.instances.get(name, ())
+
+    def handle_control(self, sender: Peer, message: Message) -> None:
+        """Take a control message about requests."""
+        now = monotonic()
+        match message:
+            case CrashReport():
+                self._policy.crash_reported(message, now)
+            case Leaving(instance):
+                self._policy.peer_leaving(instance, now)
+            case FenceQuery():
+                reply = self._policy.fence(message, now)
+                asker = self._instances.get(sender.instance)
+                if asker is not None:
+                    self._send_control(asker, reply)
+            case FenceReply():
+                if self._egress is not None:
+                    self._egress.take_fence_reply(sender.instance, message)
+
+    def pause_calls(self, reason: str) -> None:
+        """Refuse calls until `resume_calls`."""
+        self._paused = reason
+
+    def resume_calls(self) -> None:
+        """Accept calls again."""
+        self._paused = ""
+
+    # Housekeeping
+
+    async def _keep_house(self) -> None:
+        while True:
+            self._links.check(monotonic())
+            self._drain_events()
+            await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
+
+    def _drain_events(self) -> None:
+        for event in self._policy.events():
+            self._telemetry.emit(event)
+
+    def _take_health(self, status: str, load: float) -> None:
+        egress = self._egress
+        instance = self._settings.instance
+        now = monotonic()
+        if status != egress.health:
+            before, egress.health = egress.health, status
+            fields = {"backend": instance, "reason": status}
+            if status == "leaving":
+                self._telemetry.emit(Event(EventCode.BACKEND_LEAVING, fields))
+                self._policy.peer_leaving(instance, now)
+                self._announce_leaving()
+            elif status == "ok":
+                self._telemetry.emit(Event(EventCode.BACKEND_UP, fields))
+            elif before == "ok":
+                self._telemetry.emit(Event(EventCode.BACKEND_DOWN, fields))
+        egress.reported_load = load
+        self._policy.backend_seen(instance, status == "ok", load, now)
+
+    # Calls
+
+    async def serve(self, call: IncomingCall) -> Reply:
+        """Answer a call; cancelled if its caller disconnects."""
+        self._active += 1
+        started = monotonic()
+        self._count += 1
+        request = f"{self._prefix}{self._count}"
+        try:
+            return await self._serve(call, request, started)
+        finally:
+            self._active -= 1
+
+    async def _serve(self, call: IncomingCall, request: str, now: float) -> Reply:
+        if self._draining:
+            refusal = refuse(Cause.LEAVING, "node is stopping")
+            return self._refuse(request, None, refusal, now)
+        if self._paused:
+            refusal = refuse(Cause.NOT_READY, self._paused)
+            return self._refuse(request, None, refusal, now)
+        headers = call.headers
+        path, _, query = call.target.partition("?")
+        if path.startswith(INTERNAL_PREFIX):
+            return await self._serve_internal(call, request, path, query, now)
+        try:
+            remaining_ms = _read_remaining(headers.get("Mangowell-Deadline-Ms"))
+            block = join_headers(
+                call.raw_headers, REQUEST_DROPPED, headers.get("Connection")
+            )
+        except (ValueError, MessageFormatError) as exc:
+            refusal = Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 400, 0.0, str(exc))
+            return self._refuse(request, None, refusal, now)
+        plan = self._policy.match(
+            request,
+            call.method,
+            path,
+            headers.get("Mangowell-Tenant", ""),
+            remaining_ms,
+            headers.get("Idempotency-Key", ""),
+            now,
+        )
+        if type(plan) is Refusal:
+            return self._refuse(request, None, plan, now)
+        try:
+            async with asyncio.timeout(plan.deadline - now):
+                body = await call.read_body()
+        except TimeoutError:
+            refusal = refuse(Cause.DEADLINE, "request body arrives too slowly")
+            return self._refuse(request, plan, refusal, now)
+        except MessageFormatError as exc:
+            refusal = Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 400, 0.0, str(exc))
+            return self._refuse(request, plan, refusal, now)
+        head = RequestHead(
+            request,
+            plan.service.name,
+            call.method,
+            call.target,
+            block,
+            plan.tenant,
+            plan.traffic_class.name,
+            plan.traffic_class.priority,
+            plan.traffic_class.deferrable,
+            0.0,
+            plan.route.idempotent,
+            plan.idempotency_key,
+        )
+        stream = None
+        if type(body) is bytes:
+            head.body = body
+            head.fingerprint = make_fingerprint(call.method, path, query, body)
+            plan = with_fingerprint(plan, head.fingerprint)
+            refusal = self._policy.suspect(plan, now)
+            if refusal is not None:
+                return self._refuse(request, plan, refusal, now)
+        else:
+            stream = body
+            head.streaming = True
+            head.length = body.length
+        return await self._run(plan, head, stream, now)
+
+    async def _run(
+        self, plan: Plan, head: RequestHead, body: CallerBody | None, started: float
+    ) -> Reply:
+        policy = self._policy
+        excluded: set[str] = set()
+        attempts = 0
+        error: AttemptError | None = None
+        while True:
+            now = monotonic()
+            choice = policy.pick(plan, excluded, now)
+            if type(choice) is Refusal:
+                # What the attempts before have met says more than this does.
+                refusal = choice if error is None else error.refusal
+                return self._refuse(head.request, plan, refusal, started, attempts)
+            attempts += 1
+            try:
+                answer = await self._attempt(plan, choice, head, body)
+            except AttemptError as exc:
+                error = exc
+                refusal = exc.refusal
+                result = AttemptResult(
+                    refusal.outcome,
+                    refusal.cause,
+                    refusal.status,
+                    backend_load=exc.backend_load,
+                )
+            else:
+                result = _make_result(answer)
+                if result.cause is Cause.NONE or answer.stream is not None:
+                    return self._answer(plan, answer, started, attempts)
+                error = None
+            excluded.add(choice.instance.name)
+            allowed = plan.route.idempotent or result.outcome is Outcome.NOT_RUN
+            if body is not None and body.started:
+                allowed = False
+            if not (allowed and policy.may_retry(plan, result, attempts, monotonic())):
+                if error is None:
+                    return self._answer(plan, answer, started, attempts)
+                return self._refuse(
+                    head.request, plan, error.refusal, started, attempts
+                )
+            self._telemetry.emit(
+                Event(
+                    EventCode.CALL_RETRIED,
+                    {
+                        "request": head.request,
+                        "backend": choice.instance.name,
+                        "reason": result.cause.value,
+                        "attempt": attempts,
+                    },
+                )
+            )
+
+    async def _attempt(
+        self, plan: Plan, choice: Choice, head: RequestHead, body: Body | None
+    ) -> Answer:
+        started = monotonic()
+        policy = self._policy
+        policy.attempt_started(plan, choice, started)
+        instance = choice.instance
+
+        def end(error: AttemptError | None) -> None:
+            now = monotonic()
+            if error is None:
+                result = _make_result(answer, now - started)
+            else:
+                refusal = error.refusal
+                result = AttemptResult(
+                    refusal.outcome,
+                    refusal.cause,
+                    refusal.status,
+                    now - started,
+                    False,
+                    error.backend_load,
+                )
+            policy.attempt_finished(plan, choice, result, now)
+
+        try:
+            if choice.is_local:
+                answer = await self._egress.run(head, body, plan.deadline)
+            else:
+                answer = await self._links.call(
+                    instance.host, instance.link_port, head, body, plan.deadline
+                )
+        except AttemptError as exc:
+            end(exc)
+            raise
+        except BaseException:
+            end(AttemptError(refuse(Cause.CANCELLED, "cancelled")))
+            raise
+        if answer.stream is None:
+            end(None)
+        else:
+            answer.stream = _ReportedBody(answer.stream, end)
+        return answer
+
+    async def _serve_internal(
+        self, call: IncomingCall, request: str, path: str, query: str, now: float
+    ) -> Reply:
+        """Issue a pinned key at an instance that may run its request."""
+        if path != KEYS_TARGET or call.method != "POST":
+            refusal = Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 404, 0.0, "no such page")
+            return self._refuse(request, None, refusal, now)
+        fields = parse_qs(query)
+        target = fields.get("path", [""])[0]
+        if not target:
+            answer = self._egress.mint()
+            return Reply(201, "Created", _HEADER_DONE + answer.headers, answer.body)
+        plan = self._policy.match(
+            request, fields.get("method", ["POST"])[0], target, "", None, "", now
+        )
+        if type(plan) is Refusal:
+            return self._refuse(request, None, plan, now)
+        head = RequestHead(
+            request,
+            plan.service.name,
+            "POST",
+            KEYS_TARGET,
+            b"",
+            "",
+            plan.traffic_class.name,
+            plan.traffic_class.priority,
+            False,
+            0.0,
+            True,
+        )
+        return await self._run(plan, head, None, now)
+
+    # Answers
+
+    def _answer(
+        self, plan: Plan, answer: Answer, started: float, attempts: int
+    ) -> Reply:
+        head = answer.head
+        failed = head.status >= 500
+        headers = (_HEADER_FAILED if failed else _HEADER_DONE) + head.headers
+        if failed and attempts > 1 and not head.retried:
+            headers += _HEADER_RETRIED
+        self._telemetry.observe_call(
+            plan.tenant,
+            plan.traffic_class.name,
+            plan.route.name,
+            "failed" if failed else "done",
+            monotonic() - started,
+        )
+        return Reply(
+            head.status, head.reason, headers, head.body, answer.stream, head.length
+        )
+
+    def _refuse(
+        self,
+        request: str,
+        plan: Plan | None,
+        refusal: Refusal,
+        started: float,
+        attempts: int = 0,
+    ) -> Reply:
+        outcome = refusal.outcome
+        code = EventCode.CALL_UNKNOWN
+        if outcome is Outcome.NOT_RUN:
+            code = EventCode.CALL_REFUSED
+        fields = {
+            "request": request,
+            "cause": refusal.cause.value,
+            "reason": refusal.reason,
+        }
+        lines = [f"Mangowell-Outcome: {outcome.value}\r\n"]
+        if refusal.retry_after_s > 0:
+            lines.append(f"Retry-After: {max(1, round(refusal.retry_after_s))}\r\n")
+        if refusal.cause in (Cause.LEAVING, Cause.NOT_READY):
+            alternate = self._find_alternate()
+            if alternate:
+                lines.append(f"Mangowell-Alternate: {alternate}\r\n")
+        if attempts > 1:
+            lines.append("Mangowell-Retried: 1\r\n")
+        lines.append("Content-Type: application/json\r\n")
+        body = json.dumps({"outcome": outcome.value, **fields}) + "\n"
+        if plan is not None:
+            fields["route"] = plan.route.name
+            self._telemetry.observe_call(
+                plan.tenant,
+                plan.traffic_class.name,
+                plan.route.name,
+                outcome.value,
+                monotonic() - started,
+            )
+        self._telemetry.emit(Event(code, fields))
+        return Reply(
+            refusal.status,
+            _REASONS.get(refusal.status, "Error"),
+            "".join(lines).encode(),
+            body.encode(),
+        )
+
+    def _find_alternate(self) -> str:
+        leaving = self._policy.board.leaving
+        others = [i for i in self._alternates if i.name not in leaving]
+        if not others:
+            return ""
+        instance = random.choice(others)
+        return f"{instance.host}:{instance.call_port}"
+
+
+def _make_result(answer: Answer, latency_s: float = 0.0) -> AttemptResult:
+    head = answer.head
+    if head.status >= 500:
+        return AttemptResult(
+            Outcome.FAILED,
+            Cause.BACKEND_STATUS,
+            head.status,
+            latency_s,
+            head.retried,
+            head.backend_load,
+        )
+    return AttemptResult(
+        Outcome.DONE, Cause.NONE, head.status, latency_s, False, head.backend_load
+    )
+
+
+def _read_remaining(value: str | None) -> int | None:
+    if value is None:
+        return None
+    if not (value.isascii() and value.isdigit()) or len(value) > 9:
+        raise ValueError(f"Mangowell-Deadline-Ms is no number of ms: {value!r}")
+    return int(value)
--- /dev/null
+++ b/packages/node/src/mangowell_node/egress.py
@@ -0,0 +1,535 @@
+"""Requests at the node beside the backend server that runs them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from time import monotonic
+
+from mangowell_core.events import Event, EventCode
+from mangowell_core.messages import CrashReport, FenceQuery, FenceReply, Message
+from mangowell_core.model import Instance, TrafficClass
+from mangowell_core.policy import RequestPolicy
+from mangowell_core.policy.outcome import Stage, refuse
+from mangowell_core.policy.types import (
+    Admitted,
+    AskFences,
+    AttemptResult,
+    Cause,
+    Dispatch,
+    Expired,
+    Outcome,
+    Refusal,
+    ReplayKey,
+    RunKey,
+    StoredAnswer,
+    Work,
+)
+from mangowell_node.backend import BackendConnection, BackendPool
+from mangowell_node.exchange import (
+    MAX_BUFFERED_BODY,
+    Answer,
+    AnswerHead,
+    AttemptError,
+    Body,
+    RequestHead,
+)
+
+KEYS_TARGET = "/.mangowell/keys"
+# A crash closes every connection of the process within this time.
+CRASH_WINDOW_S = 0.02
+FENCE_TIMEOUT_S = 1.0
+
+SendControl = Callable[[Instance, Message], object]
+
+
+class _PrefixedBody:
+    """Body of which the start has already been read."""
+
+    __slots__ = ("_body", "_prefix", "length")
+
+    def __init__(self, prefix: list[bytes], body: Body) -> None:
+        self._prefix = prefix
+        self._body = body
+        self.length = body.length
+
+    async def read(self) -> bytes:
+        if self._prefix:
+            return self._prefix.pop(0)
+        return await self._body.read()
+
+    def close(self) -> None:
+        self._body.close()
+
+
+class Egress:
+    """Runs requests on the own backend server.
+
+    Parameters
+    ----------
+    policy : RequestPolicy
+    pool : BackendPool
+    emit : callable
+        Takes an `Event`.
+    send_control : callable
+        Takes an `Instance` and a `Message`.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        service: str,
+        policy: RequestPolicy,
+        pool: BackendPool,
+        emit: Callable[[Event], None],
+        send_control: SendControl,
+    ) -> None:
+        self._instance = instance
+        self._service = service
+        self._policy = policy
+        self._pool = pool
+        self._emit = emit
+        self._send_control = send_control
+        self._loop = asyncio.get_running_loop()
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._classes: dict[tuple[str, int, bool], TrafficClass] = {}
+        self._lost: list[str] = []
+        self._crash_check: asyncio.Task | None = None
+        self._fences: dict[int, tuple[str, asyncio.Queue]] = {}
+        self._fence_number = 0
+        self._detached: set[asyncio.Task] = set()
+        self.running = 0
+        self.slots = 1
+        self.members: tuple[Instance, ...] = ()
+        self.health = "starting"
+        self.reported_load = 0.0
+
+    def load(self) -> float:
+        """Return the load of the backend server, 0 to 1."""
+        return min(1.0, max(self.reported_load, self.running / self.slots))
+
+    async def run(
+        self, head: RequestHead, body: Body | None, deadline: float
+    ) -> Answer:
+        """Run a request.
+
+        Raises
+        ------
+        AttemptError
+            If there is no answer of the backend server.
+        """
+        if head.target == KEYS_TARGET:
+            return Answer(self.mint())
+        now = monotonic()
+        work = Work(
+            head.request,
+            head.service,
+            self._find_class(head),
+            head.tenant,
+            deadline,
+            head.idempotent,
+            head.idempotency_key,
+            head.fingerprint,
+        )
+        if head.service != self._service:
+            reason = f"{self._instance} runs no {head.service}"
+            raise AttemptError.at(Cause.NO_INSTANCE, Stage.UNSENT, reason)
+        decision = self._policy.offer(work, now)
+        if type(decision) is Refusal:
+            raise AttemptError(decision, self.load())
+        if type(decision) is not Admitted:
+            await self._wait(decision.ticket, deadline)
+        return await self._run_admitted(decision.ticket, head, body, deadline)
+
+    def _find_class(self, head: RequestHead) -> TrafficClass:
+        key = (head.traffic_class, head.priority, head.deferrable)
+        found = self._classes.get(key)
+        if found is None:
+            found = self._classes[key] = TrafficClass(*key)
+        return found
+
+    def mint(self) -> AnswerHead:
+        """Issue a key that this instance owns."""
+        key = self._policy.mint_key(monotonic())
+        headers = f"Content-Type: application/json\r\nIdempotency-Key: {key}\r\n"
+        body = b'{"key": "%b"}' % key.encode()
+        return AnswerHead(201, "Created", headers.encode(), body)
+
+    # Admission
+
+    async def _wait(self, ticket: int, deadline: float) -> None:
+        waiter = self._waiting[ticket] = self._loop.create_future()
+        self._arm()
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled() and not waiter.exception():
+                self._release(ticket, Cause.CANCELLED, Outcome.NOT_RUN)
+            else:
+                self._policy.cancel(ticket, monotonic())
+            raise
+        finally:
+            self._waiting.pop(ticket, None)
+
+    def _arm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._waiting:
+            delay = self._policy.next_deadline() - monotonic()
+            # A bound on the delay keeps an infinite time out of the loop.
+            self._timer = self._loop.call_later(
+                min(max(0.001, delay), 60.0), self._expire
+            )
+
+    def _expire(self) -> None:
+        self._timer = None
+        self._settle(self._policy.expire(monotonic()))
+        self._arm()
+
+    def _settle(self, decisions: list[Dispatch | Expired]) -> None:
+        for decision in decisions:
+            waiter = self._waiting.get(decision.ticket)
+            match decision:
+                case Dispatch(ticket):
+                    if waiter is not None and not waiter.done():
+                        waiter.set_result(None)
+                    else:
+                        self._release(ticket, Cause.CANCELLED, Outcome.NOT_RUN)
+                case Expired(_, refusal):
+                    if waiter is not None and not waiter.done():
+                        waiter.set_exception(AttemptError(refusal, self.load()))
+
+    def _release(
+        self,
+        ticket: int,
+        cause: Cause,
+        outcome: Outcome,
+        status: int = 0,
+        latency_s: float = 0.0,
+    ) -> None:
+        result = AttemptResult(outcome, cause, status, latency_s)
+        decisions = self._policy.release(ticket, result, monotonic())
+        if decisions:
+            self._settle(decisions)
+            self._arm()
+
+    # One admitted request
+
+    async def _run_admitted(
+        self, ticket: int, head: RequestHead, body: Body | None, deadline: float
+    ) -> Answer:
+        started = monotonic()
+        ended = False
+        self.running += 1
+
+        def end(error: AttemptError | None, status: int = 0) -> None:
+            nonlocal ended
+            if ended:
+                return
+            ended = True
+            self.running -= 1
+            latency_s = monotonic() - started
+            if error is None:
+                if head.fingerprint:
+                    self._policy.backend_completed(head.fingerprint, monotonic())
+                self._release(ticket, Cause.NONE, Outcome.DONE, status, latency_s)
+            else:
+                refusal = error.refusal
+                self._release(ticket, refusal.cause, refusal.outcome, 0, latency_s)
+
+        if head.idempotent or not head.idempotency_key:
+            return await self._run_to_end(
+                self._exchange(head, body, deadline, end), end
+            )
+        # Runs on if the caller goes away, so that the ledger learns the answer
+        # and a repeated call with the key is given it.
+        task = self._loop.create_task(
+            self._run_to_end(self._run_keyed(head, body, deadline, end), end)
+        )
+        self._detached.add(task)
+        task.add_done_callback(self._detached.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(_drop_answer)
+            raise
+
+    async def _run_to_end(
+        self,
+        exchange: Awaitable[Answer],
+        end: Callable[..., None],
+    ) -> Answer:
+        try:
+            answer = await exchange
+        except AttemptError as exc:
+            end(exc)
+            exc.backend_load = self.load()
+            raise
+        except BaseException:
+            end(AttemptError.at(Cause.CANCELLED, Stage.SENT, "cancelled"))
+            raise
+        if answer.stream is None:
+            end(None, answer.head.status)
+        answer.head.backend_load = self.load()
+        return answer
+
+    async def _exchange(
+        self,
+        head: RequestHead,
+        body: Body | None,
+        deadline: float,
+        on_end: Callable[[AttemptError | None], None],
+    ) -> Answer:
+        conn = None
+        if head.idempotent:
+            conn = self._pool.take_idle()
+        was_idle = conn is not None
+        # A request that may run once only takes a new connection: one that
+        # the backend server closes while idle would leave its end unknown.
+        if conn is None:
+            conn = await self._pool.open(deadline)
+        try:
+            return await self._send(conn, head, body, deadline, on_end)
+        except AttemptError as exc:
+            refusal = exc.refusal
+            if refusal.cause is not Cause.CONNECTION_LOST:
+                raise
+            stale = was_idle and not conn.received
+            if await self._find_crash(head.fingerprint, conn, stale):
+                reason = "backend server crashed"
+                raise AttemptError.at(
+                    Cause.BACKEND_CRASHED, Stage.SENT, reason
+                ) from exc
+            if not (stale and body is None):
+                raise
+        conn = await self._pool.open(deadline)
+        return await self._send(conn, head, None, deadline, on_end)
+
+    async def _send(
+        self,
+        conn: BackendConnection,
+        head: RequestHead,
+        body: Body | None,
+        deadline: float,
+        on_end: Callable[[AttemptError | None], None],
+    ) -> Answer:
+        upload = None
+        try:
+            waiter = conn.start(head, deadline)
+            if body is not None:
+                upload = self._loop.create_task(conn.send_body(body))
+                done, _ = await asyncio.wait(
+                    (waiter, upload), return_when=asyncio.FIRST_COMPLETED
+                )
+                if waiter not in done:
+                    upload.result()
+            await waiter
+            if upload is not None and not upload.done():
+                # The answer came before the end of the upload, so the
+                # connection cannot carry another request.
+                conn.poison()
+                upload.cancel()
+            return await self._pool.read_answer(conn, head, on_end)
+        except BaseException:
+            conn.abort()
+            raise
+        finally:
+            if upload is not None:
+                upload.cancel()
+                await asyncio.gather(upload, return_exceptions=True)
+
+    # Keys
+
+    async def _run_keyed(
+        self,
+        head: RequestHead,
+        body: Body | None,
+        deadline: float,
+        on_end: Callable[[AttemptError | None], None],
+    ) -> Answer:
+        key = head.idempotency_key
+        conn = await self._pool.open(deadline)
+        sent = False
+        try:
+            decision = self._policy.key_begin(
+                head.service, key, monotonic(), head.fingerprint
+            )
+            if type(decision) is AskFences:
+                decision = await self._ask_fences(decision, head, deadline)
+            match decision:
+                case ReplayKey(answer):
+                    conn.release()
+                    return Answer(_restore_answer(answer))
+                case Refusal():
+                    conn.release()
+                    raise AttemptError(decision)
+                case RunKey():
+                    pass
+            if not conn.is_open:
+                self._policy.key_withdraw(head.service, key, monotonic())
+                raise AttemptError.at(
+                    Cause.CONNECT_FAILED, Stage.UNSENT, "backend server closed"
+                )
+            sent = True
+            stored = None
+            try:
+                answer = await self._send_keyed(conn, head, body, deadline, on_end)
+                if answer.stream is None:
+                    stored = _store_answer(answer.head)
+                return answer
+            finally:
+                self._policy.key_finish(head.service, key, stored, monotonic())
+        except BaseException:
+            if not sent:
+                conn.abort()
+            raise
+
+    async def _send_keyed(
+        self,
+        conn: BackendConnection,
+        head: RequestHead,
+        body: Body | None,
+        deadline: float,
+        on_end: Callable[[AttemptError | None], None],
+    ) -> Answer:
+        try:
+            answer = await self._send(conn, head, body, deadline, on_end)
+        except AttemptError as exc:
+            if exc.refusal.cause is Cause.CONNECTION_LOST and await self._find_crash(
+                head.fingerprint, conn, False
+            ):
+                reason = "backend server crashed"
+                raise AttemptError.at(
+                    Cause.BACKEND_CRASHED, Stage.SENT, reason
+                ) from exc
+            raise
+        if answer.stream is None:
+            return answer
+        # The ledger keeps whole answers only.
+        chunks: list[bytes] = []
+        size = 0
+        while chunk := await answer.stream.read():
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_BUFFERED_BODY:
+                answer.stream = _PrefixedBody(chunks, answer.stream)
+                return answer
+        answer.stream = None
+        answer.head.streaming = False
+        answer.head.body = b"".join(chunks)
+        return answer
+
+    async def _ask_fences(
+        self, ask: AskFences, head: RequestHead, deadline: float
+    ) -> RunKey | ReplayKey | Refusal:
+        """Ask every other possible owner; silence counts as a refusal."""
+        key = head.idempotency_key
+        self._fence_number += 1
+        number = self._fence_number
+        replies: asyncio.Queue = asyncio.Queue()
+        self._fences[number] = (key, replies)
+        silent = {instance.name for instance in ask.instances}
+        for instance in ask.instances:
+            self._send_control(instance, FenceQuery(head.service, key, number))
+        try:
+            async with asyncio.timeout(
+                min(FENCE_TIMEOUT_S, max(0, deadline - monotonic()))
+            ):
+                while silent:
+                    sender, promised = await replies.get()
+                    if sender not in silent:
+                        continue
+                    silent.discard(sender)
+                    decision = self._policy.key_fenced(
+                        head.service, key, sender, promised, monotonic()
+                    )
+                    if decision is not None:
+                        return decision
+        except TimeoutError:
+            for sender in silent:
+                decision = self._policy.key_fenced(
+                    head.service, key, sender, False, monotonic()
+                )
+                if decision is not None:
+                    return decision
+        except BaseException:
+            self._policy.key_withdraw(head.service, key, monotonic())
+            raise
+        finally:
+            del self._fences[number]
+        return refuse(Cause.KEY_UNKNOWN, "no promise from other instances")
+
+    def take_fence_reply(self, sender: str, reply: FenceReply) -> None:
+        """Take the answer to a fence query."""
+        key, replies = self._fences.get(reply.request, ("", None))
+        if replies is not None and key == reply.idempotency_key:
+            replies.put_nowait((sender, reply.promised))
+
+    # Crashes
+
+    async def _find_crash(
+        self, fingerprint: str, conn: BackendConnection, stale: bool
+    ) -> bool:
+        """Tell whether the backend server has crashed with this request.
+
+        It has if it accepts no connection any more, or if every connection
+        that was open at the time of the loss is lost too.
+        """
+        self._lost.append(fingerprint)
+        if self._crash_check is None:
+            self._crash_check = self._loop.create_task(self._check_crash())
+        refused, all_lost = await asyncio.shield(self._crash_check)
+        return refused or (all_lost and not stale)
+
+    async def _check_crash(self) -> tuple[bool, bool]:
+        witnesses = self._pool.open_connections
+        refused = False
+        try:
+            probe = await self._pool.open(monotonic() + CRASH_WINDOW_S * 10)
+            probe.release()
+        except AttemptError:
+            refused = True
+        await asyncio.sleep(CRASH_WINDOW_S)
+        all_lost = bool(witnesses) and not any(c.is_open for c in witnesses)
+        self._crash_check = None
+        lost, self._lost = self._lost, []
+        if self.health == "leaving" or not (refused or all_lost):
+            return False, False
+        fingerprints = [fingerprint for fingerprint in lost if fingerprint]
+        reports = self._policy.backend_crashed(self._service, fingerprints, monotonic())
+        for report in reports:
+            self.send_to_members(report)
+        self._emit(
+            Event(
+                EventCode.BACKEND_DOWN,
+                {"backend": self._instance, "reason": "crashed", "lost": len(lost)},
+            )
+        )
+        return refused, all_lost
+
+    def send_to_members(self, message: CrashReport) -> None:
+        """Send a message to the other instances of the service."""
+        for instance in self.members:
+            if instance.name != self._instance:
+                self._send_control(instance, message)
+
+
+def _drop_answer(task: asyncio.Task) -> None:
+    """Close the body of an answer that nobody waits for any more."""
+    if not task.cancelled() and task.exception() is None:
+        stream = task.result().stream
+        if stream is not None:
+            stream.close()
+
+
+def _store_answer(head: AnswerHead) -> StoredAnswer:
+    lines = head.headers.decode("utf-8", "surrogateescape").split("\r\n")
+    pairs = [line.partition(": ") for line in lines if line]
+    headers = tuple((name, value) for name, _, value in pairs)
+    return StoredAnswer(head.status, headers, head.body)
+
+
+def _restore_answer(answer: StoredAnswer) -> AnswerHead:
+    lines = [f"{name}: {value}\r\n" for name, value in answer.headers]
+    block = "".join(lines).encode("utf-8", "surrogateescape")
+    return AnswerHead(answer.status, "", block, answer.body)
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from mangowell_core.policy.types import AttemptResult, Cause, Outcome, Refusal
+from mangowell_core.policy.outcome import Stage, refuse
+from mangowell_core.policy.types import Cause, Outcome, Refusal
 
 MAX_BUFFERED_BODY = 1_048_576  # bytes; larger request bodies get one attempt
 MAX_INLINE_BODY = 65_536  # bytes; answers up to this size move as one unit
@@ -35,8 +36,8 @@
 ANSWER_DROPPED = _HOP_BY_HOP | {b"mangowell-outcome", b"mangowell-alternate"}
 
 
-class HeaderError(Exception):
-    """Header fields that cannot be passed on unchanged."""
+class MessageFormatError(Exception):
+    """Header fields or a body that cannot be passed on unchanged."""
 
 
 class AttemptError(Exception):
@@ -44,42 +45,21 @@
 
     Parameters
     ----------
-    outcome : Outcome
-        Whether the request can have reached a backend server.
-    cause : Cause
-    reason : str
-        For events and the answer's body.
-    retry_after_s : float
-        0 if the failing side gave none.
-    status : int
-        HTTP status that the failing side proposes, or 0.
+    refusal : Refusal
+        What the caller is told if there is no further attempt.
+    backend_load : float
+        Load at the egress node, 0 to 1; negative if unknown.
     """
 
-    def __init__(
-        self,
-        outcome: Outcome,
-        cause: Cause,
-        reason: str = "",
-        retry_after_s: float = 0.0,
-        status: int = 0,
-    ) -> None:
-        super().__init__(reason or cause.value)
-        self.outcome = outcome
-        self.cause = cause
-        self.reason = reason
-        self.retry_after_s = retry_after_s
-        self.status = status
+    def __init__(self, refusal: Refusal, backend_load: float = -1.0) -> None:
+        super().__init__(refusal.reason or refusal.cause.value)
+        self.refusal = refusal
+        self.backend_load = backend_load
 
     @classmethod
-    def from_refusal(cls, refusal: Refusal) -> "AttemptError":
-        """Make the error of an attempt that the policy refuses."""
-        return cls(
-            refusal.outcome,
-            refusal.cause,
-            refusal.reason,
-            refusal.retry_after_s,
-            refusal.status,
-        )
+    def at(cls, cause: Cause, stage: Stage, reason: str) -> "AttemptError":
+        """Make the error for a cause at a stage of the request."""
+        return cls(refuse(cause, reason, stage=stage))
 
 
 class Body(Protocol):
@@ -164,6 +144,8 @@
         Load at the egress node, 0 to 1; negative if unknown.
     retried : bool
         A lower hop has spent retries on this request.
+    proposed_status : int
+        HTTP status for the caller if `status` is 0.
     """
 
     status: int
@@ -190,37 +172,29 @@
         self.stream = stream
 
 
-def make_failed_head(error: AttemptError, backend_load: float) -> AnswerHead:
+def make_failed_head(refusal: Refusal, backend_load: float) -> AnswerHead:
     """Describe a failed attempt for the ingress node."""
     return AnswerHead(
         status=0,
-        reason=error.reason,
-        outcome=error.outcome.value,
-        cause=error.cause.value,
-        retry_after_s=error.retry_after_s,
+        reason=refusal.reason,
+        outcome=refusal.outcome.value,
+        cause=refusal.cause.value,
+        retry_after_s=refusal.retry_after_s,
         backend_load=backend_load,
-        proposed_status=error.status,
+        proposed_status=refusal.status,
     )
 
 
 def read_failed_head(head: AnswerHead) -> AttemptError:
     """Make the error that `make_failed_head` describes."""
-    return AttemptError(
+    refusal = Refusal(
         Outcome(head.outcome),
         Cause(head.cause),
-        head.reason,
-        head.retry_after_s,
         head.proposed_status,
+        head.retry_after_s,
+        head.reason,
     )
-
-
-def make_result(
-    error: AttemptError, latency_s: float, backend_load: float = -1.0
-) -> AttemptResult:
-    """Describe a failed attempt for the policy."""
-    return AttemptResult(
-        error.outcome, error.cause, 0, latency_s, backend_load=backend_load
-    )
+    return AttemptError(refusal, head.backend_load)
 
 
 def join_headers(
@@ -245,7 +219,7 @@
 
     Raises
     ------
-    HeaderError
+    MessageFormatError
         If the block is too large, or a value contains a line break.
     """
     if connection is not None and connection.lower() not in ("keep-alive", "close"):
@@ -258,8 +232,10 @@
     ]
     block = b"".join(lines)
     if len(block) > MAX_HEADER_BLOCK:
-        raise HeaderError(f"{len(block)} bytes of headers, limit {MAX_HEADER_BLOCK}")
+        raise MessageFormatError(
+            f"{len(block)} bytes of headers, limit {MAX_HEADER_BLOCK}"
+        )
     # A folded value could otherwise be read as further fields by the next hop.
     if block.count(b"\n") != len(lines) or block.count(b"\r") != len(lines):
-        raise HeaderError("line break in a header value")
+        raise MessageFormatError("line break in a header value")
     return block
--- a/packages/node/src/mangowell_node/link.py
+++ b/packages/node/src/mangowell_node/link.py
@@ -20,11 +20,12 @@
 import msgspec
 
 from mangowell_core.events import Event, EventCode
-from mangowell_core.policy.types import Cause, Outcome
+from mangowell_core.policy.deadlines import find_remaining_ms
+from mangowell_core.policy.outcome import Stage
+from mangowell_core.policy.types import Cause
 from mangowell_node.exchange import (
     MAX_BUFFERED_BODY,
     MAX_HEADER_BLOCK,
-    MAX_INLINE_BODY,
     Answer,
     AnswerHead,
     AttemptError,
@@ -48,8 +49,6 @@
 MAX_FRAME = MAX_BUFFERED_BODY + MAX_HEADER_BLOCK + 32_768
 MAX_HANDSHAKE_FRAME = 512
 MAX_STREAM = 2**32 - 1
-# The egress node gives up first, so that its verdict still arrives in time.
-DEADLINE_MARGIN_MS = 5.0
 MAX_STREAMS = 4096  # open at once on one link
 
 _FRAME = struct.Struct(">IBI")
@@ -301,7 +300,8 @@
         """Write one frame."""
         if self.closed:
             return
-        self.transport.write(b"%b%b" % (_FRAME.pack(len(payload), kind, stream), payload))
+        head = _FRAME.pack(len(payload), kind, stream)
+        self.transport.write(b"%b%b" % (head, payload))
 
     def pause_writing(self) -> None:
         self._paused = True
@@ -404,7 +404,7 @@
 
     def expire(self) -> None:
         self.cancel()
-        self.fail(AttemptError(Outcome.UNKNOWN, Cause.DEADLINE, "deadline passed"))
+        self.fail(AttemptError.at(Cause.DEADLINE, Stage.SENT, "deadline passed"))
 
     def fail(self, error: AttemptError) -> None:
         self.link.forget(self)
@@ -486,19 +486,22 @@
             If there is no answer; the work at the other node is cancelled.
         """
         if not self.is_usable:
-            raise AttemptError(Outcome.NOT_RUN, Cause.CONNECT_FAILED, "link closed")
-        remaining = deadline - monotonic()
-        if remaining <= 0:
-            raise AttemptError(Outcome.NOT_RUN, Cause.DEADLINE, "deadline passed")
-        head.remaining_ms = max(remaining * 1000 - DEADLINE_MARGIN_MS, 1.0)
+            raise AttemptError.at(Cause.CONNECT_FAILED, Stage.UNSENT, "link closed")
+        now = monotonic()
+        # The egress node gives up first, so that its verdict arrives in time.
+        head.remaining_ms = find_remaining_ms(deadline, now)
+        if head.remaining_ms <= 0:
+            raise AttemptError.at(Cause.DEADLINE, Stage.UNSENT, "deadline passed")
         payload = _encoder.encode(head)
         if len(payload) > MAX_FRAME:
-            raise AttemptError(Outcome.NOT_RUN, Cause.BAD_ANSWER, "request too large")
+            raise AttemptError.at(
+                Cause.CONNECT_FAILED, Stage.UNSENT, "request too large"
+            )
         self._last_stream = number = self._last_stream + 1
         stream = self._streams[number] = _ClientStream(self, number)
-        self.used_at = monotonic()
+        self.used_at = now
         self.send(_REQUEST, number, payload)
-        stream.timer = self.loop.call_later(remaining, stream.expire)
+        stream.timer = self.loop.call_later(deadline - now, stream.expire)
         if self._check is None:
             self._watch()
         upload = None
@@ -579,7 +582,7 @@
     def _on_goaway(self, last: int, payload: bytes) -> None:
         """Learn that the peer closes the link and runs no stream after `last`."""
         self.leaving = True
-        error = AttemptError(Outcome.NOT_RUN, Cause.LEAVING, "peer is stopping")
+        error = AttemptError.at(Cause.LEAVING, Stage.UNSENT, "peer is stopping")
         for number in [n for n in self._streams if n > last]:
             self._streams[number].fail(error)
         if not self._streams:
@@ -590,15 +593,15 @@
 
     def _fail_streams(self) -> None:
         if not self.ready.done():
-            error = AttemptError(
-                Outcome.NOT_RUN, Cause.CONNECT_FAILED, f"link: {self.close_reason}"
+            error = AttemptError.at(
+                Cause.CONNECT_FAILED, Stage.UNSENT, f"link: {self.close_reason}"
             )
             self.ready.set_exception(error)
         if self.close_reason == "silent":
             cause = Cause.CONNECTION_SILENT
         else:
             cause = Cause.CONNECTION_LOST
-        error = AttemptError(Outcome.UNKNOWN, cause, f"link: {self.close_reason}")
+        error = AttemptError.at(cause, Stage.SENT, f"link: {self.close_reason}")
         for stream in list(self._streams.values()):
             stream.fail(error)
 
@@ -637,7 +640,7 @@
     ) -> Answer:
         """Send a request to the node at `host` and `port`; see `ClientLink.call`."""
         if not self._reach.allows(host, port):
-            raise AttemptError(Outcome.NOT_RUN, Cause.CONNECT_FAILED, "unreachable")
+            raise AttemptError.at(Cause.CONNECT_FAILED, Stage.UNSENT, "unreachable")
         link = self._links.get((host, port))
         if link is None or not link.is_usable:
             link = await self._open(host, port, deadline)
@@ -654,8 +657,8 @@
         timeout = max(0, deadline - monotonic())
         done, _ = await asyncio.wait([task], timeout=timeout)
         if not done:
-            raise AttemptError(
-                Outcome.NOT_RUN, Cause.DEADLINE, "deadline passed while connecting"
+            raise AttemptError.at(
+                Cause.DEADLINE, Stage.UNSENT, "deadline passed while connecting"
             )
         return task.result()
 
@@ -672,13 +675,11 @@
             if link is not None:
                 link.close("handshake takes too long")
                 link.ready.cancelled() or link.ready.exception()
-            raise AttemptError(
-                Outcome.NOT_RUN, Cause.CONNECT_FAILED, f"link: {exc}"
+            raise AttemptError.at(
+                Cause.CONNECT_FAILED, Stage.UNSENT, f"link: {exc}"
             ) from exc
         self._links[address] = link
-        self._emit(
-            Event(EventCode.LINK_OPENED, {"peer": f"{address[0]}:{address[1]}"})
-        )
+        self._emit(Event(EventCode.LINK_OPENED, {"peer": f"{address[0]}:{address[1]}"}))
         return link
 
     def check(self, now: float) -> None:
@@ -733,6 +734,7 @@
         self._handlers = {FrameType.AUTHENTICATE: self._on_authenticate}
 
     def connection_made(self, transport: asyncio.Transport) -> None:
+        """Send the challenge."""
         super().connection_made(transport)
         self._server.links.add(self)
         self.send(FrameType.HELLO, 0, MAGIC + self._nonce)
@@ -773,9 +775,7 @@
         if head.streaming:
             stream.inflow = _Inflow(self, number, head.length, lambda: None)
         deadline = monotonic() + head.remaining_ms / 1000
-        stream.task = self.loop.create_task(
-            self._serve(number, stream, head, deadline)
-        )
+        stream.task = self.loop.create_task(self._serve(number, stream, head, deadline))
         if self._check is None:
             self._watch()
 
@@ -785,14 +785,14 @@
         try:
             answer = await self._server.handler(head, stream.inflow, deadline)
         except AttemptError as exc:
-            answer = Answer(make_failed_head(exc, self._server.load()))
+            answer = Answer(make_failed_head(exc.refusal, self._server.load()))
         except asyncio.CancelledError:
             self._streams.pop(number, None)
             raise
         except Exception as exc:
             # A fault of this node; whether the request ran is not known.
-            error = AttemptError(Outcome.UNKNOWN, Cause.NONE, f"{exc!r}")
-            answer = Answer(make_failed_head(error, -1.0))
+            error = AttemptError.at(Cause.BAD_ANSWER, Stage.SENT, f"{exc!r}")
+            answer = Answer(make_failed_head(error.refusal, -1.0))
         try:
             if answer.stream is None:
                 self._streams.pop(number, None)
@@ -803,7 +803,7 @@
             try:
                 await stream.outflow.send(answer.stream)
             except AttemptError as exc:
-                payload = _encoder.encode(make_failed_head(exc, -1.0))
+                payload = _encoder.encode(make_failed_head(exc.refusal, -1.0))
                 self.send(FrameType.RESET, number, payload)
         finally:
             self._streams.pop(number, None)
@@ -814,9 +814,9 @@
 
     def _find(self, number: int) -> _ServerStream | None:
         stream = self._streams.get(number)
-        if stream is None and not self._stopping:
-            if not 0 < number <= self._last_stream:
-                raise LinkError(f"frame for stream {number}, which was never opened")
+        known = self._stopping or 0 < number <= self._last_stream
+        if stream is None and not known:
+            raise LinkError(f"frame for stream {number}, which was never opened")
         return stream
 
     def _on_data(self, number: int, payload: bytes) -> None:
@@ -845,7 +845,7 @@
 
     def _cancel(self, stream: _ServerStream) -> None:
         if stream.inflow is not None:
-            error = AttemptError(Outcome.UNKNOWN, Cause.CANCELLED, "cancelled")
+            error = AttemptError.at(Cause.CANCELLED, Stage.SENT, "cancelled")
             stream.inflow.fail(error)
         stream.task.cancel()
 
--- /dev/null
+++ b/tests/node/support_calls.py
@@ -0,0 +1,345 @@
+"""Nodes' request paths and scripted backend servers for tests of calls."""
+
+import asyncio
+import contextlib
+import random
+import re
+import socket
+from dataclasses import dataclass, field
+
+from mangowell_core.distribution.io import Peer
+from mangowell_core.model import (
+    Document,
+    Instance,
+    Route,
+    Service,
+    Snapshot,
+    TrafficClass,
+)
+from mangowell_core.policy import RequestPolicy
+from mangowell_core.settings import NodeSettings, SourceSettings
+from mangowell_node.calls import CallPath
+from mangowell_node.reach import Reach
+from mangowell_node.telemetry import Telemetry
+
+SERVICE = Service("orders", slots=8, connections=16, retry_ratio=1.0)
+ROUTES = (
+    Route("browse", "orders", "/", traffic_class="browsing", retries=2),
+    Route(
+        "pay",
+        "orders",
+        "/pay",
+        ("POST",),
+        "payment",
+        idempotent=False,
+        timeout_ms=5000,
+    ),
+    Route("slow", "orders", "/slow", traffic_class="browsing", timeout_ms=300),
+    Route("big", "orders", "/big", traffic_class="browsing", timeout_ms=20_000),
+    Route(
+        "hedged",
+        "orders",
+        "/hedged",
+        traffic_class="browsing",
+        timeout_ms=5000,
+        hedge_after_ms=50,
+    ),
+)
+CLASSES = (TrafficClass("payment", 0), TrafficClass("browsing", 1))
+
+
+def find_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@dataclass
+class Received:
+    """Request as a backend server got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    writer: asyncio.StreamWriter
+    cancelled: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class ScriptedBackend:
+    """Backend server whose answers a test writes byte for byte.
+
+    `handler` takes a `Received` and returns the bytes to send, or None if it
+    has written or closed the connection itself. Each request that has arrived
+    whole counts as an execution.
+    """
+
+    def __init__(self, handler=None, health="ok"):
+        self.handler = handler
+        self.health = health
+        self.received: list[Received] = []
+        self.arrived = asyncio.Event()
+        self.connections = 0
+        self.port = 0
+        self._server = None
+        self._writers = set()
+
+    @property
+    def executions(self) -> int:
+        return len(self.received)
+
+    async def start(self, port=0):
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port, limit=2**20
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    def crash(self):
+        """Close the listener and every connection at once."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        self.connections += 1
+        with contextlib.suppress(
+            ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
+        ):
+            while await self._serve_one(reader, writer):
+                pass
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _serve_one(self, reader, writer):
+        block = await reader.readuntil(b"\r\n\r\n")
+        first, *lines = block.decode("latin-1").split("\r\n")[:-2]
+        method, target, _ = first.split(" ")
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(": ")
+            headers[name.lower()] = value
+        if target == "/health":
+            text = f'{{"status": "{self.health}", "load": 0.1}}'
+            writer.write(make_answer(text.encode()))
+            return True
+        if headers.get("transfer-encoding") == "chunked":
+            body = b""
+            while size := int(await reader.readline(), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readline()
+        else:
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+        item = Received(method, target, headers, body, writer)
+        self.received.append(item)
+        self.arrived.set()
+        answer = make_answer(b"ok")
+        if self.handler is not None:
+            work = asyncio.ensure_future(self.handler(item))
+            ahead = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait((work, ahead), return_when=asyncio.FIRST_COMPLETED)
+            if ahead.done() and not work.done():
+                item.cancelled.set()
+                work.cancel()
+                return False
+            ahead.cancel()
+            await asyncio.gather(ahead, return_exceptions=True)
+            answer = work.result()
+        if answer is None:
+            return False
+        writer.write(answer)
+        await writer.drain()
+        return "connection: close" not in answer[:200].decode("latin-1").lower()
+
+
+def make_answer(body=b"", status="200 OK", headers="") -> bytes:
+    head = f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+class CutReach(Reach):
+    """Reach that can cut off addresses."""
+
+    def __init__(self):
+        self.cut = set()
+
+    def allows(self, host, port):
+        return port not in self.cut
+
+
+class Station:
+    """Request path of one node with its backend server."""
+
+    def __init__(self, name, backend, domain="d1"):
+        self.backend = backend
+        self.reach = CutReach()
+        self.settings = NodeSettings(
+            instance=name,
+            service="orders",
+            failure_domain=domain,
+            environment="test",
+            host="127.0.0.1",
+            control_port=find_port(),
+            link_port=find_port(),
+            call_port=find_port(),
+            admin_port=find_port(),
+            backend_port=backend.port,
+            source=SourceSettings("http://127.0.0.1:1"),
+        )
+        self.telemetry = Telemetry(name, level="error")
+        self.policy = RequestPolicy.from_settings(
+            self.settings, random.Random(1), len(name)
+        )
+        self.calls = CallPath.from_settings(
+            self.settings, self.policy, self.telemetry, self.reach, self.send_control
+        )
+        self.stations = {}
+        self.sent = []
+        self.drops_control = False
+
+    @property
+    def instance(self):
+        s = self.settings
+        return Instance(
+            s.instance,
+            s.service,
+            s.failure_domain,
+            s.host,
+            s.control_port,
+            s.link_port,
+            s.call_port,
+            s.admin_port,
+            s.backend_port,
+        )
+
+    def send_control(self, instance, message):
+        self.sent.append((instance.name, message))
+        other = self.stations.get(instance.name)
+        if other is None or self.drops_control:
+            return False
+        sender = Peer(self.settings.instance, "127.0.0.1", self.settings.control_port)
+        asyncio.get_running_loop().call_soon(
+            other.calls.handle_control, sender, message
+        )
+        return True
+
+    def find(self, name):
+        return [e for e in self.telemetry.find_events() if e["name"] == name]
+
+    async def call(self, method="GET", target="/", headers="", body=b""):
+        return await call(self.settings.call_port, method, target, headers, body)
+
+
+@contextlib.asynccontextmanager
+async def run_stations(*backends, service=SERVICE, names=None):
+    """Run one node beside each backend server, as instances of one service."""
+    names = names or [f"n{i}" for i in range(len(backends))]
+    stations = [Station(n, b) for n, b in zip(names, backends, strict=True)]
+    table = {s.settings.instance: s for s in stations}
+    try:
+        for station in stations:
+            station.stations = table
+            await station.calls.start()
+        apply_members(stations, stations, service)
+        yield stations
+    finally:
+        for station in stations:
+            await station.calls.stop(0.0)
+        for backend in backends:
+            backend.crash()
+
+
+def apply_members(stations, members, service=SERVICE, version=1):
+    """Give `stations` a document and a view in which only `members` run."""
+    document = Document(
+        "test",
+        version,
+        {c.name: c for c in CLASSES},
+        {},
+        {"orders": service},
+        {r.name: r for r in ROUTES},
+        "",
+        "",
+    )
+    snapshot = Snapshot(document, 1, {"orders": tuple(s.instance for s in members)})
+    for station in stations:
+        station.calls.apply(snapshot)
+
+
+@dataclass
+class Response:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+    @property
+    def outcome(self):
+        return self.headers.get("mangowell-outcome")
+
+
+async def read_response(reader, method="GET") -> Response:
+    block = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = block.split("\r\n")[:-2]
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(": ")
+        headers[name.lower()] = value
+    status = int(first.split(" ")[1])
+    body, complete = b"", True
+    try:
+        if method == "HEAD":
+            pass
+        elif headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readline() or b"-1", 16):
+                if size < 0:
+                    raise ConnectionError
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readline()
+        else:
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+    except (ConnectionError, asyncio.IncompleteReadError):
+        complete = False
+    return Response(status, headers, body, complete)
+
+
+async def open_call(port, method="GET", target="/", headers="", body=b""):
+    """Send a request and return reader and writer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=2**20)
+    if body or method == "POST":
+        headers += f"Content-Length: {len(body)}\r\n"
+    writer.write(f"{method} {target} HTTP/1.1\r\nHost: x\r\n{headers}\r\n".encode())
+    writer.write(body)
+    return reader, writer
+
+
+async def call(port, method="GET", target="/", headers="", body=b"") -> Response:
+    reader, writer = await open_call(port, method, target, headers, body)
+    try:
+        async with asyncio.timeout(30):
+            return await read_response(reader, method)
+    finally:
+        writer.close()
+
+
+def owner_key(stations, owner, prefix="k") -> str:
+    """Return a plain key that `owner` owns."""
+    policy = stations[0].policy
+    for number in range(1000):
+        key = f"{prefix}{number}"
+        plan = policy.match("r", "POST", "/pay", "", None, key, 0.0)
+        choice = policy.pick(plan, frozenset(), 0.0)
+        if choice.instance.name == owner.settings.instance:
+            return key
+    raise AssertionError(f"no key for {owner.settings.instance}")
+
+
+async def until(condition, timeout=10.0):
+    """Wait for a condition."""
+    async with asyncio.timeout(timeout):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+MINTED = re.compile(r"mw1\.\w+\.\d+\.[0-9a-f]{32}")
