Test failures of the request path alone and in pairs, add hedging

Cause: the thin path had one test and no hedging. The tests found that a link is never recognised as silent when every stream on it ends by its deadline before 1.5 s, that a WINDOW frame of the wrong size was ignored on some streams, and that stopping with an elapsed deadline waited for open calls (the library takes a timeout of 0 for no limit). Change: the silence check goes on until the peer answers a ping; WINDOW is decoded always; the shutdown timeout has a floor. Suspects are checked again before each retry.

--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -30,7 +30,7 @@
 )
 from mangowell_core.settings import NodeSettings
 from mangowell_node.backend import BackendPool, HealthPoller
-from mangowell_node.egress import KEYS_TARGET, Egress, SendControl
+from mangowell_node.egress import KEYS_TARGET, Egress, SendControl, drop_answer
 from mangowell_node.exchange import (
     REQUEST_DROPPED,
     Answer,
@@ -406,8 +406,12 @@
                 refusal = choice if error is None else error.refusal
                 return self._refuse(head.request, plan, refusal, started, attempts)
             attempts += 1
+            hedge_at = policy.hedge_deadline(plan, now) if body is None else None
             try:
-                answer = await self._attempt(plan, choice, head, body)
+                if hedge_at is None:
+                    answer = await self._attempt(plan, choice, head, body)
+                else:
+                    answer = await self._hedge(plan, choice, head, excluded, hedge_at)
             except AttemptError as exc:
                 error = exc
                 refusal = exc.refusal
@@ -426,7 +430,9 @@
             allowed = plan.route.idempotent or result.outcome is Outcome.NOT_RUN
             if body is not None and body.started:
                 allowed = False
-            if not (allowed and policy.may_retry(plan, result, attempts, monotonic())):
+            now = monotonic()
+            allowed = allowed and policy.suspect(plan, now) is None
+            if not (allowed and policy.may_retry(plan, result, attempts, now)):
                 if error is None:
                     return self._answer(plan, answer, started, attempts)
                 return self._refuse(
@@ -487,6 +493,48 @@
             answer.stream = _ReportedBody(answer.stream, end)
         return answer
 
+    async def _hedge(
+        self,
+        plan: Plan,
+        choice: Choice,
+        head: RequestHead,
+        excluded: set[str],
+        hedge_at: float,
+    ) -> Answer:
+        """Make an attempt, and a second one if the first is slow.
+
+        The first answer that is no server error wins; the other attempt is
+        cancelled.
+        """
+        tasks = [asyncio.create_task(self._attempt(plan, choice, head, None))]
+        winner: asyncio.Task | None = None
+        try:
+            await asyncio.wait(tasks, timeout=max(0, hedge_at - monotonic()))
+            now = monotonic()
+            if not tasks[0].done() and self._policy.may_hedge(plan, now):
+                tried = excluded | {choice.instance.name}
+                second = self._policy.pick(plan, tried, now)
+                if type(second) is Choice:
+                    excluded.add(second.instance.name)
+                    attempt = self._attempt(plan, second, head, None)
+                    tasks.append(asyncio.create_task(attempt))
+            pending = set(tasks)
+            while winner is None and pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    if task.exception() is None and task.result().head.status < 500:
+                        winner = task
+            # Without a good answer, the first attempt's end counts.
+            winner = winner or tasks[0]
+            return winner.result()
+        finally:
+            for task in tasks:
+                if task is not winner:
+                    task.cancel()
+                    task.add_done_callback(drop_answer)
+
     async def _serve_internal(
         self, call: IncomingCall, request: str, path: str, query: str, now: float
     ) -> Reply:
--- a/packages/node/src/mangowell_node/egress.py
+++ b/packages/node/src/mangowell_node/egress.py
@@ -251,7 +251,7 @@
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
-            task.add_done_callback(_drop_answer)
+            task.add_done_callback(drop_answer)
             raise
 
     async def _run_to_end(
@@ -514,7 +514,7 @@
                 self._send_control(instance, message)
 
 
-def _drop_answer(task: asyncio.Task) -> None:
+def drop_answer(task: asyncio.Task) -> None:
     """Close the body of an answer that nobody waits for any more."""
     if not task.cancelled() and task.exception() is None:
         stream = task.result().stream
--- a/packages/node/src/mangowell_node/ingress.py
+++ b/packages/node/src/mangowell_node/ingress.py
@@ -222,7 +222,8 @@
         if self._server is not None:
             self._server.close()
             self._web.pre_shutdown()
-            await self._web.shutdown(timeout)
+            # The library takes 0 for no limit.
+            await self._web.shutdown(max(timeout, 0.01))
 
     async def _handle(self, request: web.BaseRequest) -> _Sent:
         reply = await self._serve(IncomingCall(request))
--- a/packages/node/src/mangowell_node/link.py
+++ b/packages/node/src/mangowell_node/link.py
@@ -244,6 +244,7 @@
         self._max_frame = MAX_HANDSHAKE_FRAME
         self._received_at = 0.0
         self._checked_at = 0.0
+        self._pinged_at = 0.0
         self._check: asyncio.TimerHandle | None = None
         self._paused = False
         self._drain_waiters: list[asyncio.Future] = []
@@ -350,7 +351,9 @@
 
     def _check_silence(self) -> None:
         self._check = None
-        if not self._has_streams():
+        # Streams with short deadlines may all have ended on a silent link, so
+        # the check goes on until the peer has answered a ping.
+        if not self._has_streams() and self._received_at >= self._pinged_at:
             return
         now = monotonic()
         # After a pause of this process, what has arrived is not read yet.
@@ -361,6 +364,7 @@
             self.close("silent")
             return
         self.send(FrameType.PING)
+        self._pinged_at = now
         # The last check falls on the limit itself.
         delay = min(PING_INTERVAL_S, self._received_at + SILENT_AFTER_S - now)
         self._check = self.loop.call_later(max(0.01, delay), self._check_silence)
@@ -575,9 +579,10 @@
             stream.fail(read_failed_head(_answer_decoder.decode(payload)))
 
     def _on_window(self, number: int, payload: bytes) -> None:
+        (credit,) = _WINDOW.unpack(payload)
         stream = self._find(number)
         if stream is not None and stream.outflow is not None:
-            stream.outflow.grant(_WINDOW.unpack(payload)[0])
+            stream.outflow.grant(credit)
 
     def _on_goaway(self, last: int, payload: bytes) -> None:
         """Learn that the peer closes the link and runs no stream after `last`."""
@@ -834,9 +839,10 @@
             stream.inflow.feed_end()
 
     def _on_window(self, number: int, payload: bytes) -> None:
+        (credit,) = _WINDOW.unpack(payload)
         stream = self._find(number)
         if stream is not None and stream.outflow is not None:
-            stream.outflow.grant(_WINDOW.unpack(payload)[0])
+            stream.outflow.grant(credit)
 
     def _on_cancel(self, number: int, payload: bytes) -> None:
         stream = self._find(number)
--- a/tests/node/support_calls.py
+++ b/tests/node/support_calls.py
@@ -35,7 +35,14 @@
         timeout_ms=5000,
     ),
     Route("slow", "orders", "/slow", traffic_class="browsing", timeout_ms=300),
-    Route("big", "orders", "/big", traffic_class="browsing", timeout_ms=20_000),
+    Route(
+        "big",
+        "orders",
+        "/big",
+        traffic_class="browsing",
+        timeout_ms=20_000,
+        retries=2,
+    ),
     Route(
         "hedged",
         "orders",
@@ -76,6 +83,7 @@
 
     def __init__(self, handler=None, health="ok"):
         self.handler = handler
+        self.raw = None  # takes reader and writer after a request's head
         self.health = health
         self.received: list[Received] = []
         self.arrived = asyncio.Event()
@@ -124,6 +132,9 @@
             text = f'{{"status": "{self.health}", "load": 0.1}}'
             writer.write(make_answer(text.encode()))
             return True
+        if self.raw is not None:
+            await self.raw(reader, writer)
+            return False
         if headers.get("transfer-encoding") == "chunked":
             body = b""
             while size := int(await reader.readline(), 16):
@@ -145,6 +156,8 @@
                 return False
             ahead.cancel()
             await asyncio.gather(ahead, return_exceptions=True)
+            if isinstance(work.exception(), ConnectionError):
+                item.cancelled.set()
             answer = work.result()
         if answer is None:
             return False
--- a/tests/node/test_calls.py
+++ b/tests/node/test_calls.py
@@ -1,18 +1,438 @@
-"""Guards the way of a call from its caller to a backend server and back."""
+"""Guards the life of a call: retries, streams, deadlines, cancellation, hedging."""
+
+import asyncio
+import hashlib
+import re
 
 import pytest
 
-from node.support_calls import ScriptedBackend, run_stations
+from mangowell_core.messages import CrashReport
+from node.support_calls import (
+    ScriptedBackend,
+    apply_members,
+    call,
+    make_answer,
+    open_call,
+    read_response,
+    run_stations,
+    until,
+)
+
+
+async def start_backends(count, handler=None):
+    return [await ScriptedBackend(handler).start() for _ in range(count)]
 
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
 async def test_call_reaches_local_and_remote_backend_servers(method):
-    first, second = await ScriptedBackend().start(), await ScriptedBackend().start()
+    first, second = await start_backends(2)
     async with run_stations(first, second) as (station, _):
-        for _ in range(20):
+        for _ in range(30):
             body = b"{}" if method == "POST" else b""
             answer = await station.call(method, "/a?b=c", body=body)
             assert (answer.status, answer.body) == (200, b"ok")
             assert answer.outcome == "done"
         assert first.executions and second.executions
-        assert first.executions + second.executions == 20
+        assert first.executions + second.executions == 30
+
+
+async def die(request):
+    request.writer.transport.abort()
+
+
+async def die_in_body(request):
+    request.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345")
+    await request.writer.drain()
+    request.writer.close()
+
+
+async def answer_503(request):
+    return make_answer(b"later", "503 Busy")
+
+
+@pytest.mark.parametrize("handler", [die, die_in_body, answer_503])
+async def test_failed_attempt_of_an_idempotent_request_moves_on(handler):
+    backends = [
+        await ScriptedBackend(handler).start(),
+        await ScriptedBackend().start(),
+    ]
+    async with run_stations(*backends) as (bad, good):
+        for station in (bad, good):
+            for _ in range(10):
+                answer = await station.call()
+                assert (answer.status, answer.body) == (200, b"ok")
+        assert backends[1].executions == 20
+
+
+@pytest.mark.parametrize("handler", [die, die_in_body, answer_503])
+async def test_request_that_may_run_once_is_written_once(handler):
+    backends = await start_backends(3, handler)
+    async with run_stations(*backends) as stations:
+        for count in range(1, 7):
+            answer = await stations[0].call("POST", "/pay", body=b"x")
+            assert answer.outcome in ("unknown", "failed")
+            assert sum(b.executions for b in backends) == count
+
+
+@pytest.mark.parametrize("is_local", [True, False], ids=["local", "remote"])
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+async def test_answer_cut_in_a_large_body_never_looks_complete(framing, is_local):
+    async def handler(request):
+        if framing == "length":
+            head, body = b"Content-Length: 200000\r\n\r\n", b"x" * 150_000
+        else:
+            head = b"Transfer-Encoding: chunked\r\n\r\n"
+            body = b"20000\r\n" + b"x" * 0x20000 + b"\r\n"
+        request.writer.write(b"HTTP/1.1 200 OK\r\n" + head + body)
+        await request.writer.drain()
+        request.writer.close()
+
+    backends = await start_backends(2, handler)
+    async with run_stations(*backends) as stations:
+        apply_members(stations[:1], [stations[0 if is_local else 1]])
+        answer = await stations[0].call()
+        assert answer.status == 200
+        assert not answer.complete
+
+
+@pytest.mark.parametrize("is_local", [True, False], ids=["local", "remote"])
+async def test_large_bodies_pass_unchanged(is_local):
+    async def handler(request):
+        return make_answer(request.body)
+
+    backends = await start_backends(2, handler)
+    body = bytes(range(256)) * 40_960  # 10 MB
+    async with run_stations(*backends) as stations:
+        apply_members(stations[:1], [stations[0 if is_local else 1]])
+        answer = await stations[0].call("POST", "/big", body=body)
+        assert answer.complete and answer.status == 200
+        assert hashlib.sha256(answer.body).digest() == hashlib.sha256(body).digest()
+
+
+# Socket buffers of this machine hold a few MB on each of three connections.
+HELD_LIMIT = 24_000_000
+LARGE = 100_000_000
+
+
+@pytest.mark.parametrize("is_local", [True, False], ids=["local", "remote"])
+async def test_upload_stops_while_the_backend_server_does_not_read(is_local):
+    """A stalled backend server must not fill the nodes' memory."""
+    backends = await start_backends(2)
+
+    async def stall(reader, writer):
+        await asyncio.sleep(60)
+
+    async with run_stations(*backends) as stations:
+        target = stations[0 if is_local else 1]
+        target.backend.raw = stall
+        apply_members(stations[:1], [target])
+        _, writer = await asyncio.open_connection(
+            "127.0.0.1", stations[0].settings.call_port
+        )
+        head = f"POST /big HTTP/1.1\r\nHost: x\r\nContent-Length: {LARGE}\r\n\r\n"
+        writer.write(head.encode())
+        sent = 0
+        try:
+            while sent < LARGE:
+                writer.write(b"x" * 100_000)
+                sent += 100_000
+                async with asyncio.timeout(1):
+                    await writer.drain()
+        except TimeoutError:
+            pass
+        assert sent < HELD_LIMIT
+        writer.transport.abort()
+
+
+@pytest.mark.parametrize("is_local", [True, False], ids=["local", "remote"])
+async def test_download_stops_while_the_caller_does_not_read(is_local):
+    sent = 0
+
+    async def handler(request):
+        nonlocal sent
+        writer = request.writer
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n".encode())
+        while sent < LARGE:
+            writer.write(b"x" * 100_000)
+            sent += 100_000
+            await writer.drain()
+
+    backends = await start_backends(2, handler)
+    async with run_stations(*backends) as stations:
+        target = stations[0 if is_local else 1]
+        apply_members(stations[:1], [target])
+        _, writer = await open_call(stations[0].settings.call_port, target="/big")
+        writer.transport.pause_reading()
+        before = -1
+        while before != sent:
+            before = sent
+            await asyncio.sleep(0.5)
+        assert 0 < sent < HELD_LIMIT
+        writer.transport.abort()
+        received = target.backend.received[0]
+        await asyncio.wait_for(received.cancelled.wait(), 5)
+
+
+async def hang(request):
+    await asyncio.sleep(60)
+
+
+@pytest.mark.parametrize("is_local", [True, False], ids=["local", "remote"])
+@pytest.mark.parametrize("target", ["/", "/pay"])
+async def test_disconnect_of_the_caller_cancels_downstream(is_local, target):
+    backends = await start_backends(2, hang)
+    async with run_stations(*backends) as stations:
+        chosen = stations[0 if is_local else 1]
+        apply_members(stations[:1], [chosen])
+        _, writer = await open_call(stations[0].settings.call_port, "POST", target)
+        await until(lambda: chosen.backend.executions == 1)
+        writer.close()
+        received = chosen.backend.received[0]
+        await asyncio.wait_for(received.cancelled.wait(), 5)
+        await until(lambda: chosen.policy.in_flight() == 0)
+
+
+@pytest.mark.parametrize("is_local", [True, False], ids=["local", "remote"])
+async def test_deadline_shrinks_and_cancels_downstream(is_local):
+    backends = await start_backends(2, hang)
+    async with run_stations(*backends) as stations:
+        chosen = stations[0 if is_local else 1]
+        apply_members(stations[:1], [chosen])
+        answer = await stations[0].call(
+            target="/slow", headers="Mangowell-Deadline-Ms: 200\r\n"
+        )
+        assert (answer.status, answer.outcome) == (504, "unknown")
+        received = chosen.backend.received[0]
+        assert 0 < int(received.headers["mangowell-deadline-ms"]) < 200
+        await asyncio.wait_for(received.cancelled.wait(), 5)
+        assert chosen.backend.executions == 1
+
+
+async def test_hop_by_hop_headers_are_dropped_and_others_kept():
+    async def handler(request):
+        headers = "Connection: x-own\r\nX-Own: 1\r\nKeep-Alive: 5\r\nX-End: é\r\n"
+        return make_answer(b"ok", headers=headers)
+
+    backends = await start_backends(1, handler)
+    async with run_stations(*backends) as (station,):
+        answer = await station.call(
+            headers="Connection: close, x-hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
+            "Upgrade: x\r\nX-End: 2\r\nX-End: 3\r\nMangowell-Tenant: cafes\r\n"
+        )
+        got = backends[0].received[0].headers
+        assert not {"x-hop", "te", "upgrade", "connection"} & set(got)
+        assert (got["x-end"], got["mangowell-tenant"]) == ("3", "cafes")
+        assert "x-own" not in answer.headers and "keep-alive" not in answer.headers
+        assert answer.headers["x-end"].encode("latin-1") == "é".encode()
+
+
+@pytest.mark.parametrize("size", [10, 3_000_000])
+async def test_chunked_request_body_passes(size):
+    async def handler(request):
+        return make_answer(b"%d" % len(request.body))
+
+    backends = await start_backends(1, handler)
+    async with run_stations(*backends) as (station,):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", station.settings.call_port
+        )
+        writer.write(
+            b"POST /big HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        for _ in range(10):
+            part = b"x" * (size // 10)
+            writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        assert (await read_response(reader)).body == b"%d" % size
+        writer.close()
+
+
+async def test_malformed_chunk_reaches_no_backend_server():
+    backends = await start_backends(1)
+    async with run_stations(*backends) as (station,):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", station.settings.call_port
+        )
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"5\r\nhello\r\nzz\r\n"
+        )
+        answer = await read_response(reader)
+        assert (answer.status, answer.outcome) == (400, "not-run")
+        assert not backends[0].executions
+        writer.close()
+
+
+async def test_caller_that_waits_to_send_its_body_is_asked_for_it():
+    backends = await start_backends(1)
+    async with run_stations(*backends) as (station,):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", station.settings.call_port
+        )
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        async with asyncio.timeout(5):
+            assert await reader.readuntil(b"\r\n\r\n") == (
+                b"HTTP/1.1 100 Continue\r\n\r\n"
+            )
+        writer.write(b"hi")
+        assert (await read_response(reader)).status == 200
+        writer.close()
+
+
+@pytest.mark.parametrize("is_local", [True, False], ids=["local", "remote"])
+async def test_head_has_the_length_of_get_and_no_body(is_local):
+    async def handler(request):
+        length = 0 if request.method == "HEAD" else 70_000
+        answer = make_answer(b"x" * length)
+        return answer.replace(b"Content-Length: 0", b"Content-Length: 70000")
+
+    backends = await start_backends(2, handler)
+    async with run_stations(*backends) as stations:
+        apply_members(stations[:1], [stations[0 if is_local else 1]])
+        for _ in range(3):
+            answer = await stations[0].call("HEAD")
+            assert answer.headers["content-length"] == "70000"
+            assert (await stations[0].call()).body == b"x" * 70_000
+
+
+async def test_http_1_0_caller_gets_a_length():
+    async def handler(request):
+        request.writer.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"5\r\nhello\r\n0\r\n\r\n"
+        )
+        await asyncio.sleep(60)
+
+    backends = await start_backends(1, handler)
+    async with run_stations(*backends) as (station,):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", station.settings.call_port
+        )
+        writer.write(b"GET / HTTP/1.0\r\n\r\n")
+        answer = await read_response(reader)
+        assert (answer.body, answer.headers["content-length"]) == (b"hello", "5")
+        assert await reader.read() == b""
+        writer.close()
+
+
+async def test_many_calls_with_answers_out_of_order_get_their_own():
+    async def handler(request):
+        number = int(re.search(r"\d+", request.target)[0])
+        await asyncio.sleep((number * 7 % 13) / 500)
+        return make_answer(b"%d" % number * 3000)
+
+    backends = await start_backends(3, handler)
+    async with run_stations(*backends) as stations:
+
+        async def check(number):
+            station = stations[number % 3]
+            answer = await station.call(target=f"/big/{number}")
+            assert answer.body == b"%d" % number * 3000
+
+        await asyncio.gather(*(check(number) for number in range(150)))
+
+
+async def test_early_answer_to_a_large_upload_arrives_and_ends_the_upload():
+    backends = await start_backends(1)
+
+    async def reject(reader, writer):
+        writer.write(make_answer(b"no", "413 Too Large"))
+        await asyncio.sleep(60)
+
+    async with run_stations(*backends) as (station,):
+        backends[0].raw = reject
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", station.settings.call_port
+        )
+        writer.write(
+            b"POST /big HTTP/1.1\r\nHost: x\r\nContent-Length: 5000000\r\n\r\n"
+        )
+        writer.write(b"x" * 2_000_000)
+        answer = await read_response(reader)
+        assert (answer.status, answer.body) == (413, b"no")
+        writer.transport.abort()
+
+
+async def test_slow_attempt_is_hedged_and_the_loser_cancelled():
+    served = 0
+
+    async def handler(request):
+        nonlocal served
+        served += 1
+        if served == 1:
+            await asyncio.sleep(60)
+        return make_answer(b"fast")
+
+    backends = await start_backends(2, handler)
+    async with run_stations(*backends) as stations:
+        answer = await stations[0].call(target="/hedged")
+        assert answer.body == b"fast"
+        slow = next(r for b in backends for r in b.received)
+        cancelled = [r.cancelled for b in backends for r in b.received]
+        assert slow and len(cancelled) == 2
+        await until(lambda: any(event.is_set() for event in cancelled))
+
+
+async def test_crash_is_reported_and_not_retried_without_end():
+    """One request crashes each backend server that runs it."""
+    backends = await start_backends(5)
+
+    def crash(backend):
+        async def handler(request):
+            if request.target == "/poison":
+                backend.crash()
+                return None
+            return make_answer(b"ok")
+
+        return handler
+
+    for backend in backends:
+        backend.handler = crash(backend)
+    async with run_stations(*backends) as stations:
+        for station in stations:
+            await until(lambda s=station: s.calls._egress.health == "ok")
+        for _ in range(4):
+            for station in stations:
+                await station.call(target="/poison")
+        assert sum(b.executions for b in backends) <= 3
+        reports = [m for s in stations for _, m in s.sent if type(m) is CrashReport]
+        assert reports
+        survivors = [s for s in stations if not s.backend.executions]
+        apply_members(survivors, survivors)
+        for _ in range(20):
+            assert (await survivors[0].call()).status == 200
+
+
+async def test_lost_connection_without_a_crash_raises_no_suspicion():
+    async def handler(request):
+        if request.target == "/drop":
+            request.writer.transport.abort()
+            return None
+        return make_answer(b"ok")
+
+    backends = await start_backends(1, handler)
+    async with run_stations(*backends) as (station,):
+        await until(lambda: station.calls._egress.health == "ok")
+        for _ in range(4):
+            answer = await station.call(target="/drop")
+            assert answer.outcome == "unknown"
+        assert not [m for _, m in station.sent if type(m) is CrashReport]
+
+
+async def test_silent_link_moves_idempotent_requests_to_a_new_connection():
+    """A connection passes no bytes while the process behind it lives."""
+    backends = await start_backends(2)
+    async with run_stations(*backends) as (ingress, other):
+        apply_members([ingress], [other])
+        await ingress.call()
+        for link in list(other.calls._link_server.links):
+            link.transport.pause_reading()
+        apply_members([ingress], [ingress, other])
+        port = ingress.settings.call_port
+        answers = await asyncio.gather(*(call(port, target="/big") for _ in range(8)))
+        assert {answer.outcome for answer in answers} == {"done"}
+        assert sum(b.executions for b in backends) == 9
--- /dev/null
+++ b/tests/node/test_keys.py
@@ -0,0 +1,163 @@
+"""Guards that a request with an idempotency key runs at most once (I6)."""
+
+import asyncio
+import json
+
+from node.support_calls import (
+    MINTED,
+    ScriptedBackend,
+    apply_members,
+    make_answer,
+    open_call,
+    owner_key,
+    run_stations,
+    until,
+)
+
+
+async def start_backends(count, handler=None):
+    return [await ScriptedBackend(handler).start() for _ in range(count)]
+
+
+def pay(station, key, body=b"10"):
+    return station.call(
+        "POST", "/pay", headers=f"Idempotency-Key: {key}\r\n", body=body
+    )
+
+
+def count_runs(backends):
+    return sum(backend.executions for backend in backends)
+
+
+async def test_repeated_key_gets_the_first_answer_at_every_node():
+    async def handler(request):
+        return make_answer(b"receipt 7", "201 Created", "X-Receipt: 7\r\n")
+
+    backends = await start_backends(3, handler)
+    async with run_stations(*backends) as stations:
+        for station in stations + stations:
+            answer = await pay(station, "key-1")
+            assert (answer.status, answer.body) == (201, b"receipt 7")
+            assert answer.headers["x-receipt"] == "7"
+            assert answer.outcome == "done"
+        assert count_runs(backends) == 1
+
+
+async def test_same_key_at_the_same_time_through_two_nodes_runs_once():
+    gate = asyncio.Event()
+
+    async def handler(request):
+        await gate.wait()
+        return make_answer(b"receipt")
+
+    backends = await start_backends(2, handler)
+    async with run_stations(*backends) as stations:
+        calls = [asyncio.ensure_future(pay(s, "key")) for s in stations]
+        await until(lambda: count_runs(backends) == 1)
+        done, _ = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+        early = done.pop().result()
+        assert (early.status, early.outcome) == (409, "unknown")
+        gate.set()
+        answers = await asyncio.gather(*calls)
+        assert sorted(a.status for a in answers) == [200, 409]
+        assert (await pay(stations[0], "key")).body == b"receipt"
+        assert count_runs(backends) == 1
+
+
+async def test_key_whose_run_was_cut_off_stays_unknown():
+    async def handler(request):
+        request.writer.transport.abort()
+
+    backends = await start_backends(2, handler)
+    async with run_stations(*backends) as stations:
+        for station in stations + stations:
+            assert (await pay(station, "key")).outcome == "unknown"
+        assert count_runs(backends) == 1
+
+
+async def test_owner_without_promises_runs_nothing():
+    """Another instance may have run the key; its node is silent."""
+    backends = await start_backends(2)
+    async with run_stations(*backends) as stations:
+        owner = stations[0]
+        owner.drops_control = True
+        key = owner_key(stations, owner)
+        answer = await pay(stations[1], key)
+        assert answer.outcome == "unknown"
+        assert count_runs(backends) == 0
+
+
+async def test_key_that_moved_to_another_owner_is_not_run_again():
+    backends = await start_backends(2)
+    async with run_stations(*backends) as stations:
+        first, second = stations
+        key = owner_key(stations, first)
+        assert (await pay(first, key)).status == 200
+        # The second node's view loses the first, which is still there.
+        second.policy.peer_leaving("n0", 0.0)
+        answer = await pay(second, key)
+        assert answer.outcome in ("unknown", "done")
+        assert count_runs(backends) == 1
+
+
+async def test_key_runs_on_after_its_caller_disconnects():
+    gate = asyncio.Event()
+
+    async def handler(request):
+        await gate.wait()
+        return make_answer(b"receipt")
+
+    backends = await start_backends(2, handler)
+    async with run_stations(*backends) as stations:
+        _, writer = await open_call(
+            stations[0].settings.call_port,
+            "POST",
+            "/pay",
+            headers="Idempotency-Key: key\r\n",
+        )
+        await until(lambda: count_runs(backends) == 1)
+        writer.close()
+        owner = next(s for s in stations if s.backend.executions)
+        await until(lambda: stations[0].calls._active == 0)
+        gate.set()
+        await until(lambda: owner.policy.in_flight() == 0)
+        assert (await pay(stations[1], "key", b"")).body == b"receipt"
+        assert count_runs(backends) == 1
+
+
+async def test_refused_connection_leaves_the_key_unused():
+    backends = await start_backends(1)
+    async with run_stations(*backends) as (station,):
+        port = backends[0].port
+        backends[0].crash()
+        answer = await pay(station, "key")
+        assert (answer.status, answer.outcome) == (503, "not-run")
+        await backends[0].start(port)
+        assert (await pay(station, "key")).status == 200
+        assert count_runs(backends) == 1
+
+
+async def test_pinned_key_runs_at_the_node_that_issued_it():
+    backends = await start_backends(3)
+    async with run_stations(*backends) as stations:
+        for station in stations:
+            issued = await station.call("POST", "/.mangowell/keys?path=/pay")
+            assert issued.status == 201
+            key = json.loads(issued.body)["key"]
+            assert MINTED.fullmatch(key) and issued.headers["idempotency-key"] == key
+            owner = next(s for s in stations if s.settings.instance in key.split("."))
+            before = owner.backend.executions
+            for other in stations:
+                assert (await pay(other, key)).status == 200
+            assert owner.backend.executions == before + 1
+
+
+async def test_pinned_key_of_an_instance_that_is_gone_is_unknown():
+    backends = await start_backends(2)
+    async with run_stations(*backends) as stations:
+        issued = await stations[0].call("POST", "/.mangowell/keys")
+        key = json.loads(issued.body)["key"]
+        apply_members(stations[1:], stations[1:])
+        answer = await pay(stations[1], key)
+        assert answer.outcome == "unknown"
+        assert count_runs(backends) == 0
--- /dev/null
+++ b/tests/node/test_link.py
@@ -0,0 +1,429 @@
+"""Guards the protocol between nodes against bad peers, bad order and silence."""
+
+import asyncio
+import contextlib
+import hashlib
+import hmac
+import struct
+from time import monotonic
+
+import msgspec
+import pytest
+
+from mangowell_core.events import EventCode
+from mangowell_core.policy.types import Cause, Outcome
+from mangowell_node import link as link_module
+from mangowell_node.exchange import Answer, AnswerHead, AttemptError, RequestHead
+from mangowell_node.link import (
+    MAX_FRAME,
+    WINDOW_BYTES,
+    FrameType,
+    LinkPool,
+    LinkServer,
+    derive_link_key,
+)
+from node.support_calls import CutReach, find_port, until
+
+KEY = derive_link_key("secret")
+FRAME = struct.Struct(">IBI")
+
+
+def make_head(target="/", **fields):
+    base = {
+        "request": "r",
+        "service": "s",
+        "method": "GET",
+        "target": target,
+        "headers": b"",
+        "tenant": "",
+        "traffic_class": "c",
+        "priority": 0,
+        "deferrable": False,
+        "remaining_ms": 5000,
+        "idempotent": True,
+    }
+    return RequestHead(**{**base, **fields})
+
+
+def frame(kind, stream=0, payload=b""):
+    return FRAME.pack(len(payload), kind, stream) + payload
+
+
+async def echo(head, body, deadline):
+    return Answer(AnswerHead(200, "OK", body=head.target.encode()))
+
+
+class Ends:
+    """A link server and a pool of links to it."""
+
+    def __init__(self, handler, key):
+        self.events = []
+        self.reach = CutReach()
+        self.server = LinkServer(KEY, handler, lambda: 0.5, self.events.append)
+        self.pool = LinkPool("n1", key, self.reach, self.events.append)
+        self.port = find_port()
+
+    async def call(self, head, body=None, seconds=5.0):
+        return await self.pool.call(
+            "127.0.0.1", self.port, head, body, monotonic() + seconds
+        )
+
+    def codes(self):
+        return [event.code for event in self.events]
+
+    async def connect_raw(self):
+        """Open a connection and authenticate, leaving the frames to the test."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        _, _, hello = await read_frame(reader)
+        nonce, own = hello[16:], b"n" * 32
+        proof = hmac.digest(KEY, b"client" + nonce + own + b"raw", hashlib.sha256)
+        writer.write(frame(FrameType.AUTHENTICATE, 0, own + proof + b"raw"))
+        assert (await read_frame(reader))[0] == FrameType.WELCOME
+        return reader, writer
+
+
+async def read_frame(reader):
+    length, kind, stream = FRAME.unpack(await reader.readexactly(FRAME.size))
+    return kind, stream, await reader.readexactly(length)
+
+
+@contextlib.asynccontextmanager
+async def run_ends(handler=echo, key=KEY):
+    ends = Ends(handler, key)
+    await ends.server.start("127.0.0.1", ends.port)
+    try:
+        yield ends
+    finally:
+        ends.pool.close()
+        await ends.server.stop(0.0)
+
+
+async def test_peer_without_the_secret_runs_nothing():
+    ran = []
+
+    async def handler(head, body, deadline):
+        ran.append(head)
+
+    async with run_ends(handler, derive_link_key("other")) as ends:
+        with pytest.raises(AttemptError) as caught:
+            await ends.call(make_head())
+        assert caught.value.refusal.outcome is Outcome.NOT_RUN
+        assert not ran
+        assert EventCode.PEER_REFUSED in ends.codes()
+
+
+REQUEST = msgspec.msgpack.encode(make_head())
+BAD_FRAMES = {
+    "garbage": b"\xff" * 64,
+    "too-large": FRAME.pack(MAX_FRAME + 1, FrameType.REQUEST, 1),
+    "unknown-type": frame(99),
+    "undecodable": frame(FrameType.REQUEST, 1, b"\xc1"),
+    "wrong-fields": frame(FrameType.REQUEST, 1, b"\x91\x01"),
+    "no-id": frame(FrameType.REQUEST, 0, REQUEST),
+    "id-again": frame(FrameType.REQUEST, 1, REQUEST) * 2,
+    "id-falls": frame(FrameType.REQUEST, 9, REQUEST)
+    + frame(FrameType.REQUEST, 8, REQUEST),
+    "unopened": frame(FrameType.DATA, 7, b"x"),
+    "no-body": frame(FrameType.REQUEST, 1, REQUEST) + frame(FrameType.DATA, 1, b"x"),
+    "window": frame(FrameType.REQUEST, 1, REQUEST) + frame(FrameType.WINDOW, 1, b"x"),
+    "answer-from-client": frame(FrameType.ANSWER, 1, b""),
+}
+
+
+@pytest.mark.parametrize("data", BAD_FRAMES.values(), ids=BAD_FRAMES)
+async def test_malformed_frame_closes_only_its_link(data):
+    async def handler(head, body, deadline):
+        if head.target == "/":
+            await asyncio.sleep(30)
+        return await echo(head, body, deadline)
+
+    async with run_ends(handler) as ends:
+        reader, writer = await ends.connect_raw()
+        writer.write(data)
+        async with asyncio.timeout(5):
+            with contextlib.suppress(ConnectionError):
+                while await reader.read(1000):
+                    pass
+        writer.close()
+        assert EventCode.PEER_REFUSED in ends.codes()
+        assert (await ends.call(make_head("/ok"))).head.body == b"/ok"
+
+
+async def test_unauthenticated_peer_may_not_send_large_frames():
+    async with run_ends() as ends:
+        reader, writer = await asyncio.open_connection("127.0.0.1", ends.port)
+        writer.write(frame(FrameType.REQUEST, 1, b"x" * 1000))
+        async with asyncio.timeout(5):
+            with contextlib.suppress(ConnectionError):
+                while await reader.read(1000):
+                    pass
+        writer.close()
+
+
+async def test_peer_that_ignores_the_window_is_cut_off():
+    """A peer must not be able to fill this node's memory."""
+
+    async def handler(head, body, deadline):
+        await asyncio.sleep(30)
+
+    async with run_ends(handler) as ends:
+        _, writer = await ends.connect_raw()
+        head = msgspec.msgpack.encode(make_head(streaming=True))
+        writer.write(frame(FrameType.REQUEST, 1, head))
+        for _ in range(WINDOW_BYTES // 65_536 + 1):
+            writer.write(frame(FrameType.DATA, 1, b"x" * 65_536))
+        await until(lambda: EventCode.PEER_REFUSED in ends.codes())
+        writer.close()
+
+
+async def test_frames_may_arrive_byte_by_byte():
+    async with run_ends() as ends:
+        reader, writer = await ends.connect_raw()
+        data = frame(FrameType.REQUEST, 1, REQUEST) + frame(FrameType.PING)
+        for index in range(len(data)):
+            writer.write(data[index : index + 1])
+            await asyncio.sleep(0)
+        kinds = {(await read_frame(reader))[0] for _ in range(2)}
+        assert kinds == {FrameType.ANSWER, FrameType.PONG}
+        writer.close()
+
+
+async def test_answers_out_of_order_reach_their_own_requests():
+    gates = {f"/{i}": asyncio.Event() for i in range(20)}
+
+    async def handler(head, body, deadline):
+        await gates[head.target].wait()
+        return await echo(head, body, deadline)
+
+    async with run_ends(handler) as ends:
+        calls = {t: asyncio.ensure_future(ends.call(make_head(t))) for t in gates}
+        await asyncio.sleep(0)
+        for target in reversed(gates):
+            gates[target].set()
+            assert (await calls[target]).head.body == target.encode()
+
+
+async def test_late_answer_of_a_cancelled_request_is_dropped():
+    cancelled = asyncio.Event()
+    entered = asyncio.Event()
+
+    async def handler(head, body, deadline):
+        if head.target == "/late":
+            entered.set()
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                cancelled.set()
+                return Answer(AnswerHead(200, "OK", body=b"late"))
+        return await echo(head, body, deadline)
+
+    async with run_ends(handler) as ends:
+        late = asyncio.ensure_future(ends.call(make_head("/late")))
+        await entered.wait()
+        late.cancel()
+        answers = await asyncio.gather(
+            *(ends.call(make_head(f"/{i}")) for i in range(10))
+        )
+        await cancelled.wait()
+        again = await ends.call(make_head("/again"))
+        bodies = [answer.head.body for answer in answers]
+        assert bodies == [f"/{i}".encode() for i in range(10)]
+        assert again.head.body == b"/again"
+
+
+async def test_deadline_is_carried_and_cancels_the_work():
+    cancelled = asyncio.Event()
+    seen = []
+
+    async def handler(head, body, deadline):
+        seen.append(deadline - monotonic())
+        try:
+            await asyncio.sleep(30)
+        finally:
+            cancelled.set()
+
+    async with run_ends(handler) as ends:
+        with pytest.raises(AttemptError) as caught:
+            await ends.call(make_head(), seconds=0.3)
+        assert caught.value.refusal.cause is Cause.DEADLINE
+        assert caught.value.refusal.outcome is Outcome.UNKNOWN
+        await asyncio.wait_for(cancelled.wait(), 5)
+        assert 0 < seen[0] <= 0.3
+
+
+class Chunks:
+    """Body of equal chunks that counts what has been read."""
+
+    def __init__(self, count, size=65_536):
+        self.length = count * size
+        self.left = count
+        self.chunk = b"x" * size
+        self.closed = False
+
+    async def read(self):
+        if not self.left:
+            return b""
+        self.left -= 1
+        return self.chunk
+
+    def close(self):
+        self.closed = True
+
+
+async def test_large_bodies_move_both_ways_within_the_window():
+    """A slow reader must stop the sender instead of filling memory."""
+    download = Chunks(160)
+    gate = asyncio.Event()
+
+    async def handler(head, body, deadline):
+        await gate.wait()
+        size = 0
+        while chunk := await body.read():
+            size += len(chunk)
+        assert size == 160 * 65_536
+        head = AnswerHead(200, "OK", streaming=True, length=download.length)
+        return Answer(head, download)
+
+    async with run_ends(handler) as ends:
+        upload = Chunks(160)
+        head = make_head(streaming=True, length=upload.length)
+        call = asyncio.ensure_future(ends.call(head, upload, 20))
+        await until(lambda: upload.left < 160)
+        await asyncio.sleep(0.1)
+        assert (160 - upload.left) * 65_536 <= WINDOW_BYTES + 65_536
+        gate.set()
+        answer = await call
+        await asyncio.sleep(0.1)
+        assert (160 - download.left) * 65_536 <= WINDOW_BYTES + 65_536
+        size = 0
+        while chunk := await answer.stream.read():
+            size += len(chunk)
+        assert size == 160 * 65_536
+
+
+async def test_body_cut_off_at_the_sender_is_an_error_at_the_receiver():
+    class Cut(Chunks):
+        async def read(self):
+            if self.left == 1:
+                from mangowell_core.policy.outcome import Stage
+
+                raise AttemptError.at(Cause.CONNECTION_LOST, Stage.SENT, "cut")
+            return await super().read()
+
+    async def handler(head, body, deadline):
+        return Answer(AnswerHead(200, "OK", streaming=True, length=-1), Cut(3, 10))
+
+    async with run_ends(handler) as ends:
+        answer = await ends.call(make_head())
+        with pytest.raises(AttemptError):
+            while await answer.stream.read():
+                pass
+
+
+async def test_closing_an_answer_cancels_what_produces_it():
+    body = Chunks(10_000)
+
+    async def handler(head, _, deadline):
+        return Answer(AnswerHead(200, "OK", streaming=True, length=-1), body)
+
+    async with run_ends(handler) as ends:
+        answer = await ends.call(make_head())
+        await answer.stream.read()
+        answer.stream.close()
+        await until(lambda: body.closed)
+
+
+async def test_silent_link_is_closed_and_a_new_one_works():
+    """The peer's process lives but its connection passes no bytes."""
+    async with run_ends() as ends:
+        await ends.call(make_head("/first"))
+        (server_link,) = ends.server.links
+        server_link.transport.pause_reading()
+        started = monotonic()
+        with pytest.raises(AttemptError) as caught:
+            await ends.call(make_head("/lost"), seconds=20)
+        assert caught.value.refusal.cause is Cause.CONNECTION_SILENT
+        assert caught.value.refusal.outcome is Outcome.UNKNOWN
+        assert monotonic() - started >= link_module.SILENT_AFTER_S
+        answer = await ends.call(make_head("/second"))
+        assert answer.head.body == b"/second"
+        ends.pool.check(monotonic())
+
+
+async def test_silent_link_is_found_by_requests_with_short_deadlines():
+    """Each request ends before the link has been silent for long enough."""
+    async with run_ends() as ends:
+        await ends.call(make_head())
+        (server_link,) = ends.server.links
+        server_link.transport.pause_reading()
+        async with asyncio.timeout(15):
+            while True:
+                try:
+                    await ends.call(make_head("/ok"), seconds=0.2)
+                    break
+                except AttemptError:
+                    ends.pool.check(monotonic())
+        assert EventCode.LINK_SILENT in ends.codes()
+
+
+async def test_slow_request_is_not_taken_for_a_silent_link():
+    async def handler(head, body, deadline):
+        await asyncio.sleep(link_module.SILENT_AFTER_S + 0.6)
+        return await echo(head, body, deadline)
+
+    async with run_ends(handler) as ends:
+        assert (await ends.call(make_head("/slow"))).head.body == b"/slow"
+
+
+async def test_cut_link_fails_its_requests_as_unknown():
+    entered = asyncio.Event()
+
+    async def handler(head, body, deadline):
+        entered.set()
+        await asyncio.sleep(30)
+
+    async with run_ends(handler) as ends:
+        call = asyncio.ensure_future(ends.call(make_head()))
+        await entered.wait()
+        for server_link in list(ends.server.links):
+            server_link.transport.abort()
+        with pytest.raises(AttemptError) as caught:
+            await call
+        assert caught.value.refusal.outcome is Outcome.UNKNOWN
+
+
+async def test_unreachable_address_is_not_contacted_and_open_links_close():
+    async with run_ends() as ends:
+        await ends.call(make_head())
+        ends.reach.cut.add(ends.port)
+        ends.pool.check(monotonic())
+        with pytest.raises(AttemptError) as caught:
+            await ends.call(make_head())
+        assert caught.value.refusal.outcome is Outcome.NOT_RUN
+        await until(lambda: not ends.server.links)
+
+
+async def test_stopping_server_finishes_streams_and_disowns_later_ones():
+    """A request in flight is not cut; one that comes too late is not run."""
+    entered, gate = asyncio.Event(), asyncio.Event()
+    ran = []
+
+    async def handler(head, body, deadline):
+        ran.append(head.target)
+        entered.set()
+        await gate.wait()
+        return await echo(head, body, deadline)
+
+    async with run_ends(handler) as ends:
+        first = asyncio.ensure_future(ends.call(make_head("/first")))
+        await entered.wait()
+        stop = asyncio.ensure_future(ends.server.stop(monotonic() + 10))
+        await asyncio.sleep(0)
+        late = asyncio.ensure_future(ends.call(make_head("/late")))
+        with pytest.raises(AttemptError) as caught:
+            await late
+        assert caught.value.refusal.outcome is Outcome.NOT_RUN
+        gate.set()
+        assert (await first).head.body == b"/first"
+        await stop
+        assert ran == ["/first"]
