--- a/packages/core/src/mangowell_core/messages.py
+++ b/packages/core/src/mangowell_core/messages.py
@@ -129,7 +129,12 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="crash"):
-    """Crashes of backend servers that a fingerprint is suspected of."""
+    """Crashes of backend servers that a fingerprint is suspected of.
+
+    `crashes` counts those that the reporter saw at its own backend server; 0
+    says that the suspect has completed there. `sole` counts those in which it
+    was the only request in flight.
+    """
 
     service: str
     failure_domain: str
@@ -137,6 +142,7 @@
     crashes: int
     reporter: str
     refused_for_ms: int = 0
+    sole: int = 0
 
 
 class Leaving(msgspec.Struct, frozen=True, array_like=True, tag="leaving"):
--- a/packages/core/src/mangowell_core/policy/drain.py
+++ b/packages/core/src/mangowell_core/policy/drain.py
@@ -2,6 +2,8 @@
 
 from enum import Enum
 
+from mangowell_core.model import InstanceState, Snapshot
+
 LEAVING_GRACE_S = 3.0  # invariant I7: no new work after this time
 LEAVING_KEPT_S = 600.0  # a lagging list may show a departed instance this long
 
@@ -43,12 +45,13 @@
         Name of the own instance.
     """
 
-    __slots__ = ("_board", "_own", "_since")
+    __slots__ = ("_board", "_marked_at", "_own", "_since")
 
     def __init__(self, board, own: str):
         self._board = board
         self._own = own
-        self._since = 0.0
+        self._since = float("inf")
+        self._marked_at: dict[str, int] = {}  # list revision at the mark
 
     def step(self, event: str, now: float) -> bool:
         """Apply an event of the state table; return whether the state changed."""
@@ -62,28 +65,66 @@
             board.leaving[self._own] = now
         return True
 
-    def mark_leaving(self, instance: str, now: float) -> bool:
+    def mark(self, instance: str, now: float) -> bool:
         """Record that an instance leaves; return whether this is news."""
         board = self._board
         if instance in board.leaving:
             return False
         board.leaving[instance] = now
+        snapshot = board.snapshot
+        self._marked_at[instance] = snapshot.instances_revision if snapshot else 0
         return True
 
-    def forget(self, known: set[str], now: float) -> None:
-        """Drop instances that the view no longer holds, once they are old."""
+    def apply(self, snapshot: Snapshot, now: float) -> list[str]:
+        """Take the states of a new list; return the instances newly leaving.
+
+        The list lags, so it may still show an instance as live that said
+        itself that it leaves. Such a mark ends only when a newer list shows
+        the name as live after `LEAVING_KEPT_S`, which means that a new
+        process runs under the old name.
+        """
         board = self._board
-        gone = [
-            name
-            for name, since in board.leaving.items()
-            if name not in known and now - since > LEAVING_KEPT_S
-        ]
-        for name in gone:
-            del board.leaving[name]
+        news = []
+        known: set[str] = set()
+        for members in snapshot.instances.values():
+            for item in members:
+                known.add(item.name)
+                if item.state is InstanceState.LEAVING:
+                    if self.mark(item.name, now):
+                        news.append(item.name)
+                    # The list knows by now: a later live state is a new process.
+                    self._marked_at[item.name] = -1
+                elif item.name in board.leaving and self._has_returned(
+                    item.name, snapshot.instances_revision, now
+                ):
+                    del board.leaving[item.name]
+                    self._marked_at.pop(item.name, None)
+        for name in list(board.leaving):
+            if name in known or name == self._own:
+                continue
+            self._marked_at[name] = -1
+            if now - board.leaving[name] > LEAVING_KEPT_S:
+                del board.leaving[name]
+                self._marked_at.pop(name, None)
+        return news
+
+    def _has_returned(self, name: str, revision: int, now: float) -> bool:
+        if name == self._own:
+            return False
+        marked_at = self._marked_at.get(name, -1)
+        if marked_at < 0:
+            return True
+        old = now - self._board.leaving[name] > LEAVING_KEPT_S
+        return old and revision > marked_at
+
+    @property
+    def grace_end(self) -> float:
+        """Time after which the own backend server gets no new work."""
+        return self._since + LEAVING_GRACE_S
 
     def accepts_new(self, now: float) -> bool:
         """Tell whether the own backend server may be given new work."""
         state = self._board.own_state
         if state is DrainState.LEAVING:
-            return now < self._since + LEAVING_GRACE_S
+            return now < self.grace_end
         return ACCEPTS[state]
--- /dev/null
+++ b/packages/core/src/mangowell_core/policy/limiter.py
@@ -0,0 +1,146 @@
+"""Adaptive limit on the requests that the own backend server runs at once.
+
+The limit follows the gradient of latency: while latency stays near the one
+measured at low concurrency, it grows towards `slots`; when latency rises, the
+backend server queues internally, and the limit falls in proportion. Latency
+is used rather than errors because it rises before requests fail, and rather
+than reported load because load endpoints lag or mislead.
+
+The reference latency is measured again at half the limit every
+`PROBE_INTERVAL_S`, since an average over all samples would follow an overload
+and call it normal. Latencies are compared within a traffic class only, so a
+change in the mix of classes does not look like a change of the server.
+"""
+
+from math import sqrt
+
+WINDOW_CALLS = 30  # mean of 30 exponential times has a deviation of 18%
+TOLERANCE = 1.5  # latency ratio taken as noise: nearly 3 deviations
+GRADIENT_MIN = 0.5
+SMOOTHING = 0.5
+PROBE_INTERVAL_S = 30.0
+REFERENCE_WEIGHT = 0.1
+FAILURE_FACTOR = 0.7
+FAILURE_INTERVAL_S = 0.5  # one decrease for failures of the same moment
+RESTART_SHARE = 0.25  # of the slots, after a crash of the backend server
+TIME_WEIGHT = 0.1
+
+
+class ConcurrencyLimiter:
+    """Limit between 1 and the slots of the service.
+
+    Parameters
+    ----------
+    board : TrafficBoard
+        Writes `limit` and `service_time_s`.
+    """
+
+    __slots__ = (
+        "_board",
+        "_calls",
+        "_failed_at",
+        "_is_probing",
+        "_limit",
+        "_next_probe",
+        "_peak",
+        "_ratios",
+        "_references",
+        "_slots",
+        "_times",
+    )
+
+    def __init__(self, board):
+        self._board = board
+        self._slots = 1
+        self._limit = 0.0
+        self._references: dict[str, list[float]] = {}  # class to [mean, calls]
+        self._times: dict[str, float] = {}  # class to smoothed service time
+        self._calls = 0
+        self._ratios = 0.0
+        self._peak = 0
+        self._is_probing = True
+        self._next_probe = 0.0
+        self._failed_at = float("-inf")
+
+    def apply(self, slots: int, connections: int, now: float) -> None:
+        """Take the service's slots and connections; a lower value holds at once."""
+        bound = max(1, min(slots, connections))
+        if self._limit <= 0.0:
+            # The first window runs at half the slots as a probe.
+            self._limit = float(bound)
+            self._next_probe = now + PROBE_INTERVAL_S
+        elif bound > self._slots:
+            self._limit += bound - self._slots
+        self._slots = bound
+        self._limit = min(self._limit, float(bound))
+        self._publish()
+
+    def find_time(self, traffic_class: str) -> float:
+        """Return the typical service time of a class in seconds; 0 if unknown."""
+        return self._times.get(traffic_class, self._board.service_time_s)
+
+    def note(
+        self, traffic_class: str, latency_s: float, running: int, now: float
+    ) -> None:
+        """Take the latency of one request that the backend server answered.
+
+        Parameters
+        ----------
+        running : int
+            Requests in flight when it ended, itself included.
+        """
+        board = self._board
+        time_s = self._times.get(traffic_class, latency_s)
+        self._times[traffic_class] = time_s + TIME_WEIGHT * (latency_s - time_s)
+        if board.service_time_s <= 0.0:
+            board.service_time_s = latency_s
+        board.service_time_s += TIME_WEIGHT * (latency_s - board.service_time_s)
+        reference = self._references.get(traffic_class)
+        if reference is None:
+            reference = self._references[traffic_class] = [latency_s, 1]
+        elif self._is_probing or reference[1] < WINDOW_CALLS:
+            reference[1] += 1
+            weight = max(REFERENCE_WEIGHT, 1 / reference[1])
+            reference[0] += weight * (latency_s - reference[0])
+        self._ratios += latency_s / reference[0] if reference[0] > 0.0 else 1.0
+        self._calls += 1
+        self._peak = max(self._peak, running)
+        if self._calls >= WINDOW_CALLS:
+            self._close_window(now)
+
+    def _close_window(self, now: float) -> None:
+        ratio = self._ratios / self._calls
+        was_probing, peak = self._is_probing, self._peak
+        self._calls, self._ratios, self._peak = 0, 0.0, 0
+        self._is_probing = False
+        if not was_probing:
+            gradient = min(1.0, max(GRADIENT_MIN, TOLERANCE / max(ratio, 1e-9)))
+            # Room to grow; without use of the limit there is no evidence for it.
+            room = sqrt(self._limit) if peak >= self._limit * 0.5 else 0.0
+            target = self._limit * gradient + (room if gradient >= 1.0 else 0.0)
+            self._limit += SMOOTHING * (target - self._limit)
+            self._limit = min(float(self._slots), max(1.0, self._limit))
+        if now >= self._next_probe:
+            self._next_probe = now + PROBE_INTERVAL_S
+            self._is_probing = True
+        self._publish()
+
+    def note_failure(self, now: float) -> None:
+        """Take an answer by which the backend server sheds load."""
+        if now - self._failed_at < FAILURE_INTERVAL_S:
+            return
+        self._failed_at = now
+        self._limit = max(1.0, self._limit * FAILURE_FACTOR)
+        self._publish()
+
+    def note_crash(self, now: float) -> None:
+        """Take a crash: the new process starts cold."""
+        self._failed_at = now
+        self._limit = max(1.0, self._slots * RESTART_SHARE)
+        self._publish()
+
+    def _publish(self) -> None:
+        limit = int(self._limit)
+        if self._is_probing:
+            limit = (limit + 1) // 2
+        self._board.limit = max(1, limit)
--- a/packages/core/src/mangowell_core/policy/outcome.py
+++ b/packages/core/src/mangowell_core/policy/outcome.py
@@ -40,6 +40,7 @@
     (Cause.BAD_ANSWER, Stage.SENT): (_UNKNOWN, 502, 0.0),
     (Cause.BAD_ANSWER, Stage.ANSWERED): (_UNKNOWN, 502, 0.0),
     (Cause.QUARANTINED, Stage.UNSENT): (_NOT_RUN, 503, 600.0),
+    (Cause.SUSPECTED, Stage.UNSENT): (_NOT_RUN, 503, 1.0),
     (Cause.KEY_IN_PROGRESS, Stage.UNSENT): (_UNKNOWN, 409, 1.0),
     (Cause.KEY_UNKNOWN, Stage.UNSENT): (_UNKNOWN, 409, 0.0),
     (Cause.KEY_OWNER_LOST, Stage.UNSENT): (_UNKNOWN, 503, 0.0),
--- a/packages/core/src/mangowell_core/policy/types.py
+++ b/packages/core/src/mangowell_core/policy/types.py
@@ -38,6 +38,7 @@
     BACKEND_STATUS = "backend-status"
     BAD_ANSWER = "bad-answer"
     QUARANTINED = "quarantined"
+    SUSPECTED = "suspected"
     KEY_IN_PROGRESS = "key-in-progress"
     KEY_UNKNOWN = "key-unknown"
     KEY_OWNER_LOST = "key-owner-lost"
