--- /dev/null
+++ b/packages/core/src/mangowell_core/distribution/corroboration.py
@@ -0,0 +1,297 @@
+"""Evidence for versions: which reader got what from the source, and when.
+
+A version is accepted when this node has read it from the source, when two
+readers claim it, or when one claims it and no other reader contradicts. A reader
+contradicts when the source confirmed a lower version to it after the claimed
+version was first read. The first reading counts, not the latest confirmation, so
+a faulty reader cannot end a contradiction by repeating its claim.
+"""
+
+from enum import Enum
+
+from mangowell_core.blackboard import Claim, Sighting
+from mangowell_core.distribution.context import NEVER, Context, describe_peer
+from mangowell_core.distribution.io import Peer
+from mangowell_core.events import EventCode
+from mangowell_core.messages import Heartbeat, KeyVersion
+
+# Evidence is dropped after this time without a newer heartbeat. Ten watch
+# periods of 3 s cover the slowest takeover (6 s) and one lost digest exchange.
+CLAIM_TTL_S = 30.0
+# A peer's statement that it holds a version; renewed by each digest exchange.
+HOLDER_TTL_S = 10.0
+# 16 domains with 2 readers each need 32; the rest covers takeovers.
+MAX_CLAIMS = 128
+MAX_HOLDERS = 64
+SIGHTINGS_KEPT = 4
+# Time given to the second reader to confirm or contradict. Its check of the
+# source takes 0.2 s plus a round trip and the way down the tree.
+LONE_CLAIM_GRACE_S = 0.5
+# A reader that has been silent for this long does not delay a lone claim.
+READER_FRESH_S = 2.5
+MAX_VERSION = 2**62
+STATES = frozenset(("up", "down", "stale"))
+
+
+class Verdict(Enum):
+    """Judgement of one version."""
+
+    ACCEPT = "accept"
+    WAIT = "wait"
+    HOLD = "hold"
+
+
+def check_key_version(held: KeyVersion, keys: tuple[str, ...]) -> str:
+    """Return what is wrong with a peer's key, version and digest, or ``""``."""
+    if held.key not in keys:
+        return f"unknown key {held.key[:80]!r}"
+    if not 1 <= held.version <= MAX_VERSION:
+        return f"version {held.version} out of range"
+    if len(held.digest) != 64:
+        return "digest is not 64 characters long"
+    return ""
+
+
+class Corroboration:
+    """Controller that records evidence and judges versions by it."""
+
+    __slots__ = ("_ctx", "_holders", "_next_prune")
+
+    def __init__(self, ctx: Context):
+        self._ctx = ctx
+        self._holders: dict[KeyVersion, dict[Peer, float]] = {}
+        self._next_prune = 0.0
+
+    def check_heartbeat(self, heartbeat: Heartbeat) -> str:
+        """Return what is wrong with a heartbeat's content, or ``""``."""
+        if heartbeat.source not in STATES:
+            return f"unknown source state {heartbeat.source[:80]!r}"
+        if heartbeat.sequence < 1 or heartbeat.confirmed_age_ms < 0:
+            return "sequence or age out of range"
+        if not 0 < heartbeat.incarnation <= MAX_VERSION:
+            return "incarnation out of range"
+        if len(heartbeat.held) > len(self._ctx.keys):
+            return "too many keys in a heartbeat"
+        for held in heartbeat.held:
+            problem = check_key_version(held, self._ctx.keys)
+            if problem:
+                return problem
+        return ""
+
+    def record(self, heartbeat: Heartbeat, sender: Peer, now: float) -> bool:
+        """Record a heartbeat; return whether it is newer than those known."""
+        problem = self.check_heartbeat(heartbeat)
+        if problem:
+            self._ctx.drop(sender, problem)
+            return False
+        if heartbeat.reader == self._ctx.instance:
+            return False
+        claims = self._ctx.board.configuration.claims
+        claim = claims.get(heartbeat.reader)
+        if claim is None:
+            self._evict_claim()
+            claim = claims[heartbeat.reader] = Claim(heartbeat, now, "")
+        else:
+            known = claim.heartbeat
+            order = (heartbeat.incarnation, heartbeat.sequence)
+            if order <= (known.incarnation, known.sequence):
+                return False
+        claim.heartbeat = heartbeat
+        claim.heard_at = now
+        claim.via = describe_peer(sender)
+        confirmed_at = now - heartbeat.confirmed_age_ms / 1000
+        for held in heartbeat.held:
+            self._record_sighting(claim, held, confirmed_at)
+        self._update_lag(claim, now)
+        return True
+
+    def _record_sighting(
+        self, claim: Claim, held: KeyVersion, confirmed_at: float
+    ) -> None:
+        sightings = claim.sightings.setdefault(held.key, [])
+        for index, sighting in enumerate(sightings):
+            if (sighting.version, sighting.digest) == (held.version, held.digest):
+                sighting.confirmed_at = max(sighting.confirmed_at, confirmed_at)
+                sightings.insert(0, sightings.pop(index))
+                return
+        sightings.insert(
+            0, Sighting(held.version, held.digest, confirmed_at, confirmed_at)
+        )
+        del sightings[SIGHTINGS_KEPT:]
+
+    def _update_lag(self, claim: Claim, now: float) -> None:
+        held = self._ctx.board.configuration.held
+        versions = {entry.key: entry.version for entry in claim.heartbeat.held}
+        lags = any(versions.get(key, 0) < text.version for key, text in held.items())
+        claim.lagging_since = min(claim.lagging_since, now) if lags else NEVER
+
+    def _evict_claim(self) -> None:
+        claims = self._ctx.board.configuration.claims
+        if len(claims) < MAX_CLAIMS:
+            return
+        view = self._ctx.board.membership.view
+        oldest = min(claims, key=lambda name: (name in view, claims[name].heard_at))
+        del claims[oldest]
+
+    def record_holder(self, held: KeyVersion, peer: Peer, now: float) -> None:
+        """Record that a peer holds a version, which alone is weak evidence."""
+        running = self._ctx.board.configuration.held.get(held.key)
+        if running is not None and held.version <= running.version:
+            return
+        if held not in self._holders and len(self._holders) >= MAX_HOLDERS:
+            oldest = min(self._holders, key=lambda k: max(self._holders[k].values()))
+            del self._holders[oldest]
+        peers = self._holders.setdefault(held, {})
+        if held not in self._claimed(held.key) and not peers:
+            self._ctx.emit(
+                EventCode.VERSION_SEEN,
+                key=held.key,
+                version=held.version,
+                digest=held.digest,
+                peer=describe_peer(peer),
+            )
+        peers[peer] = now
+        if len(peers) > SIGHTINGS_KEPT:
+            del peers[min(peers, key=peers.__getitem__)]
+
+    def find_holders(self, held: KeyVersion) -> list[Peer]:
+        """Return peers that hold a version, those heard last first."""
+        peers = self._holders.get(held, {})
+        found = sorted(peers, key=peers.__getitem__, reverse=True)
+        known = {peer.instance for peer in found}
+        for name, claim in self._ctx.board.configuration.claims.items():
+            if held in claim.heartbeat.held and name not in known:
+                peer = self._ctx.find_peer(name)
+                if peer is not None:
+                    found.append(peer)
+        return found
+
+    def _claimed(self, key: str) -> set[KeyVersion]:
+        return {
+            held
+            for claim in self._ctx.board.configuration.claims.values()
+            for held in claim.heartbeat.held
+            if held.key == key
+        }
+
+    def find_target(self, key: str, now: float) -> KeyVersion | None:
+        """Return the highest version that is worth fetching, if any."""
+        board = self._ctx.board.configuration
+        running = board.held.get(key)
+        lowest = 0 if running is None else running.version
+        known = self._claimed(key)
+        known.update(held for held in self._holders if held.key == key)
+        for held in sorted(known, key=lambda k: (k.version, k.digest), reverse=True):
+            if held.version <= lowest:
+                return None
+            if (key, held.version, held.digest) in board.refused:
+                continue
+            if self.judge(held, now) is not Verdict.HOLD:
+                return held
+        return None
+
+    def judge(self, held: KeyVersion, now: float) -> Verdict:
+        """Judge whether a version is corroborated."""
+        board = self._ctx.board.configuration
+        own = board.given.get(held.key)
+        if own is not None and (own.version, own.digest) == (held.version, held.digest):
+            return Verdict.ACCEPT
+        supporters = self._find_supporters(held)
+        if len(supporters) >= 2 and len({c.via for c, _ in supporters}) >= 2:
+            return Verdict.ACCEPT
+        first_at = min((s.first_at for _, s in supporters), default=-NEVER)
+        names = {claim.heartbeat.reader for claim, _ in supporters}
+        verdict = Verdict.ACCEPT
+        if (
+            own is not None
+            and own.version < held.version
+            and own.confirmed_at > first_at
+        ):
+            return Verdict.HOLD
+        for claim in board.claims.values():
+            if claim.heartbeat.source != "up" or claim.heartbeat.reader in names:
+                continue
+            sightings = claim.sightings.get(held.key)
+            if not sightings or sightings[0].version >= held.version:
+                continue
+            if sightings[0].confirmed_at > first_at:
+                return Verdict.HOLD
+            if self._delays(claim, first_at, now):
+                verdict = Verdict.WAIT
+        return verdict
+
+    def _find_supporters(self, held: KeyVersion) -> list[tuple[Claim, Sighting]]:
+        return [
+            (claim, sighting)
+            for claim in self._ctx.board.configuration.claims.values()
+            for sighting in claim.sightings.get(held.key, ())
+            if (sighting.version, sighting.digest) == (held.version, held.digest)
+        ]
+
+    def find_first_read(self, held: KeyVersion) -> float:
+        """Return when a reader first got a version, or infinity if unknown."""
+        supporters = self._find_supporters(held)
+        return min((sighting.first_at for _, sighting in supporters), default=NEVER)
+
+    def _delays(self, claim: Claim, first_at: float, now: float) -> bool:
+        return (
+            claim.heartbeat.failure_domain == self._ctx.settings.failure_domain
+            and now - claim.heard_at < READER_FRESH_S
+            and now - first_at < LONE_CLAIM_GRACE_S
+        )
+
+    def set_contradicted(self, key: str, contradicted: bool, now: float) -> None:
+        """Record whether a version of `key` is held because readers disagree."""
+        since = self._ctx.board.configuration.contradicted_since
+        if contradicted:
+            since.setdefault(key, now)
+        else:
+            since.pop(key, None)
+
+    def find_heartbeats(self, limit: int, now: float) -> list[Heartbeat]:
+        """Return the newest heartbeats, those of the own domain first."""
+        domain = self._ctx.settings.failure_domain
+        fresh = [
+            claim
+            for claim in self._ctx.board.configuration.claims.values()
+            if now - claim.heard_at < HOLDER_TTL_S
+        ]
+        fresh.sort(
+            key=lambda c: (c.heartbeat.failure_domain != domain, -c.heard_at),
+        )
+        return [self._aged(claim, now) for claim in fresh[:limit]]
+
+    def _aged(self, claim: Claim, now: float) -> Heartbeat:
+        heartbeat = claim.heartbeat
+        age = heartbeat.confirmed_age_ms + round((now - claim.heard_at) * 1000)
+        return Heartbeat(
+            heartbeat.failure_domain,
+            heartbeat.reader,
+            heartbeat.incarnation,
+            heartbeat.sequence,
+            heartbeat.source,
+            heartbeat.held,
+            age,
+        )
+
+    def run(self, now: float) -> None:
+        """Drop old evidence and update which readers lag behind."""
+        if now < self._next_prune:
+            return
+        self._next_prune = now + 1.0
+        claims = self._ctx.board.configuration.claims
+        for name in [n for n, c in claims.items() if now - c.heard_at > CLAIM_TTL_S]:
+            del claims[name]
+        for claim in claims.values():
+            self._update_lag(claim, now)
+        running = self._ctx.board.configuration.held
+        for held, peers in list(self._holders.items()):
+            text = running.get(held.key)
+            for peer in [p for p, at in peers.items() if now - at > HOLDER_TTL_S]:
+                del peers[peer]
+            if not peers or (text is not None and held.version <= text.version):
+                del self._holders[held]
+
+    def next_deadline(self) -> float:
+        """Return when `run` has work to do."""
+        return self._next_prune
