--- a/packages/core/src/mangowell_core/policy/admission.py
+++ b/packages/core/src/mangowell_core/policy/admission.py
@@ -27,6 +27,7 @@
 SPARE_SHARE = 0.7  # share of the limit that deferrable classes may use
 DEFERRABLE_QUEUE_SHARE = 0.25  # of the queue
 DEFERRABLE_RETRY_S = 900.0  # doubled at most by chance, against a joint return
+DEFERRABLE_PATIENCE_S = 60.0  # less time than this cannot outlast an overload
 MAX_SUSPECTS = 8  # waiting to run alone, each for one service time
 RETRY_AFTER_S = 1.0
 SHED_STATUSES = frozenset({429, 503})  # by which a backend server sheds load
@@ -177,7 +178,7 @@
         service = self._board.snapshot.document.services[work.service]
         tenant, weight = self._find_tenant(work.tenant)
         if work.traffic_class.deferrable:
-            refusal = self._check_deferrable(service)
+            refusal = self._check_deferrable(work, service, now)
             if refusal is not None:
                 return refusal
         wait_s = self._predict_wait(work, tenant, weight)
@@ -200,17 +201,14 @@
         self._count()
         return Queued(item.ticket)
 
-    def _check_deferrable(self, service) -> Refusal | None:
-        cheapest = self._queue.find_cheapest()
-        others_wait = len(self._queue) > 0 and not (cheapest and cheapest[0])
-        full = len(self._queue) >= service.queue_limit * DEFERRABLE_QUEUE_SHARE
-        if not others_wait and not full:
+    def _check_deferrable(self, work: Work, service, now: float) -> Refusal | None:
+        """Refuse a deferrable request that has no prospect of spare capacity."""
+        count, others = self._queue.count_deferrable()
+        full = count >= service.queue_limit * DEFERRABLE_QUEUE_SHARE
+        hasty = others > 0 and work.deadline - now < DEFERRABLE_PATIENCE_S
+        if not full and not hasty:
             return None
-        return refuse(
-            Cause.OVERLOADED,
-            "no spare capacity for deferrable requests",
-            retry_after_s=self._find_late(),
-        )
+        return self._shed(work, "no spare capacity for deferrable requests", 0.0)
 
     def _find_late(self) -> float:
         return DEFERRABLE_RETRY_S * (1.0 + self._rng.random())
@@ -371,6 +369,6 @@
         due = self._queue.next_expiry()
         for item in self._suspects:
             due = min(due, item.expires_at)
-        if self._board.waiting:
-            due = min(due, self._drain.grace_end)
+        if self._board.waiting or not self._board.running:
+            due = min(due, self._drain.next_change)
         return due
--- a/packages/core/src/mangowell_core/policy/drain.py
+++ b/packages/core/src/mangowell_core/policy/drain.py
@@ -109,7 +109,7 @@
         return news
 
     def _has_returned(self, name: str, revision: int, now: float) -> bool:
-        if name == self._own:
+        if name == self._own and self._board.own_state is not DrainState.SERVING:
             return False
         marked_at = self._marked_at.get(name, -1)
         if marked_at < 0:
@@ -122,6 +122,12 @@
         """Time after which the own backend server gets no new work."""
         return self._since + LEAVING_GRACE_S
 
+    @property
+    def next_change(self) -> float:
+        """Time at which the own state may change by itself; infinite for never."""
+        is_leaving = self._board.own_state is DrainState.LEAVING
+        return self.grace_end if is_leaving else float("inf")
+
     def accepts_new(self, now: float) -> bool:
         """Tell whether the own backend server may be given new work."""
         state = self._board.own_state
--- a/packages/core/src/mangowell_core/policy/fingerprints.py
+++ b/packages/core/src/mangowell_core/policy/fingerprints.py
@@ -9,10 +9,10 @@
 import hashlib
 from enum import Enum
 
+from mangowell_core.distribution.ranking import rank_instances
 from mangowell_core.events import Event, EventCode
 from mangowell_core.messages import CrashReport
 from mangowell_core.policy.outcome import refuse
-from mangowell_core.policy.rendezvous import rank
 from mangowell_core.policy.types import Cause, Refusal
 
 REFUSE_CRASHES = 2  # crashes, one of them alone in flight, that refuse it
@@ -334,14 +334,14 @@
             if item.name in leaving:
                 continue
             domains.setdefault(item.failure_domain, []).append(item)
-        order = rank(fingerprint, domains)
+        order = list(rank_instances(fingerprint, tuple(domains)))
         if self._own_domain in domains:
             order.remove(self._own_domain)
             order.insert(0, self._own_domain)
         places = []
         for domain in order:
             members = {item.name: item for item in domains[domain]}
-            ranked = rank(fingerprint, members)
+            ranked = rank_instances(fingerprint, tuple(members))
             ready = [n for n in ranked if not self._is_restarting(n, now)]
             places.append(members[(ready or ranked)[0]])
         return places
--- a/packages/core/src/mangowell_core/policy/idempotency.py
+++ b/packages/core/src/mangowell_core/policy/idempotency.py
@@ -159,8 +159,8 @@
         its entry has expired is refused instead of run a second time.
         """
         issued_ms = int(now * 1000)
-        random = self._rng.getrandbits(128)
-        return f"{PINNED_PREFIX}{self._own}.{self._incarnation}.{issued_ms:x}-{random:032x}"
+        random = f"{issued_ms:x}-{self._rng.getrandbits(128):032x}"
+        return f"{PINNED_PREFIX}{self._own}.{self._incarnation}.{random}"
 
     def begin(
         self, service: str, key: str, fingerprint: str, now: float
--- a/packages/core/src/mangowell_core/policy/outliers.py
+++ b/packages/core/src/mangowell_core/policy/outliers.py
@@ -1,8 +1,11 @@
 """What this node has seen of one instance, and of one failure domain."""
 
+from math import log
+
 from mangowell_core.policy.types import AttemptResult, Cause, Outcome
 
-EJECT_POINTS = 5  # failures in a row until an instance is ejected
+EJECT_POINTS = 5  # least number of failures in a row that ejects an instance
+CHANCE_LIMIT = 1e-4  # failures in a row this unlikely by chance are its own fault
 CONNECTION_POINTS = 2  # a failed connection says more than an error status
 EJECT_BASE_S = 5.0
 EJECT_LIMIT_S = 300.0
@@ -137,7 +140,11 @@
     def is_bad(self, service_share: float) -> bool:
         """Tell whether own evidence asks for ejection."""
         if self.points >= EJECT_POINTS:
-            return True
+            # Where the whole service fails often, a row of failures is no
+            # sign of a bad instance: at a third, 5 in a row are 0.4% likely.
+            share = min(0.999, max(1e-6, service_share))
+            if self.points >= log(CHANCE_LIMIT) / log(share):
+                return True
         return (
             self.seen_calls >= SHARE_CALLS
             and self.failure_share > FAILURE_SHARE_LIMIT
@@ -218,9 +225,8 @@
                 wait_s = min(CUT_LIMIT_S, CUT_BASE_S * 2 ** min(self.cuts, 10))
                 self.cuts += 1
                 self.next_probe = now + wait_s
-        elif cause is not Cause.CANCELLED and cause is not Cause.DEADLINE:
-            if self.failures:
-                self.failed.clear()
-                self.failures = 0
-                self.cuts = 0
-                self.is_cut = False
+        elif self.failures and cause not in (Cause.CANCELLED, Cause.DEADLINE):
+            self.failed.clear()
+            self.failures = 0
+            self.cuts = 0
+            self.is_cut = False
--- a/packages/core/src/mangowell_core/policy/ownership.py
+++ b/packages/core/src/mangowell_core/policy/ownership.py
@@ -6,8 +6,8 @@
 else who may have run the key for a promise.
 """
 
+from mangowell_core.distribution.ranking import rank_instances
 from mangowell_core.model import Instance, Snapshot
-from mangowell_core.policy.rendezvous import rank
 
 RETENTION_S = 600.0  # a key that ends is remembered this long
 VIEW_LAG_S = 3600.0  # longest partition: a node may run with a view this old
@@ -131,7 +131,7 @@
         established = [
             name for name, s in listed.items() if s.is_initial or self._is_old(s, now)
         ]
-        ranked = rank(key, established or listed)
+        ranked = rank_instances(key, tuple(established or listed))
         return listed[ranked[0]].instance if ranked else None
 
     def _is_old(self, sighting: _Sighting, now: float) -> bool:
@@ -165,7 +165,7 @@
         if settled:
             # Who ranks lower can have owned the key only in a view without
             # the own instance, and no such view is left anywhere.
-            ranked = rank(key, seen)
+            ranked = rank_instances(key, tuple(seen))
             names = ranked[: ranked.index(self._own)] if self._own in seen else ranked
         else:
             names = [name for name in seen if name != self._own]
--- a/packages/core/src/mangowell_core/policy/queues.py
+++ b/packages/core/src/mangowell_core/policy/queues.py
@@ -140,6 +140,11 @@
                         ahead += min(len(other.items), turns * other.weight)
         return ahead
 
+    def count_deferrable(self) -> tuple[int, int]:
+        """Return how many deferrable and how many other requests wait."""
+        count = sum(q.size for rank, q in self._classes.items() if rank[0])
+        return count, len(self._items) - count
+
     def find_cheapest(self) -> tuple[bool, int] | None:
         """Return the largest rank with waiting requests, or None."""
         for rank in reversed(self._ranks):
--- a/packages/core/src/mangowell_core/policy/request.py
+++ b/packages/core/src/mangowell_core/policy/request.py
@@ -373,9 +373,9 @@
         self._checks.check_start(ticket, leaving_since, now)
 
     def _finish_drain(self, now: float) -> None:
-        if self.board.own_state is DrainState.LEAVING and not self.in_flight():
-            if not self._drain.accepts_new(now):
-                self._drain.step("empty", now)
+        if self.in_flight() or self._drain.accepts_new(now):
+            return
+        self._drain.step("empty", now)
 
     # Egress: idempotency keys
 
--- a/packages/core/src/mangowell_core/policy/routing.py
+++ b/packages/core/src/mangowell_core/policy/routing.py
@@ -218,13 +218,14 @@
             if name in state.reported_down and not state.panic and seen.is_doubted(now):
                 spare.append(item)
                 continue
+            # A new instance takes part in a growing share of the choices.
+            # Weighting its load instead would starve it at low load.
             age_s = now - seen.ramp_from
-            if age_s < slow_start_s:
-                # A new instance takes part in a growing share of the choices.
-                # Weighting its load instead would starve it at low load.
-                if self._rng.random() > max(MIN_RAMP, age_s / slow_start_s):
-                    spare.append(item)
-                    continue
+            if age_s < slow_start_s and (
+                self._rng.random() > max(MIN_RAMP, age_s / slow_start_s)
+            ):
+                spare.append(item)
+                continue
             good.append(item)
             load += seen.find_load(now)
         counted = len(good) + len(spare)
--- /dev/null
+++ b/tests/core/test_outcome.py
@@ -0,0 +1,40 @@
+"""Guards what callers are told: `not-run` only if nothing was sent."""
+
+import pytest
+
+from mangowell_core.policy.outcome import OUTCOMES, Stage, classify_attempt, refuse
+from mangowell_core.policy.types import Cause, Outcome
+
+
+@pytest.mark.parametrize("stage", [Stage.SENT, Stage.ANSWERED])
+@pytest.mark.parametrize("cause", list(Cause))
+def test_sent_request_is_never_told_as_not_run(cause, stage):
+    """A caller would repeat a payment that may have run."""
+    assert classify_attempt(cause, stage).outcome is not Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize("cause", list(Cause))
+def test_every_cause_has_a_row(cause):
+    """A cause outside the table would give every caller status 502."""
+    assert any(row_cause is cause for row_cause, _ in OUTCOMES)
+
+
+def test_unlisted_pair_is_unknown():
+    """A node must not guess that a request did not run."""
+    result = classify_attempt(Cause.BACKEND_CRASHED, Stage.ANSWERED)
+    assert result.outcome is Outcome.UNKNOWN
+
+
+def test_statement_can_be_weakened_but_not_strengthened():
+    """`not-run` must not replace `unknown`."""
+    weak = refuse(Cause.OVERLOADED, "full", outcome=Outcome.UNKNOWN)
+    assert weak.outcome is Outcome.UNKNOWN
+    with pytest.raises(ValueError, match="stronger"):
+        refuse(Cause.KEY_UNKNOWN, "gone", outcome=Outcome.NOT_RUN)
+
+
+def test_statuses_and_retry_after_are_valid():
+    """HTTP statuses must be errors, and Retry-After must not be negative."""
+    for (cause, _), (_, status, retry_s) in OUTCOMES.items():
+        assert cause is Cause.NONE or 400 <= status <= 599
+        assert retry_s >= 0.0
