Test admission, limiter and drain; probe latency at a quarter of the limit

A server with 4 of 16 documented slots kept a mean limit of 10.5, because the reference latency was measured at 8 slots, where it queued already.

--- a/packages/core/src/mangowell_core/policy/limiter.py
+++ b/packages/core/src/mangowell_core/policy/limiter.py
@@ -6,7 +6,7 @@
 is used rather than errors because it rises before requests fail, and rather
 than reported load because load endpoints lag or mislead.
 
-The reference latency is measured again at half the limit every
+The reference latency is measured again at a quarter of the limit every
 `PROBE_INTERVAL_S`, since an average over all samples would follow an overload
 and call it normal. Latencies are compared within a traffic class only, so a
 change in the mix of classes does not look like a change of the server.
@@ -19,6 +19,9 @@
 GRADIENT_MIN = 0.5
 SMOOTHING = 0.5
 PROBE_INTERVAL_S = 30.0
+# At half the limit, a server with a quarter of its documented slots still
+# queued while it was measured, and the limit stayed at 10.5 instead of 4.
+PROBE_SHARE = 0.25
 REFERENCE_WEIGHT = 0.1
 FAILURE_FACTOR = 0.7
 FAILURE_INTERVAL_S = 0.5  # one decrease for failures of the same moment
@@ -66,7 +69,7 @@
         """Take the service's slots and connections; a lower value holds at once."""
         bound = max(1, min(slots, connections))
         if self._limit <= 0.0:
-            # The first window runs at half the slots as a probe.
+            # The first window is a probe.
             self._limit = float(bound)
             self._next_probe = now + PROBE_INTERVAL_S
         elif bound > self._slots:
@@ -142,5 +145,5 @@
     def _publish(self) -> None:
         limit = int(self._limit)
         if self._is_probing:
-            limit = (limit + 1) // 2
+            limit = int(limit * PROBE_SHARE + 0.5)
         self._board.limit = max(1, limit)
--- /dev/null
+++ b/tests/core/test_admission.py
@@ -0,0 +1,271 @@
+"""Guards the backend server against overload, and urgent requests against others."""
+
+from collections import Counter
+from dataclasses import replace
+from random import Random
+
+import pytest
+from tests.core.policy_support import (
+    BROWSE,
+    OK,
+    PAYMENT,
+    SHEETS,
+    make_instance,
+    make_policy,
+    make_snapshot,
+    make_work,
+)
+
+from mangowell_core.policy.limiter import WINDOW_CALLS, ConcurrencyLimiter
+from mangowell_core.policy.types import (
+    Admitted,
+    AttemptResult,
+    Cause,
+    Dispatch,
+    Expired,
+    Outcome,
+    Queued,
+    Refusal,
+)
+
+TIME_S = 0.02
+
+
+def make_ready(slots=4, warm=True, tenants=None, queue_limit=8):
+    """Return a policy whose limiter has learned a service time of 20 ms."""
+    policy = make_policy()
+    snapshot = make_snapshot(
+        make_instance("a"), slots=slots, queue_limit=queue_limit, tenants=tenants
+    )
+    policy.apply(snapshot, 0.0)
+    now = 0.0
+    while warm and (now < 2.0 or policy.board.limit < slots):
+        tickets = [policy.offer(make_work(now), now).ticket]
+        while policy.board.running < policy.board.limit:
+            tickets.append(policy.offer(make_work(now), now).ticket)
+        now += TIME_S
+        for ticket in tickets:
+            policy.release(ticket, OK, now)
+    policy.events()
+    return policy, now
+
+
+def fill(policy, now, traffic_class=BROWSE):
+    """Occupy all slots; return the tickets."""
+    return [
+        policy.offer(make_work(now, traffic_class), now).ticket
+        for _ in range(policy.board.limit)
+    ]
+
+
+def find_dispatched(results):
+    return [item.ticket for item in results if isinstance(item, Dispatch)]
+
+
+def test_slots_bound_what_runs():
+    """A backend server must never be given more than its slots."""
+    policy, now = make_ready()
+    fill(policy, now)
+    assert isinstance(policy.offer(make_work(now), now), Queued)
+    assert policy.board.running == 4
+
+
+def test_urgent_class_is_started_first():
+    """A payment must not wait behind browsing that came earlier."""
+    policy, now = make_ready()
+    running = fill(policy, now)
+    policy.offer(make_work(now, BROWSE), now)
+    payment = policy.offer(make_work(now, PAYMENT), now)
+    found = policy.release(running[0], OK, now)
+    assert find_dispatched(found) == [payment.ticket]
+
+
+def test_payment_displaces_browsing_from_a_full_queue():
+    """A payment is never shed in favour of browsing."""
+    policy, now = make_ready()
+    fill(policy, now)
+    waiting = [policy.offer(make_work(now), now) for _ in range(8)]
+    assert isinstance(policy.offer(make_work(now), now), Refusal)
+    assert isinstance(policy.offer(make_work(now, PAYMENT), now), Queued)
+    assert policy.next_deadline() <= now
+    (shed,) = policy.expire(now)
+    assert shed.ticket == waiting[-1].ticket
+    assert shed.refusal.outcome is Outcome.NOT_RUN
+    assert shed.refusal.cause is Cause.OVERLOADED
+
+
+def test_browsing_does_not_displace_a_payment():
+    """A queue full of payments refuses browsing, whatever the tenant."""
+    policy, now = make_ready()
+    fill(policy, now)
+    for _ in range(8):
+        assert isinstance(policy.offer(make_work(now, PAYMENT), now), Queued)
+    assert isinstance(policy.offer(make_work(now, BROWSE, "t2"), now), Refusal)
+    assert policy.expire(now) == []
+
+
+def test_request_that_cannot_end_in_time_is_refused_early():
+    """Waiting for a certain refusal wastes the caller's time and the queue."""
+    policy, now = make_ready()
+    fill(policy, now)
+    for _ in range(4):
+        policy.offer(make_work(now), now)
+    refusal = policy.offer(make_work(now, time_s=TIME_S), now)
+    assert isinstance(refusal, Refusal)
+    assert refusal.retry_after_s >= 1.0
+
+
+def test_waiting_request_expires_before_it_is_useless():
+    """Work that cannot end in time must not take a slot."""
+    policy, now = make_ready()
+    running = fill(policy, now)
+    waiting = policy.offer(make_work(now, time_s=0.1), now)
+    late = now + 0.095
+    assert policy.next_deadline() <= late
+    (expired,) = policy.release(running[0], OK, late)
+    assert isinstance(expired, Expired)
+    assert (expired.ticket, expired.refusal.outcome) == (
+        waiting.ticket,
+        Outcome.NOT_RUN,
+    )
+
+
+@pytest.mark.parametrize("weight", [1.0, 3.0])
+def test_tenants_share_by_weight(weight):
+    """One busy tenant must not starve another of the same class."""
+    policy, now = make_ready(queue_limit=60, tenants={"t1": 1.0, "t2": weight})
+    running = fill(policy, now)
+    owner = {}
+    for i in range(40):
+        tenant = "t1" if i < 28 else "t2"
+        queued = policy.offer(make_work(now, BROWSE, tenant, 60.0), now)
+        owner[queued.ticket] = tenant
+    started = Counter()
+    for _ in range(12):
+        (ticket,) = find_dispatched(policy.release(running.pop(0), OK, now))
+        running.append(ticket)
+        started[owner[ticket]] += 1
+    assert started["t2"] / started["t1"] == pytest.approx(weight, rel=0.35)
+
+
+def test_full_queue_sheds_the_tenant_that_fills_it():
+    """A flood of one tenant must not lock out the others."""
+    policy, now = make_ready(tenants={"t1": 1.0, "t2": 1.0})
+    fill(policy, now)
+    for _ in range(8):
+        policy.offer(make_work(now, BROWSE, "t1"), now)
+    assert isinstance(policy.offer(make_work(now, BROWSE, "t2"), now), Queued)
+    assert isinstance(policy.offer(make_work(now, BROWSE, "t1"), now), Refusal)
+
+
+def test_invented_tenant_names_share_one_queue():
+    """A caller must not gain shares by inventing names."""
+    policy, now = make_ready(tenants={"t1": 1.0})
+    fill(policy, now)
+    for i in range(8):
+        policy.offer(make_work(now, BROWSE, f"x{i}"), now)
+    assert isinstance(policy.offer(make_work(now, BROWSE, "x9"), now), Refusal)
+    assert isinstance(policy.offer(make_work(now, BROWSE, "t1"), now), Queued)
+
+
+def test_deferrable_requests_use_spare_capacity_only():
+    """Answer sheets must not take the last slots from callers who wait."""
+    policy, now = make_ready(slots=10)
+    sheets = [policy.offer(make_work(now, SHEETS, time_s=900), now) for _ in range(9)]
+    assert [isinstance(item, Admitted) for item in sheets] == [True] * 7 + [False] * 2
+    assert isinstance(policy.offer(make_work(now, BROWSE), now), Admitted)
+
+
+def test_deferrable_request_is_told_to_come_back_much_later():
+    """A retry each second would be load that displaces others."""
+    policy, now = make_ready()
+    fill(policy, now)
+    policy.offer(make_work(now), now)
+    times = set()
+    for _ in range(5):
+        refusal = policy.offer(make_work(now, SHEETS, time_s=30), now)
+        times.add(refusal.retry_after_s)
+    assert min(times) >= 900.0
+    assert len(times) == 5, "all would come back at once"
+
+
+def test_limit_falls_when_the_server_queues_internally():
+    """A server with fewer slots than documented must not be overrun."""
+    limit = run_server(true_slots=4, slots=16, calls=6000)
+    assert 3 <= limit <= 9
+
+
+def test_limit_reaches_the_slots_of_a_good_server():
+    """Random service times alone must not cost capacity."""
+    assert run_server(true_slots=16, slots=16, calls=6000) >= 12
+
+
+def run_server(true_slots, slots, calls):
+    """Run a saturated server; return the mean limit of the second half."""
+    rng = Random(5)
+    policy = make_policy()
+    policy.apply(make_snapshot(make_instance("a"), slots=slots), 0.0)
+    free, active, now, limits = [0.0] * true_slots, [], 0.0, []
+    for _ in range(calls):
+        while policy.board.running < policy.board.limit:
+            ticket = policy.offer(make_work(now, time_s=1e6), now).ticket
+            start = max(now, min(free))
+            free[free.index(min(free))] = end = start + rng.expovariate(1 / TIME_S)
+            active.append((end, ticket))
+        active.sort(reverse=True)
+        now, ticket = active.pop()
+        policy.release(ticket, OK, now)
+        limits.append(policy.board.limit)
+    half = limits[calls // 2 :]
+    return sum(half) / len(half)
+
+
+def test_limit_falls_on_load_refusals_and_crashes():
+    """A server that sheds, or starts cold, must get less at once."""
+    policy, now = make_ready(slots=10)
+    ticket = policy.offer(make_work(now), now).ticket
+    shed = AttemptResult(Outcome.FAILED, Cause.BACKEND_STATUS, 503)
+    policy.release(ticket, shed, now)
+    assert policy.board.limit == 7
+    policy.backend_crashed("shop", ["f"], now)
+    assert policy.board.limit == 2
+
+
+def test_limit_stays_between_one_and_slots():
+    """Zero would end service; more than the slots would overrun it."""
+
+    class Board:
+        limit = 1
+        service_time_s = 0.0
+
+    limiter, rng, board = None, Random(3), Board()
+    limiter = ConcurrencyLimiter(board)
+    limiter.apply(5, 3, 0.0)
+    for i in range(50 * WINDOW_CALLS):
+        limiter.note("c", rng.choice([1e-6, 0.01, 10.0]), 5, i * 0.01)
+        if i % 40 == 0:
+            limiter.note_failure(i * 0.01)
+        assert 1 <= board.limit <= 3
+
+
+def test_cancelled_request_is_never_started():
+    """A caller that hung up must not cost a slot."""
+    policy, now = make_ready()
+    running = fill(policy, now)
+    waiting = policy.offer(make_work(now), now)
+    policy.cancel(waiting.ticket, now)
+    assert policy.release(running[0], OK, now) == []
+    assert policy.in_flight() == 3
+
+
+def test_foreign_service_is_refused():
+    """A node runs requests of its own backend server only."""
+    policy, now = make_ready()
+    refusal = policy.offer(replace(make_work(now), service="other"), now)
+    assert (refusal.outcome, refusal.cause) == (Outcome.NOT_RUN, Cause.NO_INSTANCE)
+
+
+def test_nothing_is_admitted_before_the_first_snapshot():
+    """Without a document there is no limit to keep."""
+    refusal = make_policy().offer(make_work(0.0), 0.0)
+    assert refusal.cause is Cause.NOT_READY
--- /dev/null
+++ b/tests/core/test_drain.py
@@ -0,0 +1,77 @@
+"""Guards the shutdown: nothing in flight is lost, nothing new is started."""
+
+from tests.core.policy_support import (
+    OK,
+    make_instance,
+    make_policy,
+    make_snapshot,
+    make_work,
+)
+
+from mangowell_core.events import EventCode
+from mangowell_core.policy.drain import DrainState
+from mangowell_core.policy.types import Admitted, Cause, Dispatch, Outcome, Refusal
+
+
+def make_ready(slots=2):
+    policy = make_policy()
+    policy.apply(make_snapshot(make_instance("a"), slots=slots), 0.0)
+    return policy
+
+
+def test_states_follow_the_work():
+    """The process must not stop while a request is in flight."""
+    policy = make_policy()
+    assert policy.board.own_state is DrainState.STARTING
+    assert not policy.accepts_new(0.0)
+    policy.apply(make_snapshot(make_instance("a")), 0.0)
+    ticket = policy.offer(make_work(1.0, time_s=60), 1.0).ticket
+    policy.start_drain(2.0)
+    policy.expire(5.5)
+    assert (policy.board.own_state, policy.in_flight()) == (DrainState.LEAVING, 1)
+    policy.release(ticket, OK, 6.0)
+    assert policy.board.own_state is DrainState.DRAINED
+
+
+def test_idle_node_is_drained_when_its_grace_ends():
+    """Without traffic no release would end the drain."""
+    policy = make_ready()
+    policy.start_drain(2.0)
+    assert policy.next_deadline() == 5.0
+    policy.expire(5.0)
+    assert policy.board.own_state is DrainState.DRAINED
+
+
+def test_new_work_is_accepted_for_three_seconds_only():
+    """I7: peers need a moment to learn of it, and no longer."""
+    policy = make_ready()
+    policy.start_drain(10.0)
+    policy.start_drain(12.0)  # a second signal must not extend the time
+    assert isinstance(policy.offer(make_work(12.9), 12.9), Admitted)
+    refusal = policy.offer(make_work(13.0), 13.0)
+    assert isinstance(refusal, Refusal)
+    assert (refusal.outcome, refusal.cause) == (Outcome.NOT_RUN, Cause.LEAVING)
+
+
+def test_waiting_work_is_not_started_after_the_grace():
+    """I7 holds for requests that were accepted and still wait."""
+    policy = make_ready(slots=1)
+    first = policy.offer(make_work(1.0, time_s=60), 1.0)
+    early = policy.offer(make_work(1.0, time_s=60), 1.0)
+    late = policy.offer(make_work(1.0, time_s=60), 1.0)
+    policy.start_drain(2.0)
+    assert policy.release(first.ticket, OK, 4.0) == [Dispatch(early.ticket)]
+    assert policy.next_deadline() == 5.0
+    (expired,) = policy.expire(5.0)
+    assert (expired.ticket, expired.refusal.outcome) == (late.ticket, Outcome.NOT_RUN)
+
+
+def test_own_drain_is_told_once_and_ends_local_choice():
+    """The own ingress must send calls elsewhere at once."""
+    policy = make_ready()
+    policy.start_drain(2.0)
+    policy.start_drain(2.1)
+    codes = [event.code for event in policy.events()]
+    assert codes.count(EventCode.BACKEND_LEAVING) == 1
+    plan = policy.match("r", "GET", "/x", "t", None, "", 2.2)
+    assert policy.pick(plan, (), 2.2).cause is Cause.NO_INSTANCE
