--- a/packages/core/src/mangowell_core/policy/idempotency.py
+++ b/packages/core/src/mangowell_core/policy/idempotency.py
@@ -223,8 +223,9 @@
             return refuse(
                 Cause.KEY_OWNER_LOST, "the process that issued the key is gone"
             )
+        issued, _, random = parts[2].partition("-")
         try:
-            issued_s = int(parts[2].partition("-")[0], 16) / 1000
+            issued_s = int(issued, 16) / 1000 if random else float("inf")
         except ValueError:
             issued_s = float("inf")
         if not now - RETENTION_S < issued_s <= now:
--- a/packages/core/src/mangowell_core/policy/request.py
+++ b/packages/core/src/mangowell_core/policy/request.py
@@ -306,6 +306,15 @@
         check_attempts(attempts)
         return self._retries.may_retry(plan, result, attempts, now)
 
+    def is_retried(self, plan: Plan, attempts: int) -> bool:
+        """Tell whether to mark the response of a failed call as retried.
+
+        Also without a retry of its own, once the budget is spent: the hops
+        above would otherwise each spend theirs on the same failure, which
+        multiplies to 1.1^10 = 2.6 over 10 hops.
+        """
+        return attempts > 1 or self._retries.is_spent(plan.service)
+
     def hedge_deadline(self, plan: Plan, started_at: float) -> float | None:
         """Return when a second attempt may start, or None."""
         return find_hedge_deadline(plan, started_at)
--- a/packages/core/src/mangowell_core/policy/retries.py
+++ b/packages/core/src/mangowell_core/policy/retries.py
@@ -27,7 +27,7 @@
     """Counts tokens earned by first attempts and spent by retries and hedges.
 
     A retry never waits for a token: without one the failure goes to the
-    caller, marked as retried, so that the hops above do not retry either.
+    caller at once.
     """
 
     __slots__ = ("_tokens",)
@@ -53,6 +53,10 @@
         self._tokens[service.name] = tokens - 1.0
         return True
 
+    def is_spent(self, service) -> bool:
+        """Tell whether the next retry would be refused."""
+        return self._tokens.get(service.name, BUCKET_START) < 1.0
+
     def may_retry(
         self, plan: Plan, result: AttemptResult, attempts: int, now: float
     ) -> bool:
--- /dev/null
+++ b/tests/core/test_idempotency.py
@@ -0,0 +1,311 @@
+"""Guards against running a keyed request twice, and against false answers."""
+
+from dataclasses import replace
+
+import pytest
+from tests.core.policy_support import (
+    make_instance,
+    make_plan,
+    make_policy,
+    make_snapshot,
+)
+
+from mangowell_core.invariants import InvariantViolation
+from mangowell_core.messages import FenceQuery
+from mangowell_core.model import InstanceState
+from mangowell_core.policy.checks import PolicyChecker
+from mangowell_core.policy.idempotency import (
+    MAX_ANSWER_BYTES,
+    TRANSITIONS,
+    KeyLedger,
+    KeyState,
+)
+from mangowell_core.policy.ownership import (
+    ESTABLISH_S,
+    LIST_LAG_S,
+    RETENTION_S,
+    VIEW_LAG_S,
+)
+from mangowell_core.policy.types import (
+    AskFences,
+    Cause,
+    Outcome,
+    Refusal,
+    ReplayKey,
+    RunKey,
+    StoredAnswer,
+)
+
+ANSWER = StoredAnswer(200, (("x", "y"),), b"paid")
+NAMES = ("a", "b", "c")
+
+
+def make_ready(name="a", names=NAMES, now=0.0, **options):
+    policy = make_policy(name, **options)
+    policy.apply(make_snapshot(*(make_instance(n) for n in names)), now)
+    return policy
+
+
+def find_key(owner, names=NAMES, start=0):
+    """Return a plain key that a settled view gives to `owner`."""
+    policy = make_ready("q", names)
+    for i in range(start, start + 1000):
+        plan = make_plan(policy, 1.0, "/pay", "POST", f"key{i}")
+        if policy.pick(plan, (), 1.0).instance.name == owner:
+            return f"key{i}"
+    raise AssertionError(owner)
+
+
+def lose(policy, names, now, revision=2):
+    """Give the policy a list with these instances only."""
+    snapshot = make_snapshot(*(make_instance(n) for n in names), revision=revision)
+    policy.apply(snapshot, now)
+
+
+def test_key_runs_once_and_is_replayed():
+    """A caller that repeats a payment must get the first answer."""
+    policy, key = make_ready(), find_key("a")
+    assert policy.key_begin("shop", key, 1.0) == RunKey()
+    assert policy.key_begin("shop", key, 1.1).cause is Cause.KEY_IN_PROGRESS
+    policy.key_finish("shop", key, ANSWER, 1.2)
+    assert policy.key_begin("shop", key, 1.2 + RETENTION_S - 1) == ReplayKey(ANSWER)
+
+
+def test_unknown_end_is_told_and_may_be_resolved():
+    """A lost response must not let the key run again."""
+    policy, key = make_ready(), find_key("a")
+    policy.key_begin("shop", key, 1.0)
+    policy.key_finish("shop", key, None, 1.2)
+    refusal = policy.key_begin("shop", key, 1.3)
+    assert (refusal.outcome, refusal.cause) == (Outcome.UNKNOWN, Cause.KEY_UNKNOWN)
+    policy.key_finish("shop", key, ANSWER, 1.4)
+    assert policy.key_begin("shop", key, 1.5) == ReplayKey(ANSWER)
+
+
+def test_run_without_an_end_becomes_unknown():
+    """A driver that loses a run must not free its key."""
+    policy, key = make_ready(), find_key("a")
+    policy.key_begin("shop", key, 1.0)
+    refusal = policy.key_begin("shop", key, 2.0 + RETENTION_S)
+    assert refusal.cause is Cause.KEY_UNKNOWN
+
+
+def test_withdrawn_key_may_run_later():
+    """A payment that was shed before it ran must be accepted later."""
+    policy, key = make_ready(), find_key("a")
+    policy.key_begin("shop", key, 1.0)
+    policy.key_withdraw("shop", key, 1.1)
+    assert policy.key_begin("shop", key, 1.2) == RunKey()
+    policy.key_finish("shop", key, ANSWER, 1.3)
+    policy.key_withdraw("shop", key, 1.4)  # a late withdrawal must not free it
+    assert policy.key_begin("shop", key, 1.5) == ReplayKey(ANSWER)
+
+
+def test_key_with_another_body_is_refused():
+    """Replaying would tell a caller that its other order was booked."""
+    policy, key = make_ready(), find_key("a")
+    policy.key_begin("shop", key, 1.0, "f1")
+    policy.key_finish("shop", key, ANSWER, 1.1)
+    refusal = policy.key_begin("shop", key, 1.2, "f2")
+    assert (refusal.status, refusal.outcome) == (422, Outcome.NOT_RUN)
+    assert policy.key_begin("shop", key, 1.3, "f1") == ReplayKey(ANSWER)
+
+
+def test_pinned_key_runs_at_its_process_only():
+    """Another process cannot know whether the key has run."""
+    policy = make_ready("a", quiet_s=0.0)
+    key = policy.mint_key(1.0)
+    assert policy.key_begin("shop", key, 1.0) == RunKey()
+    for other in (make_ready("b"), make_ready("a", incarnation=2, seed=9)):
+        refusal = other.key_begin("shop", key, 1.0)
+        assert (refusal.outcome, refusal.cause) == (
+            Outcome.UNKNOWN,
+            Cause.KEY_OWNER_LOST,
+        )
+
+
+def test_pinned_key_expires_instead_of_running_again():
+    """After its retention the ledger has forgotten whether it ran."""
+    policy = make_ready()
+    key = policy.mint_key(1.0)
+    policy.key_begin("shop", key, 1.0)
+    policy.key_finish("shop", key, ANSWER, 2.0)
+    refusal = policy.key_begin("shop", key, 3.0 + RETENTION_S)
+    assert (refusal.outcome, refusal.cause) == (Outcome.UNKNOWN, Cause.KEY_UNKNOWN)
+
+
+@pytest.mark.parametrize(
+    "key", ["mw1.", "mw1.a", "mw1.a.1.", "mw1.a.1.zz", "mw1.a.1.f"]
+)
+def test_malformed_pinned_key_does_not_run(key):
+    """A forged key must neither run nor crash the node."""
+    assert isinstance(make_ready().key_begin("shop", key, 1.0), Refusal)
+
+
+def test_pinned_key_is_routed_to_its_owner():
+    """Any other instance would have to refuse it."""
+    ingress = make_ready("c")
+    key = make_ready("a", quiet_s=0.0).mint_key(1.0)
+    plan = make_plan(ingress, 1.0, "/pay", "POST", key)
+    assert ingress.pick(plan, (), 1.0).instance.name == "a"
+    refusal = ingress.pick(plan, {"a"}, 1.0)
+    assert (refusal.outcome, refusal.cause) == (Outcome.UNKNOWN, Cause.KEY_OWNER_LOST)
+    lose(ingress, ("b", "c"), 1.5)
+    assert ingress.pick(plan, (), 1.5).cause is Cause.KEY_OWNER_LOST
+
+
+def test_key_of_idempotent_route_binds_nothing():
+    """A read with a key must still be balanced and retried."""
+    assert make_plan(make_ready(), 1.0, "/x", "GET", "k").idempotency_key == ""
+
+
+def test_started_owner_runs_no_plain_key_within_retention():
+    """A process before it, under its own name, may have run the key."""
+    policy, key = make_ready(quiet_s=0.0), find_key("a")
+    refusal = policy.key_begin("shop", key, RETENTION_S - 1)
+    assert refusal.outcome is Outcome.UNKNOWN
+    query = FenceQuery("shop", key, 1)
+    assert not policy.fence(query, RETENTION_S - 1).promised
+    assert isinstance(policy.key_begin("shop", key, RETENTION_S), AskFences)
+
+
+def test_new_owner_asks_and_runs_after_all_promises():
+    """One missing promise means that the key may have run."""
+    for promised in (True, False):
+        policy, key = make_ready(quiet_s=RETENTION_S), find_key("a")
+        asked = policy.key_begin("shop", key, 1.0)
+        assert {item.name for item in asked.instances} == {"b", "c"}
+        assert policy.key_fenced("shop", key, "b", True, 1.1) is None
+        assert policy.key_fenced("shop", key, "b", True, 1.1) is None  # duplicated
+        assert policy.key_fenced("shop", key, "x", True, 1.1) is None  # not asked
+        found = policy.key_fenced("shop", key, "c", promised, 1.2)
+        if promised:
+            assert found == RunKey()
+        else:
+            assert found.outcome is Outcome.UNKNOWN
+
+
+def test_late_promise_does_not_start_a_run():
+    """The caller has been told that the outcome is unknown."""
+    policy, key = make_ready(quiet_s=RETENTION_S), find_key("a")
+    policy.key_begin("shop", key, 1.0)
+    policy.key_fenced("shop", key, "b", True, 1.1)
+    assert policy.key_fenced("shop", key, "c", True, 60.0) is None
+
+
+def test_promise_is_kept_and_given_once_only_if_not_run():
+    """An instance that promised must not run the key, and the reverse."""
+    policy, key = make_ready(), find_key("a")
+    query = FenceQuery("shop", key, 7)
+    assert policy.fence(query, 1.0) == policy.fence(query, 1.1)
+    assert policy.fence(query, 1.2).promised
+    assert policy.key_begin("shop", key, 1.3).outcome is Outcome.UNKNOWN
+    other = find_key("a", start=500)
+    policy.key_begin("shop", other, 2.0)
+    for end in (lambda: None, lambda: policy.key_finish("shop", other, ANSWER, 2.1)):
+        end()
+        assert not policy.fence(FenceQuery("shop", other, 8), 2.2).promised
+
+
+def test_node_that_is_not_the_owner_does_not_run():
+    """Two nodes with different views must not both run a key."""
+    refusal = make_ready("b").key_begin("shop", find_key("a"), 1.0)
+    assert (refusal.outcome, refusal.cause) == (Outcome.UNKNOWN, Cause.KEY_OWNER_LOST)
+
+
+def test_heir_of_an_owner_that_left_waits_for_the_retention():
+    """The ledger of the owner before is gone, with whatever it ran."""
+    policy = make_ready("b")
+    state = make_instance("a", state=InstanceState.LEAVING)
+    members = (state, make_instance("b"), make_instance("c"))
+    policy.apply(make_snapshot(*members, revision=2), 10.0)
+    key = find_key("a")
+    while find_owner(policy, key, 10.0) != "b":
+        key = find_key("a", start=int(key[3:]) + 1)
+    asked = policy.key_begin("shop", key, 11.0)
+    assert [item.name for item in asked.instances] == ["a"]
+    policy.key_withdraw("shop", key, 11.1)
+    lose(policy, ("b", "c"), 20.0, revision=3)
+    assert policy.key_begin("shop", key, 21.0).outcome is Outcome.UNKNOWN
+    assert policy.key_begin("shop", key, 21.0 + RETENTION_S + LIST_LAG_S) == RunKey()
+
+
+def find_owner(policy, key, now):
+    plan = make_plan(policy, now, "/pay", "POST", key)
+    found = policy.pick(plan, (), now)
+    return found.instance.name
+
+
+def test_heir_of_a_vanished_owner_asks_as_long_as_a_partition_lasts():
+    """A domain that is cut off may go on running keys by its old view."""
+    policy = make_ready("b")
+    key = find_key("a")
+    lose(policy, ("b", "c"), 20.0)
+    while find_owner(policy, key, 21.0) != "b":
+        key = find_key("a", start=int(key[3:]) + 1)
+    late = 20.0 + VIEW_LAG_S + RETENTION_S
+    for now in (21.0, late - 5.0):
+        asked = policy.key_begin("shop", key, now)
+        assert [item.name for item in asked.instances] == ["a"]
+        assert policy.key_fenced("shop", key, "a", False, now).outcome is (
+            Outcome.UNKNOWN
+        )
+    assert policy.key_begin("shop", key, late + 1.0) == RunKey()
+
+
+def test_new_instance_owns_nothing_until_it_is_established():
+    """Its keys would be refused, although the owner before it is there."""
+    policy = make_ready("q", ("a", "b"))
+    key = find_key("c")
+    lose(policy, NAMES, 100.0)
+    assert find_owner(policy, key, 101.0) in "ab"
+    assert find_owner(policy, key, 100.0 + ESTABLISH_S) == "c"
+
+
+def make_ledger(**limits):
+    policy = make_ready()
+    return KeyLedger(
+        policy.board, policy._ownership, "a", "1", policy._routing._rng, **limits
+    )
+
+
+@pytest.mark.parametrize("limits", [{"max_entries": 3}, {"max_bytes": 210_000}])
+def test_full_ledger_refuses_new_keys_and_forgets_none(limits):
+    """Forgetting an old key within its retention would let it run again."""
+    ledger = make_ledger(**limits)
+    keys = [ledger.mint(1.0) for _ in range(4)]
+    for key in keys[:3]:
+        assert ledger.begin("shop", key, "", 1.0) == RunKey()
+    refusal = ledger.begin("shop", keys[3], "", 1.0)
+    assert (refusal.cause, refusal.outcome) == (Cause.OVERLOADED, Outcome.NOT_RUN)
+    assert refusal.retry_after_s > 1.0
+    assert ledger.begin("shop", keys[0], "", 2.0).cause is Cause.KEY_IN_PROGRESS
+    for key in keys[:3]:
+        ledger.finish("shop", key, replace(ANSWER, body=b"x" * 70_000), 2.0)
+    assert ledger.held_bytes <= 210_000
+    fresh = ledger.mint(3.0 + RETENTION_S)
+    assert ledger.begin("shop", fresh, "", 3.0 + RETENTION_S) == RunKey()
+    assert len(ledger) == 1, "expired entries must be dropped"
+
+
+def test_answer_too_long_to_keep_is_told_as_done():
+    """The key must not run again because its answer was long."""
+    policy, key = make_ready(), find_key("a")
+    policy.key_begin("shop", key, 1.0)
+    body = b"x" * (MAX_ANSWER_BYTES + 1)
+    policy.key_finish("shop", key, StoredAnswer(200, (), body), 1.1)
+    assert policy.key_begin("shop", key, 1.2).outcome is Outcome.DONE
+
+
+def test_no_transition_leads_back_to_running():
+    """Only an absent or asking key may run; done and unknown ones never."""
+    sources = {s for (s, _), end in TRANSITIONS.items() if end is KeyState.RUNNING}
+    assert sources == {KeyState.ABSENT, KeyState.ASKING}
+
+
+def test_checker_reports_a_second_run():
+    """I6 is also checked at run time, from a record of its own."""
+    checker = PolicyChecker("full")
+    checker.check_run("shop", "k", 1.0)
+    with pytest.raises(InvariantViolation, match="I6"):
+        checker.check_run("shop", "k", 2.0)
--- /dev/null
+++ b/tests/core/test_retries.py
@@ -0,0 +1,144 @@
+"""Guards against retry storms and against running a payment twice."""
+
+from random import Random
+
+import pytest
+from tests.core.policy_support import (
+    LOST,
+    OK,
+    REFUSED,
+    make_instance,
+    make_plan,
+    make_policy,
+    make_snapshot,
+)
+
+from mangowell_core.model import Route
+from mangowell_core.policy.types import AttemptResult, Cause, Outcome
+
+HOPS = 10
+
+
+def make_ready(seed=1, **service):
+    routes = (Route("r", "shop", "/", (), "browse", retries=3, hedge_after_ms=50),)
+    pay = Route("pay", "shop", "/pay", (), "payment", idempotent=False)
+    policy = make_policy(seed=seed)
+    snapshot = make_snapshot(
+        make_instance("a"), make_instance("b"), routes=(*routes, pay), **service
+    )
+    policy.apply(snapshot, 0.0)
+    return policy
+
+
+def test_retries_are_a_share_of_calls():
+    """When everything fails, retries must not multiply the load."""
+    policy = make_ready(retry_ratio=0.1)
+    retried = 0
+    for i in range(10_000):
+        now = i * 0.01
+        plan = make_plan(policy, now)
+        attempts = 1
+        while policy.may_retry(plan, LOST, attempts, now):
+            attempts += 1
+        retried += attempts - 1
+    assert 900 <= retried <= 1030
+
+
+def test_attempts_of_one_call_are_bounded():
+    """A full bucket must not be spent on one call."""
+    policy = make_ready()
+    for i in range(500):
+        plan = make_plan(policy, i)
+    allowed = [policy.may_retry(plan, LOST, n, 499) for n in (1, 2, 3, 4)]
+    assert allowed == [True, True, True, False]
+
+
+@pytest.mark.parametrize(
+    ("path", "result", "expected"),
+    [
+        ("/x", LOST, True),
+        (
+            "/x",
+            AttemptResult(Outcome.UNKNOWN, Cause.CONNECTION_LOST, 0, 0, True),
+            False,
+        ),
+        ("/x", AttemptResult(Outcome.FAILED, Cause.BACKEND_STATUS, 404), False),
+        ("/x", AttemptResult(Outcome.FAILED, Cause.BACKEND_STATUS, 503), True),
+        ("/x", AttemptResult(Outcome.NOT_RUN, Cause.QUARANTINED, 503), False),
+        ("/x", OK, False),
+        ("/pay", LOST, False),
+        ("/pay", AttemptResult(Outcome.FAILED, Cause.BACKEND_STATUS, 503), False),
+        ("/pay", REFUSED, True),
+    ],
+)
+def test_retry_follows_outcome_and_route(path, result, expected):
+    """A payment that may have run, or a spent retry below, is not repeated."""
+    policy = make_ready()
+    plan = make_plan(policy, 1.0, path)
+    assert policy.may_retry(plan, result, 1, 1.0) is expected
+
+
+def test_no_retry_without_time():
+    """An attempt that cannot end in time only adds load."""
+    policy = make_ready()
+    plan = make_plan(policy, 1.0)
+    assert not policy.may_retry(plan, LOST, 1, plan.deadline - 0.001)
+
+
+def test_hedges_share_the_budget_and_spare_payments():
+    """Hedging must not add more load than retries may."""
+    policy = make_ready(retry_ratio=0.1)
+    assert policy.hedge_deadline(make_plan(policy, 1.0, "/pay"), 1.0) is None
+    assert not policy.may_hedge(make_plan(policy, 1.0, "/pay"), 1.0)
+    plan = make_plan(policy, 1.0)
+    assert policy.hedge_deadline(plan, 1.0) == pytest.approx(1.05)
+    hedged = retried = 0
+    for i in range(5000):
+        plan = make_plan(policy, i)
+        hedged += policy.may_hedge(plan, i)
+        retried += policy.may_retry(plan, LOST, 1, i)
+    assert hedged + retried <= 530
+
+
+@pytest.mark.parametrize("failure", [0.05, 0.5, 1.0])
+@pytest.mark.parametrize("marked", [True, False])
+def test_amplification_over_ten_hops_is_bounded(failure, marked):
+    """Retries at each hop would run the last service 59,049 times per call.
+
+    With a ratio of 0.1 the bound is 1.1^10 = 2.6, even if no hop marks what it
+    retried. With marks each hop adds its share once: 1 + 10 x 0.1 = 2.
+    """
+    rng = Random(11)
+    hops = [make_ready(seed, retry_ratio=0.1) for seed in range(HOPS)]
+    for policy in hops:
+        # Spends what a start grants, which is no share of the load.
+        plan = make_plan(policy, 0.0)
+        while policy.may_retry(plan, LOST, 1, 0.0):
+            pass
+    leaf_calls = 0
+
+    def call(hop, now):
+        nonlocal leaf_calls
+        if hop == HOPS:
+            leaf_calls += 1
+            return LOST if rng.random() < failure else OK
+        policy = hops[hop]
+        plan = make_plan(policy, now)
+        attempts = 0
+        while True:
+            attempts += 1
+            result = call(hop + 1, now)
+            if not policy.may_retry(plan, result, attempts, now):
+                break
+        if result is OK:
+            return OK
+        spent = result.retried
+        if marked:
+            spent = spent or policy.is_retried(plan, attempts)
+        return AttemptResult(Outcome.UNKNOWN, Cause.CONNECTION_LOST, 0, 0.0, spent)
+
+    calls = 1500
+    for i in range(calls):
+        call(0, float(i))
+    print(f"{failure=} {marked=} amplification {leaf_calls / calls:.2f}")
+    assert leaf_calls / calls <= (1 + HOPS * 0.1 if marked else 1.1**HOPS)
