--- /dev/null
+++ b/packages/core/src/mangowell_core/policy/drain.py
@@ -0,0 +1,136 @@
+"""States of the own node and backend server, and instances that leave."""
+
+from enum import Enum
+
+from mangowell_core.model import InstanceState, Snapshot
+
+LEAVING_GRACE_S = 3.0  # invariant I7: no new work after this time
+LEAVING_KEPT_S = 600.0  # a lagging list may show a departed instance this long
+
+
+class DrainState(Enum):
+    """State of the own node and its backend server."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    DRAINED = "drained"
+
+
+# State and event to next state; a pair that is missing changes nothing.
+TRANSITIONS = {
+    (DrainState.STARTING, "applied"): DrainState.SERVING,
+    (DrainState.STARTING, "drain"): DrainState.LEAVING,
+    (DrainState.SERVING, "drain"): DrainState.LEAVING,
+    (DrainState.LEAVING, "empty"): DrainState.DRAINED,
+}
+
+# Whether new work is accepted; in LEAVING only until the grace time is over.
+ACCEPTS = {
+    DrainState.STARTING: False,
+    DrainState.SERVING: True,
+    DrainState.LEAVING: True,
+    DrainState.DRAINED: False,
+}
+
+
+class DrainController:
+    """Tracks who leaves, and when the own node may stop.
+
+    Parameters
+    ----------
+    board : TrafficBoard
+        Writes `own_state` and `leaving`.
+    own : str
+        Name of the own instance.
+    """
+
+    __slots__ = ("_board", "_marked_at", "_own", "_since")
+
+    def __init__(self, board, own: str):
+        self._board = board
+        self._own = own
+        self._since = float("inf")
+        self._marked_at: dict[str, int] = {}  # list revision at the mark
+
+    def step(self, event: str, now: float) -> bool:
+        """Apply an event of the state table; return whether the state changed."""
+        board = self._board
+        state = TRANSITIONS.get((board.own_state, event))
+        if state is None:
+            return False
+        board.own_state = state
+        if state is DrainState.LEAVING:
+            self._since = now
+            board.leaving[self._own] = now
+        return True
+
+    def mark(self, instance: str, now: float) -> bool:
+        """Record that an instance leaves; return whether this is news."""
+        board = self._board
+        if instance in board.leaving:
+            return False
+        board.leaving[instance] = now
+        snapshot = board.snapshot
+        self._marked_at[instance] = snapshot.instances_revision if snapshot else 0
+        return True
+
+    def apply(self, snapshot: Snapshot, now: float) -> list[str]:
+        """Take the states of a new list; return the instances newly leaving.
+
+        The list lags, so it may still show an instance as live that said
+        itself that it leaves. Such a mark ends only when a newer list shows
+        the name as live after `LEAVING_KEPT_S`, which means that a new
+        process runs under the old name.
+        """
+        board = self._board
+        news = []
+        known: set[str] = set()
+        for members in snapshot.instances.values():
+            for item in members:
+                known.add(item.name)
+                if item.state is InstanceState.LEAVING:
+                    if self.mark(item.name, now):
+                        news.append(item.name)
+                    # The list knows by now: a later live state is a new process.
+                    self._marked_at[item.name] = -1
+                elif item.name in board.leaving and self._has_returned(
+                    item.name, snapshot.instances_revision, now
+                ):
+                    del board.leaving[item.name]
+                    self._marked_at.pop(item.name, None)
+        for name in list(board.leaving):
+            if name in known or name == self._own:
+                continue
+            self._marked_at[name] = -1
+            if now - board.leaving[name] > LEAVING_KEPT_S:
+                del board.leaving[name]
+                self._marked_at.pop(name, None)
+        return news
+
+    def _has_returned(self, name: str, revision: int, now: float) -> bool:
+        if name == self._own and self._board.own_state is not DrainState.SERVING:
+            return False
+        marked_at = self._marked_at.get(name, -1)
+        if marked_at < 0:
+            return True
+        old = now - self._board.leaving[name] > LEAVING_KEPT_S
+        return old and revision > marked_at
+
+    @property
+    def grace_end(self) -> float:
+        """Time after which the own backend server gets no new work."""
+        return self._since + LEAVING_GRACE_S
+
+    @property
+    def next_change(self) -> float:
+        """Time at which the own state may change by itself; infinite for never."""
+        is_leaving = self._board.own_state is DrainState.LEAVING
+        return self.grace_end if is_leaving else float("inf")
+
+    def accepts_new(self, now: float) -> bool:
+        """Tell whether the own backend server may be given new work."""
+        state = self._board.own_state
+        if state is DrainState.LEAVING:
+            return now < self.grace_end
+        return ACCEPTS[state]
