Send one heartbeat a second down the tree, whatever digests ask for

A digest reply made a new heartbeat and so moved the periodic one; with 30 nodes in a domain substitutes started and stopped all the time, and their confirmations contradicted new versions. Digests now carry the last heartbeat, each key has its own age, and a confirmation must be 0.1 s later than a claim to contradict it.

--- a/packages/core/src/mangowell_core/distribution/core.py
+++ b/packages/core/src/mangowell_core/distribution/core.py
@@ -200,7 +200,11 @@
             ],
             "instances_revision": self.board.membership.revision,
             "reader": self.board.membership.is_reader,
-            "source": board.source.value,
+            "source": (
+                board.source.value
+                if self.board.membership.is_reader
+                else self._corroboration.find_source_state(now)
+            ),
         }
 
     def _on_started(self, event: Started, now: float) -> None:
--- a/packages/core/src/mangowell_core/distribution/corroboration.py
+++ b/packages/core/src/mangowell_core/distribution/corroboration.py
@@ -9,6 +9,8 @@
 
 from enum import Enum
 
+import msgspec
+
 from mangowell_core.blackboard import Claim, Sighting
 from mangowell_core.distribution.context import NEVER, Context, describe_peer
 from mangowell_core.distribution.io import Peer
@@ -27,6 +29,9 @@
 # Time given to the second reader to confirm or contradict. Its check of the
 # source takes 0.2 s plus a round trip and the way down the tree.
 LONE_CLAIM_GRACE_S = 0.5
+# The time on the way is not part of an age, so a confirmation seems later than it
+# was. A reader that checks a claim does so at least 0.2 s after it.
+SKEW_S = 0.1
 # A reader that has been silent for this long does not delay a lone claim.
 READER_FRESH_S = 2.5
 MAX_VERSION = 2**62
@@ -52,22 +57,37 @@
     return ""
 
 
+def add_age(heartbeat: Heartbeat, seconds: float) -> Heartbeat:
+    """Return a heartbeat as it must be passed on after some time."""
+    age = round(seconds * 1000)
+    return msgspec.structs.replace(
+        heartbeat,
+        confirmed_age_ms=heartbeat.confirmed_age_ms + age,
+        held_ages_ms=[held_age + age for held_age in heartbeat.held_ages_ms],
+    )
+
+
 class Corroboration:
     """Controller that records evidence and judges versions by it."""
 
-    __slots__ = ("_ctx", "_holders", "_next_prune")
+    __slots__ = ("_ctx", "_holders", "_next_prune", "_reported")
 
     def __init__(self, ctx: Context):
         self._ctx = ctx
         self._holders: dict[KeyVersion, dict[Peer, float]] = {}
+        self._reported: dict[KeyVersion, None] = {}
         self._next_prune = 0.0
 
     def check_heartbeat(self, heartbeat: Heartbeat) -> str:
         """Return what is wrong with a heartbeat's content, or ``""``."""
         if heartbeat.source not in STATES:
             return f"unknown source state {heartbeat.source[:80]!r}"
-        if heartbeat.sequence < 1 or heartbeat.confirmed_age_ms < 0:
-            return "sequence or age out of range"
+        if heartbeat.sequence < 1:
+            return "sequence out of range"
+        if min(heartbeat.confirmed_age_ms, *heartbeat.held_ages_ms, 0) < 0:
+            return "negative age"
+        if len(heartbeat.held_ages_ms) != len(heartbeat.held):
+            return "ages do not match the keys of a heartbeat"
         if not 0 < heartbeat.incarnation <= MAX_VERSION:
             return "incarnation out of range"
         if len(heartbeat.held) > len(self._ctx.keys):
@@ -99,9 +119,9 @@
         claim.heartbeat = heartbeat
         claim.heard_at = now
         claim.via = describe_peer(sender)
-        confirmed_at = now - heartbeat.confirmed_age_ms / 1000
-        for held in heartbeat.held:
-            self._record_sighting(claim, held, confirmed_at)
+        for held, age_ms in zip(heartbeat.held, heartbeat.held_ages_ms, strict=True):
+            self._record_sighting(claim, held, now - age_ms / 1000)
+            self._report_seen(held, heartbeat.reader)
         self._update_lag(claim, now)
         return True
 
@@ -142,18 +162,27 @@
             oldest = min(self._holders, key=lambda k: max(self._holders[k].values()))
             del self._holders[oldest]
         peers = self._holders.setdefault(held, {})
-        if held not in self._claimed(held.key) and not peers:
-            self._ctx.emit(
-                EventCode.VERSION_SEEN,
-                key=held.key,
-                version=held.version,
-                digest=held.digest,
-                peer=describe_peer(peer),
-            )
+        self._report_seen(held, describe_peer(peer))
         peers[peer] = now
         if len(peers) > SIGHTINGS_KEPT:
             del peers[min(peers, key=peers.__getitem__)]
 
+    def _report_seen(self, held: KeyVersion, peer: str) -> None:
+        running = self._ctx.board.configuration.held.get(held.key)
+        lowest = 0 if running is None else running.version
+        if held.version <= lowest or held in self._reported:
+            return
+        self._reported[held] = None
+        if len(self._reported) > MAX_HOLDERS:
+            del self._reported[next(iter(self._reported))]
+        self._ctx.emit(
+            EventCode.VERSION_SEEN,
+            key=held.key,
+            version=held.version,
+            digest=held.digest,
+            peer=peer,
+        )
+
     def find_holders(self, held: KeyVersion) -> list[Peer]:
         """Return peers that hold a version, those heard last first."""
         peers = self._holders.get(held, {})
@@ -205,7 +234,7 @@
         if (
             own is not None
             and own.version < held.version
-            and own.confirmed_at > first_at
+            and own.confirmed_at > first_at + SKEW_S
         ):
             return Verdict.HOLD
         for claim in board.claims.values():
@@ -214,7 +243,7 @@
             sightings = claim.sightings.get(held.key)
             if not sightings or sightings[0].version >= held.version:
                 continue
-            if sightings[0].confirmed_at > first_at:
+            if sightings[0].confirmed_at > first_at + SKEW_S:
                 return Verdict.HOLD
             if self._delays(claim, first_at, now):
                 verdict = Verdict.WAIT
@@ -240,6 +269,18 @@
             and now - first_at < LONE_CLAIM_GRACE_S
         )
 
+    def find_source_state(self, now: float) -> str:
+        """Return what the readers of this domain last said of the source."""
+        domain = self._ctx.settings.failure_domain
+        claims = [
+            claim
+            for claim in self._ctx.board.configuration.claims.values()
+            if claim.heartbeat.failure_domain == domain
+            and now - claim.heard_at < HOLDER_TTL_S
+        ]
+        newest = max(claims, key=lambda claim: claim.heard_at, default=None)
+        return "unknown" if newest is None else newest.heartbeat.source
+
     def set_contradicted(self, key: str, contradicted: bool, now: float) -> None:
         """Record whether a version of `key` is held because readers disagree."""
         since = self._ctx.board.configuration.contradicted_since
@@ -259,20 +300,7 @@
         fresh.sort(
             key=lambda c: (c.heartbeat.failure_domain != domain, -c.heard_at),
         )
-        return [self._aged(claim, now) for claim in fresh[:limit]]
-
-    def _aged(self, claim: Claim, now: float) -> Heartbeat:
-        heartbeat = claim.heartbeat
-        age = heartbeat.confirmed_age_ms + round((now - claim.heard_at) * 1000)
-        return Heartbeat(
-            heartbeat.failure_domain,
-            heartbeat.reader,
-            heartbeat.incarnation,
-            heartbeat.sequence,
-            heartbeat.source,
-            heartbeat.held,
-            age,
-        )
+        return [add_age(c.heartbeat, now - c.heard_at) for c in fresh[:limit]]
 
     def run(self, now: float) -> None:
         """Drop old evidence and update which readers lag behind."""
--- a/packages/core/src/mangowell_core/distribution/gate.py
+++ b/packages/core/src/mangowell_core/distribution/gate.py
@@ -195,7 +195,7 @@
     def run(self, now: float) -> None:
         """Apply the highest pending text that is corroborated."""
         for key, pending in self._pending.items():
-            if pending:
+            if pending or key in self._ctx.board.configuration.contradicted_since:
                 self._run_key(key, pending, now)
 
     def _run_key(self, key: str, pending: dict, now: float) -> None:
--- a/packages/core/src/mangowell_core/distribution/membership.py
+++ b/packages/core/src/mangowell_core/distribution/membership.py
@@ -55,7 +55,6 @@
 
     def _apply(self, text: Text, now: float) -> None:
         board = self._ctx.board.membership
-        first = not board.view
         listed = text.value.instances
         self._digest = text.digest
         board.revision = text.version
@@ -69,14 +68,13 @@
             self._judge_removal(domain, names, now)
         kept = {name: board.view[name] for name in board.unconfirmed}
         self._replace({**listed, **kept})
-        if not first or listed:
-            self._ctx.emit(
-                EventCode.INSTANCES_APPLIED,
-                version=text.version,
-                digest=text.digest,
-                instances=len(board.view),
-                unconfirmed=len(board.unconfirmed),
-            )
+        self._ctx.emit(
+            EventCode.INSTANCES_APPLIED,
+            version=text.version,
+            digest=text.digest,
+            instances=len(board.view),
+            unconfirmed=len(board.unconfirmed),
+        )
 
     def _judge_removal(self, domain: str, names: list[str], now: float) -> None:
         board = self._ctx.board.membership
--- a/packages/core/src/mangowell_core/distribution/readers.py
+++ b/packages/core/src/mangowell_core/distribution/readers.py
@@ -5,6 +5,7 @@
 from mangowell_core.blackboard import NodeState, Sighting, SourceState
 from mangowell_core.digest import MAX_TEXT_BYTES, content_digest
 from mangowell_core.distribution.context import NEVER, Context
+from mangowell_core.distribution.corroboration import add_age
 from mangowell_core.distribution.gate import Gate, Relation, find_version
 from mangowell_core.distribution.io import (
     CancelRead,
@@ -116,6 +117,7 @@
         "_epoch",
         "_gate",
         "_heartbeat_at",
+        "_last",
         "_listed_at",
         "_rank",
         "_reads",
@@ -132,6 +134,7 @@
         self._rank = -1
         self._sequence = 0
         self._heartbeat_at = NEVER
+        self._last: tuple[float, Heartbeat] | None = None
         self._role_deadline = NEVER
         self._verify_at = -NEVER
         self._verify_interval = VERIFY_INTERVAL_S
@@ -201,9 +204,16 @@
         )
         if is_reader:
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
+            # What a joining node read long ago is no evidence of today's source.
+            recent = all(
+                now - read.confirmed_at < WATCH_MIN_S for read in self._reads.values()
+            )
+            if not recent:
+                self._ctx.board.configuration.given.clear()
+                self._ctx.board.configuration.source = SourceState.UNKNOWN
             for read in self._reads.values():
                 if read.state is not ReadState.OPEN:
-                    self._open(read, now, plain=not read.digest)
+                    self._open(read, now, plain=not recent)
             return
         self._heartbeat_at = NEVER
         for read in self._reads.values():
@@ -300,9 +310,13 @@
     def _confirm(self, read: KeyRead, now: float) -> None:
         """Record that the source holds what was read last."""
         read.confirmed_at = now
-        given = self._ctx.board.configuration.given.get(read.key)
+        board = self._ctx.board.configuration
+        given = board.given.get(read.key)
+        text = board.held.get(read.key)
         if given is not None and given.digest == read.digest:
             given.confirmed_at = now
+        elif text is not None and text.digest == read.digest:
+            board.given[read.key] = Sighting(text.version, text.digest, now, now)
         self._update_source(now)
 
     def on_unchanged(self, event: SourceUnchanged, now: float) -> None:
@@ -373,26 +387,42 @@
         if state is SourceState.UP and any(map(self._is_stale, self._reads.values())):
             state = SourceState.STALE
         held = []
-        confirmed_at = now
+        ages_ms = []
         for key in self._ctx.keys:
             entry = board.given.get(key) if state is SourceState.UP else None
             text = board.held.get(key)
             if entry is not None:
-                confirmed_at = min(confirmed_at, entry.confirmed_at)
+                confirmed_at = entry.confirmed_at
             elif text is not None:
-                entry = text
-                confirmed_at = min(confirmed_at, text.read_at)
-            if entry is not None:
-                held.append(KeyVersion(key, entry.version, entry.digest))
-        return Heartbeat(
-            self._ctx.settings.failure_domain,
-            self._ctx.instance,
-            self._ctx.incarnation,
-            self._sequence,
-            _STATE_NAMES[state],
-            held,
-            max(0, round((now - confirmed_at) * 1000)),
+                entry, confirmed_at = text, text.read_at
+            else:
+                continue
+            held.append(KeyVersion(key, entry.version, entry.digest))
+            ages_ms.append(max(0, round((now - confirmed_at) * 1000)))
+        self._last = (
+            now,
+            Heartbeat(
+                self._ctx.settings.failure_domain,
+                self._ctx.instance,
+                self._ctx.incarnation,
+                self._sequence,
+                _STATE_NAMES[state],
+                held,
+                max(ages_ms, default=0),
+                ages_ms,
+            ),
         )
+        return self._last[1]
+
+    def last_heartbeat(self, now: float) -> Heartbeat | None:
+        """Return the heartbeat sent last, for digests.
+
+        A new one would take the place of the periodic one, which alone goes down
+        the tree.
+        """
+        if self._last is None or not self._ctx.board.membership.is_reader:
+            return None
+        return add_age(self._last[1], now - self._last[0])
 
     def is_eager(self, now: float) -> bool:
         """Return whether this reader is the lowest rank that can push deltas."""
--- a/packages/core/src/mangowell_core/distribution/spread.py
+++ b/packages/core/src/mangowell_core/distribution/spread.py
@@ -32,7 +32,7 @@
 EXCHANGE_SOURCE_DOWN_S = 1.0
 # Spreads the exchanges of a fleet that starts at once.
 EXCHANGE_JITTER = 0.1
-EXCHANGED_HEARTBEATS = 3
+EXCHANGED_HEARTBEATS = 2
 MAX_HEARTBEATS = 8
 MAX_DELTA_BYTES = 65_536
 SEEN_KEPT = 64
@@ -115,6 +115,8 @@
 
     def on_unreachable(self, peer: Peer, now: float) -> None:
         """Pass over a child whose connection failed."""
+        if peer.instance in self._ctx.board.membership.view:
+            self._suspects[peer.instance] = now + SUSPECT_S
         for root, held, child in [k for k in self._pending if k[2] == peer.instance]:
             _, message = self._pending.pop((root, held, child))
             self._skip(root, held, child, message, now)
@@ -270,9 +272,8 @@
 
     def _heartbeats(self, now: float) -> list[Heartbeat]:
         found = self._corroboration.find_heartbeats(EXCHANGED_HEARTBEATS, now)
-        if self._ctx.board.membership.is_reader:
-            found.insert(0, self._readers.make_heartbeat(now))
-        return found
+        own = self._readers.last_heartbeat(now)
+        return [own, *found] if own is not None else found
 
     def on_query(self, sender: Peer, message: DigestQuery, now: float) -> None:
         """Answer with what this node holds."""
--- a/packages/core/src/mangowell_core/messages.py
+++ b/packages/core/src/mangowell_core/messages.py
@@ -43,7 +43,10 @@
     held : list of KeyVersion
         What the source gave.
     confirmed_age_ms : int
-        Time since the source last confirmed it.
+        Time since the source last confirmed all of it.
+    held_ages_ms : list of int
+        The same for each entry of `held`. The keys are read independently, so
+        the oldest age says nothing of which version of another key is newer.
     """
 
     failure_domain: str
@@ -53,6 +56,7 @@
     source: str
     held: list[KeyVersion]
     confirmed_age_ms: int
+    held_ages_ms: list[int] = []
 
 
 class Announce(msgspec.Struct, frozen=True, array_like=True, tag="announce"):
--- a/tests/core/fleet.py
+++ b/tests/core/fleet.py
@@ -226,6 +226,9 @@
                 case CancelRead(key):
                     node.reads.pop(key, None)
                 case SnapshotReady(snapshot):
+                    last = node.snapshots[-1:]
+                    for old in last:
+                        assert snapshot.document.version >= old.document.version
                     node.snapshots = [*node.snapshots[-1:], snapshot]
                 case Emit(emitted):
                     name = node.instance.name
