--- /dev/null
+++ b/packages/cli/src/mangowell_cli/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that may change without notice."""
--- /dev/null
+++ b/packages/cli/src/mangowell_cli/internal/errors.py
@@ -0,0 +1,26 @@
+"""Exit codes, and the error that ends a command."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """Exit codes of every command; ``docs/command.md`` documents them."""
+
+    SUCCESS = 0
+    FINDING = 1
+    INVALID = 2
+    UNREACHABLE = 3
+
+
+class CommandError(Exception):
+    """Ends a command with a message on standard error.
+
+    Parameters
+    ----------
+    message : str
+    code : ExitCode
+    """
+
+    def __init__(self, message: str, code: ExitCode = ExitCode.INVALID):
+        super().__init__(message)
+        self.code = code
--- /dev/null
+++ b/tests/cli/conftest.py
@@ -0,0 +1,99 @@
+import json
+import threading
+from contextlib import ExitStack
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qsl, urlsplit
+
+import pytest
+
+from mangowell_cli.app import main
+
+
+class AdminPort:
+    """Admin port of a node that gives prepared answers."""
+
+    def __init__(self, status, events=(), http_status=200, delay=None):
+        node = self
+        self.queries = []
+
+        class Handler(BaseHTTPRequestHandler):
+            def do_GET(self):
+                if delay is not None:
+                    delay.wait(10)
+                url = urlsplit(self.path)
+                node.queries.append(dict(parse_qsl(url.query)))
+                answer = {"/status": status, "/events": list(events)}[url.path]
+                body = answer if isinstance(answer, bytes) else json.dumps(answer)
+                body = body if isinstance(body, bytes) else body.encode()
+                self.send_response(http_status)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *args):
+                pass
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        # A client that gives up early is part of some tests.
+        self.server.handle_error = lambda *args: None
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def __enter__(self):
+        threading.Thread(target=self.server.serve_forever, args=(0.01,)).start()
+        return self
+
+    def __exit__(self, *exc):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+@pytest.fixture
+def serve():
+    """Start admin ports that are stopped after the test."""
+    with ExitStack() as stack:
+        yield lambda *args, **kwargs: stack.enter_context(AdminPort(*args, **kwargs))
+
+
+@pytest.fixture
+def run(capsys):
+    """Run the program in this process: exit code, output and errors."""
+
+    def run_main(*argv):
+        capsys.readouterr()
+        try:
+            code = main([str(word) for word in argv])
+        except SystemExit as exc:
+            code = exc.code
+        out, err = capsys.readouterr()
+        return code, out, err
+
+    return run_main
+
+
+@pytest.fixture
+def make_status():
+    """Make an answer of ``/status``."""
+
+    def make(document, **changes):
+        status = {
+            "instance": "orders-1",
+            "failure_domain": "d1",
+            "environment": document.environment,
+            "ready": True,
+            "version": document.version,
+            "digest": document.digest,
+            "since": 1_700_000_000.5,
+            "learned_from": "orders-2",
+            "delay_ms": 12.0,
+            "refused": [],
+            "instances_revision": 4,
+            "reader": False,
+            "source": "up",
+            "control_bytes": {"sent": 1},
+            "in_flight": 0,
+            "draining": False,
+        }
+        return status | changes
+
+    return make
