--- a/packages/cli/src/mangowell_cli/internal/files.py
+++ b/packages/cli/src/mangowell_cli/internal/files.py
@@ -74,10 +74,12 @@
     target = Path(os.path.realpath(path))
     part = target.with_name(f".{target.name}.{os.getpid()}.part")
     try:
-        try:
-            part.write_bytes(text.encode())
-            part.replace(target)
-        finally:
-            part.unlink(missing_ok=True)
+        # "x" follows no link that somebody else placed under this name.
+        with part.open("xb") as file:
+            file.write(text.encode())
+        part.replace(target)
+    except FileExistsError as exc:
+        raise CommandError(f"{part}: is in the way") from exc
     except OSError as exc:
+        part.unlink(missing_ok=True)
         raise CommandError(f"{path}: cannot be written: {exc.strerror}") from exc
--- a/packages/cli/src/mangowell_cli/internal/output.py
+++ b/packages/cli/src/mangowell_cli/internal/output.py
@@ -35,8 +35,8 @@
 
 
 def format_time(seconds: float | None, decimals: bool = False) -> str:
-    """Format Unix seconds as UTC; a dash for None or a time out of range."""
-    if seconds is None:
+    """Format Unix seconds as UTC; a dash for None, 0 or a time out of range."""
+    if not seconds:
         return "-"
     try:
         moment = datetime.fromtimestamp(seconds, UTC)
