--- a/packages/standins/src/mangowell_standins/fleet.py
+++ b/packages/standins/src/mangowell_standins/fleet.py
@@ -14,6 +14,7 @@
 
 import aiohttp
 
+from mangowell_core.events import EventCode
 from mangowell_core.model import Instance, InstanceState
 from mangowell_core.settings import (
     DistributionSettings,
@@ -78,6 +79,12 @@
         0 takes the size of the fleet.
     invariants : str
         Level of the run-time checks.
+    command : tuple of str
+        Module and arguments that node processes run, before the settings
+        file.
+    first_domain : int
+        Number of the first failure domain; fleets that run at the same time
+        take different numbers.
     """
 
     domains: int = 3
@@ -90,6 +97,8 @@
     reads_per_second: int = 2000
     expected_nodes: int = 0
     invariants: str = "full"
+    command: tuple[str, ...] = ("mangowell_node",)
+    first_domain: int = 1
     distribution: DistributionSettings = field(default_factory=DistributionSettings)
     security: SecuritySettings = field(default_factory=SecuritySettings)
     log_level: str = "warning"
@@ -185,6 +194,12 @@
         self._directory: tempfile.TemporaryDirectory | None = None
         self._session: aiohttp.ClientSession | None = None
 
+    @property
+    def domains(self) -> range:
+        """Numbers of the failure domains."""
+        first = self.config.first_domain
+        return range(first, first + self.config.domains)
+
     @property
     def documents_key(self) -> str:
         """Key of the document at the source."""
@@ -208,7 +223,7 @@
         connector = aiohttp.TCPConnector(limit=64)
         self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
         urls = {}
-        for domain in range(1, self.config.domains + 1):
+        for domain in self.domains:
             host = address_of(PLATFORM, domain)
             urls[domain] = await self.source.listen(f"domain-{domain}", host)
         for domain, url in urls.items():
@@ -260,7 +275,7 @@
     def _set_seeds(self) -> None:
         """Give each node the first two nodes of each of three domains."""
         seeds = []
-        for domain in range(1, min(3, self.config.domains) + 1):
+        for domain in self.domains[:3]:
             of_domain = [m for m in self.members.values() if m.domain == domain]
             seeds += [
                 f"{m.instance.host}:{m.instance.control_port}" for m in of_domain[:2]
@@ -290,7 +305,7 @@
             log_path = path.with_suffix(".log")
             with log_path.open("ab") as log:
                 member.process = subprocess.Popen(
-                    [sys.executable, "-m", "mangowell_node", str(path)],
+                    [sys.executable, "-m", *self.config.command, str(path)],
                     stdout=log,
                     stderr=log,
                 )
@@ -399,6 +414,56 @@
         results = await asyncio.gather(*(self.status(m) for m in chosen))
         return {m.name: s for m, s in zip(chosen, results, strict=True)}
 
+    async def applied(self, member: Member) -> list[tuple[float, int]]:
+        """Return when a node began to run each document version.
+
+        Returns
+        -------
+        list of tuple
+            (Unix time, version), oldest first; empty if it does not answer.
+        """
+        if member.node is not None:
+            events = member.node.telemetry.find_events()
+        else:
+            instance = member.instance
+            url = f"http://{instance.host}:{instance.admin_port}/events"
+            try:
+                async with self._session.get(url) as response:
+                    events = json.loads(await response.read())
+            except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+                return []
+        code = int(EventCode.VERSION_APPLIED)
+        return [
+            (e["time"], e["fields"]["version"]) for e in events if e["code"] == code
+        ]
+
+    async def convergence(self, published: dict[int, float]) -> list[float]:
+        """Return the time that each version took to each running node.
+
+        A version that a later one overtook counts as there with the later
+        one.
+
+        Parameters
+        ----------
+        published : dict of int to float
+            Unix time of publication by version.
+
+        Raises
+        ------
+        FleetError
+            If a node runs none of the versions published last.
+        """
+        delays = []
+        members = [m for m in self.members.values() if m.running]
+        histories = await asyncio.gather(*(self.applied(m) for m in members))
+        for member, history in zip(members, histories, strict=True):
+            for version, at in published.items():
+                times = [t for t, applied in history if applied >= version]
+                if not times:
+                    raise FleetError(f"{member.name} has not run version {version}")
+                delays.append(max(0.0, min(times) - at))
+        return delays
+
     async def wait_ready(
         self, timeout_s: float = 30.0, members: Iterable[Member] | None = None
     ) -> float:
@@ -487,13 +552,24 @@
         self._fleet = fleet
         self._interval_s = interval_s
         self._task: asyncio.Task | None = None
+        self._started_at = 0.0
+        self._ended_at = 0.0
+        self._last_bytes: dict[str, int] = {}
+        self._bytes: dict[str, int] = {}
+
+    def control_rates(self) -> dict[str, float]:
+        """Return control bytes per second of each node during the watch."""
+        seconds = (self._ended_at or time.monotonic()) - self._started_at
+        return {name: count / seconds for name, count in self._bytes.items()}
 
     def start(self) -> None:
         """Begin to watch."""
+        self._started_at = time.monotonic()
         self._task = asyncio.get_running_loop().create_task(self._watch())
 
     async def stop(self) -> None:
         """End the watch."""
+        self._ended_at = self._ended_at or time.monotonic()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -506,6 +582,12 @@
         A node that is not ready has not run anything since its start, so
         only a ready node is held to its highest version.
         """
+        # A counter that fell belongs to a process that has been restarted.
+        total = status["control_bytes"]
+        last = self._last_bytes.get(member.name, total)
+        grown = total - last if total >= last else total
+        self._bytes[member.name] = self._bytes.get(member.name, 0) + grown
+        self._last_bytes[member.name] = total
         version = status["version"]
         if not status["ready"] or not version:
             return
