--- a/packages/node/src/mangowell_node/link.py
+++ b/packages/node/src/mangowell_node/link.py
@@ -301,9 +301,7 @@
         """Write one frame."""
         if self.closed:
             return
-        self.transport.write(
-            b"%b%b" % (_FRAME.pack(len(payload), kind, stream), payload)
-        )
+        self.transport.write(b"%b%b" % (_FRAME.pack(len(payload), kind, stream), payload))
 
     def pause_writing(self) -> None:
         self._paused = True
@@ -678,7 +676,9 @@
                 Outcome.NOT_RUN, Cause.CONNECT_FAILED, f"link: {exc}"
             ) from exc
         self._links[address] = link
-        self._emit(Event(EventCode.LINK_OPENED, {"peer": f"{address[0]}:{address[1]}"}))
+        self._emit(
+            Event(EventCode.LINK_OPENED, {"peer": f"{address[0]}:{address[1]}"})
+        )
         return link
 
     def check(self, now: float) -> None:
@@ -773,7 +773,9 @@
         if head.streaming:
             stream.inflow = _Inflow(self, number, head.length, lambda: None)
         deadline = monotonic() + head.remaining_ms / 1000
-        stream.task = self.loop.create_task(self._serve(number, stream, head, deadline))
+        stream.task = self.loop.create_task(
+            self._serve(number, stream, head, deadline)
+        )
         if self._check is None:
             self._watch()
 
