--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -143,6 +143,7 @@
         self._is_reader = int(settings.host.rsplit(".", 1)[1]) <= READERS
         self._readers: list[str] = []
         self._sending = asyncio.Lock()
+        self._pushes: set[asyncio.Task] = set()
 
     async def jobs(self) -> list:
         """Return the coroutines of this node."""
@@ -155,12 +156,18 @@
     def take(self, key: str, body: bytes) -> bool:
         """Apply a value from the source and push it down the tree."""
         new = super().take(key, body)
-        if new and self._is_reader:
-            asyncio.get_running_loop().create_task(
-                self._push_value(self.settings.instance, key)
-            )
+        if new and self._is_reader and "instances" in self.texts:
+            # A new list may bring new children, which lack the document too.
+            keys = list(self.texts) if key == "instances" else [key]
+            task = asyncio.get_running_loop().create_task(self._push_values(keys))
+            self._pushes.add(task)
+            task.add_done_callback(self._pushes.discard)
         return new
 
+    async def _push_values(self, keys: list[str]) -> None:
+        for key in sorted(keys, reverse=True):
+            await self._push_value(self.settings.instance, key)
+
     async def _push_value(self, root: str, key: str) -> None:
         body = self.texts[key]
         head = {
@@ -231,12 +238,10 @@
             head = json.loads(line)
             data = await reader.readexactly(head["size"])
             self.control_bytes += len(line) + len(data) + FRAME_OVERHEAD_BYTES
-            if data and self._is_reader:
-                continue
-            if data and super().take(head["key"], zlib.decompress(data)):
+            new = bool(data) and super().take(head["key"], zlib.decompress(data))
+            # A reader may hold the value already, but its subtree may not.
+            if new or not data or self._is_reader:
                 await self._push(head["root"], _without_size(head), data)
-            elif not data:
-                await self._push(head["root"], _without_size(head), b"")
         writer.close()
 
 
