Take the key's decision before the slot, as the policy now expects

Cause: the policy answers a key that has run even under overload, and can withdraw a run of which no byte was sent. Change: key_begin comes before offer; a refusal, an expiry in the queue or a failed connection withdraws the key. Load and the retried mark come from the policy.

--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -175,7 +175,7 @@
         self._poller = HealthPoller(self._pool, self._take_health)
         key = derive_link_key(settings.security.curve_secret)
         self._links = LinkPool(settings.instance, key, self._reach, emit)
-        self._link_server = LinkServer(key, self._egress.run, self._egress.load, emit)
+        self._link_server = LinkServer(key, self._egress.run, self._policy.load, emit)
         self._ingress = IngressServer(self.serve)
         await self._link_server.start(settings.host, settings.link_port)
         await self._ingress.start(settings.host, settings.call_port)
@@ -198,12 +198,13 @@
             self._start_drain(now)
             linger_end = min(deadline, now + DRAIN_LINGER_S)
             while monotonic() < deadline:
-                idle = not (self._active or self._egress.running)
+                idle = not (self._active or self._policy.in_flight())
                 if idle and monotonic() >= linger_end:
                     break
                 await asyncio.sleep(0.01)
             await self._link_server.stop(deadline)
-        self._housekeeper.cancel()
+        if self._housekeeper is not None:
+            self._housekeeper.cancel()
         await self._poller.stop()
         await self._ingress.stop(max(0.0, deadline - monotonic()))
         if not graceful:
@@ -253,7 +254,6 @@
         service = self._snapshot.document.services.get(name)
         if service is not None:
             self._pool.limit = service.connections
-            self._egress.slots = service.slots
         self._egress.members = self._snapshot.instances.get(name, ())
 
     def handle_control(self, sender: Peer, message: Message) -> None:
@@ -308,7 +308,6 @@
                 self._telemetry.emit(Event(EventCode.BACKEND_UP, fields))
             elif before == "ok":
                 self._telemetry.emit(Event(EventCode.BACKEND_DOWN, fields))
-        egress.reported_load = load
         self._policy.backend_seen(instance, status == "ok", load, now)
 
     # Calls
@@ -575,7 +574,7 @@
         head = answer.head
         failed = head.status >= 500
         headers = (_HEADER_FAILED if failed else _HEADER_DONE) + head.headers
-        if failed and attempts > 1 and not head.retried:
+        if failed and not head.retried and self._policy.is_retried(plan, attempts):
             headers += _HEADER_RETRIED
         self._telemetry.observe_call(
             plan.tenant,
@@ -612,7 +611,7 @@
             alternate = self._find_alternate()
             if alternate:
                 lines.append(f"Mangowell-Alternate: {alternate}\r\n")
-        if attempts > 1:
+        if attempts and self._policy.is_retried(plan, attempts):
             lines.append("Mangowell-Retried: 1\r\n")
         lines.append("Content-Type: application/json\r\n")
         body = json.dumps({"outcome": outcome.value, **fields}) + "\n"
--- a/packages/node/src/mangowell_node/egress.py
+++ b/packages/node/src/mangowell_node/egress.py
@@ -60,6 +60,66 @@
         self._body.close()
 
 
+class _KeyedRun:
+    """Whether a request with a key has been written to the backend server."""
+
+    __slots__ = ("is_sent",)
+
+    def __init__(self) -> None:
+        self.is_sent = False
+
+
+class _Slot:
+    """Slot at the backend server, given back once."""
+
+    __slots__ = ("_egress", "_head", "_is_open", "_policy", "_started", "_ticket")
+
+    def __init__(
+        self, egress: "Egress", policy: RequestPolicy, ticket: int, head: RequestHead
+    ) -> None:
+        self._egress = egress
+        self._policy = policy
+        self._ticket = ticket
+        self._head = head
+        self._started = monotonic()
+        self._is_open = True
+
+    async def run(self, exchange: Awaitable[Answer]) -> Answer:
+        """Await an exchange in this slot; a streamed answer keeps it."""
+        try:
+            answer = await exchange
+        except AttemptError as exc:
+            self.end(exc)
+            exc.backend_load = self._policy.load()
+            raise
+        except BaseException:
+            self.end(AttemptError.at(Cause.CANCELLED, Stage.SENT, "cancelled"))
+            raise
+        if answer.stream is None:
+            self.end(None, answer.head.status)
+        answer.head.backend_load = self._policy.load()
+        return answer
+
+    def end(self, error: AttemptError | None, status: int = 200) -> None:
+        """Give the slot back."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        now = monotonic()
+        if error is not None:
+            refusal = error.refusal
+            result = AttemptResult(
+                refusal.outcome, refusal.cause, refusal.status, now - self._started
+            )
+        else:
+            if self._head.fingerprint:
+                self._policy.backend_completed(self._head.fingerprint, now)
+            result = AttemptResult(
+                Outcome.DONE, Cause.NONE, status, now - self._started
+            )
+        self._egress.release(self._ticket, result)
+
+
 class Egress:
     """Runs requests on the own backend server.
 
@@ -97,15 +157,8 @@
         self._fences: dict[int, tuple[str, asyncio.Queue]] = {}
         self._fence_number = 0
         self._detached: set[asyncio.Task] = set()
-        self.running = 0
-        self.slots = 1
         self.members: tuple[Instance, ...] = ()
         self.health = "starting"
-        self.reported_load = 0.0
-
-    def load(self) -> float:
-        """Return the load of the backend server, 0 to 1."""
-        return min(1.0, max(self.reported_load, self.running / self.slots))
 
     async def run(
         self, head: RequestHead, body: Body | None, deadline: float
@@ -119,26 +172,26 @@
         """
         if head.target == KEYS_TARGET:
             return Answer(self.mint())
-        now = monotonic()
-        work = Work(
-            head.request,
-            head.service,
-            self._find_class(head),
-            head.tenant,
-            deadline,
-            head.idempotent,
-            head.idempotency_key,
-            head.fingerprint,
-        )
         if head.service != self._service:
             reason = f"{self._instance} runs no {head.service}"
             raise AttemptError.at(Cause.NO_INSTANCE, Stage.UNSENT, reason)
-        decision = self._policy.offer(work, now)
-        if type(decision) is Refusal:
-            raise AttemptError(decision, self.load())
-        if type(decision) is not Admitted:
-            await self._wait(decision.ticket, deadline)
-        return await self._run_admitted(decision.ticket, head, body, deadline)
+        if head.idempotent or not head.idempotency_key:
+            slot = await self._admit(head, deadline)
+            return await slot.run(self._exchange(head, body, deadline, slot.end))
+        run = _KeyedRun()
+        task = self._loop.create_task(self._run_keyed(run, head, body, deadline))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # Once it is written, the request runs on, so that the ledger learns
+            # the answer and a repeated call with the key is given it.
+            if run.is_sent:
+                self._detached.add(task)
+                task.add_done_callback(self._detached.discard)
+                task.add_done_callback(drop_answer)
+            else:
+                task.cancel()
+            raise
 
     def _find_class(self, head: RequestHead) -> TrafficClass:
         key = (head.traffic_class, head.priority, head.deferrable)
@@ -156,19 +209,39 @@
 
     # Admission
 
-    async def _wait(self, ticket: int, deadline: float) -> None:
+    async def _admit(self, head: RequestHead, deadline: float) -> "_Slot":
+        """Wait for a slot at the backend server."""
+        work = Work(
+            head.request,
+            head.service,
+            self._find_class(head),
+            head.tenant,
+            deadline,
+            head.idempotent,
+            head.idempotency_key,
+            head.fingerprint,
+        )
+        decision = self._policy.offer(work, monotonic())
+        if type(decision) is Refusal:
+            raise AttemptError(decision, self._policy.load())
+        ticket = decision.ticket
+        if type(decision) is not Admitted:
+            await self._wait(ticket)
+        return _Slot(self, self._policy, ticket, head)
+
+    async def _wait(self, ticket: int) -> None:
         waiter = self._waiting[ticket] = self._loop.create_future()
         self._arm()
         try:
             await waiter
         except asyncio.CancelledError:
             if waiter.done() and not waiter.cancelled() and not waiter.exception():
-                self._release(ticket, Cause.CANCELLED, Outcome.NOT_RUN)
+                self.release(ticket, AttemptResult(Outcome.NOT_RUN, Cause.CANCELLED))
             else:
                 self._policy.cancel(ticket, monotonic())
             raise
         finally:
-            self._waiting.pop(ticket, None)
+            del self._waiting[ticket]
 
     def _arm(self) -> None:
         if self._timer is not None:
@@ -188,26 +261,20 @@
 
     def _settle(self, decisions: list[Dispatch | Expired]) -> None:
         for decision in decisions:
-            waiter = self._waiting.get(decision.ticket)
+            ticket = decision.ticket
+            waiter = self._waiting.get(ticket)
+            is_awaited = waiter is not None and not waiter.done()
             match decision:
-                case Dispatch(ticket):
-                    if waiter is not None and not waiter.done():
-                        waiter.set_result(None)
-                    else:
-                        self._release(ticket, Cause.CANCELLED, Outcome.NOT_RUN)
-                case Expired(_, refusal):
-                    if waiter is not None and not waiter.done():
-                        waiter.set_exception(AttemptError(refusal, self.load()))
-
-    def _release(
-        self,
-        ticket: int,
-        cause: Cause,
-        outcome: Outcome,
-        status: int = 0,
-        latency_s: float = 0.0,
-    ) -> None:
-        result = AttemptResult(outcome, cause, status, latency_s)
+                case Dispatch() if is_awaited:
+                    waiter.set_result(None)
+                case Dispatch():
+                    result = AttemptResult(Outcome.NOT_RUN, Cause.CANCELLED)
+                    self.release(ticket, result)
+                case Expired(_, refusal) if is_awaited:
+                    waiter.set_exception(AttemptError(refusal, self._policy.load()))
+
+    def release(self, ticket: int, result: AttemptResult) -> None:
+        """Give a slot back and start what waits for it."""
         decisions = self._policy.release(ticket, result, monotonic())
         if decisions:
             self._settle(decisions)
@@ -215,64 +282,6 @@
 
     # One admitted request
 
-    async def _run_admitted(
-        self, ticket: int, head: RequestHead, body: Body | None, deadline: float
-    ) -> Answer:
-        started = monotonic()
-        ended = False
-        self.running += 1
-
-        def end(error: AttemptError | None, status: int = 0) -> None:
-            nonlocal ended
-            if ended:
-                return
-            ended = True
-            self.running -= 1
-            latency_s = monotonic() - started
-            if error is None:
-                if head.fingerprint:
-                    self._policy.backend_completed(head.fingerprint, monotonic())
-                self._release(ticket, Cause.NONE, Outcome.DONE, status, latency_s)
-            else:
-                refusal = error.refusal
-                self._release(ticket, refusal.cause, refusal.outcome, 0, latency_s)
-
-        if head.idempotent or not head.idempotency_key:
-            return await self._run_to_end(
-                self._exchange(head, body, deadline, end), end
-            )
-        # Runs on if the caller goes away, so that the ledger learns the answer
-        # and a repeated call with the key is given it.
-        task = self._loop.create_task(
-            self._run_to_end(self._run_keyed(head, body, deadline, end), end)
-        )
-        self._detached.add(task)
-        task.add_done_callback(self._detached.discard)
-        try:
-            return await asyncio.shield(task)
-        except asyncio.CancelledError:
-            task.add_done_callback(drop_answer)
-            raise
-
-    async def _run_to_end(
-        self,
-        exchange: Awaitable[Answer],
-        end: Callable[..., None],
-    ) -> Answer:
-        try:
-            answer = await exchange
-        except AttemptError as exc:
-            end(exc)
-            exc.backend_load = self.load()
-            raise
-        except BaseException:
-            end(AttemptError.at(Cause.CANCELLED, Stage.SENT, "cancelled"))
-            raise
-        if answer.stream is None:
-            end(None, answer.head.status)
-        answer.head.backend_load = self.load()
-        return answer
-
     async def _exchange(
         self,
         head: RequestHead,
@@ -341,48 +350,46 @@
     # Keys
 
     async def _run_keyed(
+        self, run: "_KeyedRun", head: RequestHead, body: Body | None, deadline: float
+    ) -> Answer:
+        service, key = head.service, head.idempotency_key
+        decision = self._policy.key_begin(service, key, monotonic(), head.fingerprint)
+        if type(decision) is AskFences:
+            decision = await self._ask_fences(decision, head, deadline)
+        if type(decision) is ReplayKey:
+            return Answer(_restore_answer(decision.answer))
+        if type(decision) is Refusal:
+            raise AttemptError(decision, self._policy.load())
+        try:
+            slot = await self._admit(head, deadline)
+            return await slot.run(
+                self._exchange_keyed(run, head, body, deadline, slot.end)
+            )
+        except BaseException:
+            if not run.is_sent:
+                self._policy.key_withdraw(service, key, monotonic())
+            raise
+
+    async def _exchange_keyed(
         self,
+        run: "_KeyedRun",
         head: RequestHead,
         body: Body | None,
         deadline: float,
         on_end: Callable[[AttemptError | None], None],
     ) -> Answer:
-        key = head.idempotency_key
         conn = await self._pool.open(deadline)
-        sent = False
+        run.is_sent = True
+        stored = None
         try:
-            decision = self._policy.key_begin(
-                head.service, key, monotonic(), head.fingerprint
+            answer = await self._send_keyed(conn, head, body, deadline, on_end)
+            if answer.stream is None:
+                stored = _store_answer(answer.head)
+            return answer
+        finally:
+            self._policy.key_finish(
+                head.service, head.idempotency_key, stored, monotonic()
             )
-            if type(decision) is AskFences:
-                decision = await self._ask_fences(decision, head, deadline)
-            match decision:
-                case ReplayKey(answer):
-                    conn.release()
-                    return Answer(_restore_answer(answer))
-                case Refusal():
-                    conn.release()
-                    raise AttemptError(decision)
-                case RunKey():
-                    pass
-            if not conn.is_open:
-                self._policy.key_withdraw(head.service, key, monotonic())
-                raise AttemptError.at(
-                    Cause.CONNECT_FAILED, Stage.UNSENT, "backend server closed"
-                )
-            sent = True
-            stored = None
-            try:
-                answer = await self._send_keyed(conn, head, body, deadline, on_end)
-                if answer.stream is None:
-                    stored = _store_answer(answer.head)
-                return answer
-            finally:
-                self._policy.key_finish(head.service, key, stored, monotonic())
-        except BaseException:
-            if not sent:
-                conn.abort()
-            raise
 
     async def _send_keyed(
         self,
--- a/tests/node/test_keys.py
+++ b/tests/node/test_keys.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+from mangowell_core.model import Service
 from node.support_calls import (
     MINTED,
     ScriptedBackend,
@@ -161,3 +162,33 @@
         answer = await pay(stations[1], key)
         assert answer.outcome == "unknown"
         assert count_runs(backends) == 0
+
+
+async def test_key_of_another_request_is_refused():
+    """The answer to one request must not be given to another."""
+    backends = await start_backends(2)
+    async with run_stations(*backends) as stations:
+        assert (await pay(stations[0], "key", b"10")).status == 200
+        answer = await pay(stations[1], "key", b"99")
+        assert (answer.status, answer.outcome) == (422, "not-run")
+        assert count_runs(backends) == 1
+
+
+async def test_key_is_replayed_while_every_slot_is_taken():
+    gate = asyncio.Event()
+
+    async def handler(request):
+        if request.body == b"slow":
+            await gate.wait()
+        return make_answer(b"receipt")
+
+    backends = await start_backends(1, handler)
+    async with run_stations(
+        *backends, service=Service("orders", slots=1, queue_limit=1)
+    ) as (station,):
+        assert (await pay(station, "key")).status == 200
+        slow = asyncio.ensure_future(pay(station, "other", b"slow"))
+        await until(lambda: count_runs(backends) == 2)
+        assert (await pay(station, "key")).body == b"receipt"
+        gate.set()
+        assert (await slow).status == 200
