--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,438 @@
+"""Cost of the request path: direct calls against calls through nodes.
+
+Run ``python -m bench.requests [--quick]``. Backend servers, nodes and the load
+generator are processes of their own. Rounds of all cases are interleaved, so
+that a slow phase of the machine meets each of them.
+"""
+
+import argparse
+import asyncio
+import gc
+import itertools
+import json
+import os
+import random
+import subprocess
+import sys
+import threading
+from time import monotonic
+
+import psutil
+import uvloop
+from hdrh.histogram import HdrHistogram
+
+from mangowell_core.model import (
+    Document,
+    Instance,
+    Route,
+    Service,
+    Snapshot,
+    TrafficClass,
+)
+from mangowell_core.policy import RequestPolicy
+from mangowell_core.settings import NodeSettings, SourceSettings
+from mangowell_node.calls import CallPath
+from mangowell_node.reach import Reach
+from mangowell_node.telemetry import Telemetry
+
+CALLS_PER_S = 213  # design scale, one node
+ANSWER_BYTES = 1024
+DEPTHS = (1, 2, 10)
+MODES = ("direct", "one-hop", "two-hop")
+MAX_RUN_S = 900.0  # a forgotten child process ends by itself
+HOST = "127.0.0.1"
+FIRST_PORT = 9_400  # below the range of outgoing connections
+TARGET_MS = 1.0  # added for 99 in 100 calls
+CALLER = max(DEPTHS)  # index of the node beside the caller, without a service
+
+
+class Ports:
+    """Ports of one node and its backend server."""
+
+    def __init__(self, index: int) -> None:
+        base = FIRST_PORT + index * 5
+        self.backend, self.call, self.link, self.control, self.admin = range(
+            base, base + 5
+        )
+
+
+# Minimal HTTP, so that the measurement's own cost stays small and equal
+
+
+class Client(asyncio.Protocol):
+    """Keep-alive connection that carries one GET at a time."""
+
+    def __init__(self, idle: list["Client"]) -> None:
+        self._idle = idle
+        self._buffer = b""
+        self._waiter: asyncio.Future | None = None
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+
+    def connection_lost(self, exc) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(ConnectionResetError("closed"))
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        end = self._buffer.find(b"\r\n\r\n")
+        if end < 0:
+            return
+        head = self._buffer[:end].lower()
+        at = head.index(b"content-length:") + 15
+        length = int(head[at:].split(b"\r\n", 1)[0])
+        if len(self._buffer) < end + 4 + length:
+            return
+        status = int(self._buffer[9:12])
+        self._buffer = b""
+        self._idle.append(self)
+        waiter, self._waiter = self._waiter, None
+        waiter.set_result(status)
+
+    def get(self, target: str) -> asyncio.Future:
+        self._waiter = asyncio.get_running_loop().create_future()
+        self.transport.write(
+            b"GET %b HTTP/1.1\r\nHost: bench\r\nAccept: */*\r\n"
+            b"User-Agent: bench/1.0\r\nMangowell-Tenant: cafes\r\n\r\n"
+            % target.encode()
+        )
+        return self._waiter
+
+
+class Clients:
+    """Idle connections by port."""
+
+    def __init__(self) -> None:
+        self._idle: dict[int, list[Client]] = {}
+
+    async def get(self, port: int, target: str) -> int:
+        idle = self._idle.setdefault(port, [])
+        while idle:
+            client = idle.pop()
+            if not client.transport.is_closing():
+                return await client.get(target)
+        loop = asyncio.get_running_loop()
+        _, client = await loop.create_connection(lambda: Client(idle), HOST, port)
+        return await client.get(target)
+
+
+class BackendServer(asyncio.Protocol):
+    """Answers 1 KiB after calling the next backend server of the chain.
+
+    The target is ``/s<index>/<mode>/<remaining depth>``.
+    """
+
+    def __init__(self, clients: Clients) -> None:
+        self._clients = clients
+        self._buffer = b""
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        if not self._buffer.endswith(b"\r\n\r\n"):
+            return
+        target = self._buffer.split(b" ", 2)[1].decode()
+        self._buffer = b""
+        if target == "/health":
+            self._answer(b'{"status": "ok", "load": 0.1}')
+            return
+        _, service, mode, remaining = target.split("/")
+        if remaining == "1":
+            self._answer(b"x" * ANSWER_BYTES)
+        else:
+            work = self._call_next(int(service[1:]), mode, int(remaining))
+            asyncio.ensure_future(work)
+
+    async def _call_next(self, index: int, mode: str, remaining: int) -> None:
+        port, target = find_call(index, index + 1, mode, remaining - 1)
+        status = await self._clients.get(port, target)
+        self._answer(b"x" * ANSWER_BYTES, status)
+
+    def _answer(self, body: bytes, status: int = 200) -> None:
+        self._transport.write(
+            b"HTTP/1.1 %d OK\r\nContent-Type: text/plain\r\nServer: bench\r\n"
+            b"Content-Length: %d\r\n\r\n%b" % (status, len(body), body)
+        )
+
+
+def find_call(caller: int, index: int, mode: str, depth: int) -> tuple[int, str]:
+    """Return port and target that reach backend server `index`."""
+    target = f"/s{index}/{mode}/{depth}"
+    match mode:
+        case "direct":
+            return Ports(index).backend, target
+        case "one-hop":
+            return Ports(index).call, target
+    return Ports(caller).call, target
+
+
+# Processes
+
+
+def make_snapshot(count: int) -> Snapshot:
+    services = {f"s{i}": Service(f"s{i}") for i in range(count)}
+    routes = {
+        f"r{i}": Route(f"r{i}", f"s{i}", f"/s{i}/", ("GET",), "c", timeout_ms=10_000)
+        for i in range(count)
+    }
+    instances = {}
+    for i in range(count):
+        p = Ports(i)
+        instances[f"s{i}"] = (
+            Instance(
+                f"n{i}",
+                f"s{i}",
+                "d",
+                HOST,
+                p.control,
+                p.link,
+                p.call,
+                p.admin,
+                p.backend,
+            ),
+        )
+    classes = {"c": TrafficClass("c", 0)}
+    document = Document("bench", 1, classes, {}, services, routes, "", "")
+    return Snapshot(document, 1, instances)
+
+
+async def run_node(index: int) -> None:
+    ports = Ports(index)
+    settings = NodeSettings(
+        f"n{index}",
+        f"s{index}",
+        "d",
+        "bench",
+        HOST,
+        ports.control,
+        ports.link,
+        ports.call,
+        ports.admin,
+        ports.backend,
+        SourceSettings("http://127.0.0.1:1"),
+    )
+    policy = RequestPolicy.from_settings(settings, random.Random(index), 1)
+    telemetry = Telemetry(settings.instance, level="error")
+    calls = CallPath.from_settings(
+        settings, policy, telemetry, Reach(), lambda instance, message: False
+    )
+    await calls.start()
+    calls.apply(make_snapshot(max(DEPTHS)))
+    print("ready", flush=True)
+    await asyncio.sleep(MAX_RUN_S)
+
+
+async def run_backend(index: int) -> None:
+    clients = Clients()
+    loop = asyncio.get_running_loop()
+    await loop.create_server(lambda: BackendServer(clients), HOST, Ports(index).backend)
+    print("ready", flush=True)
+    await asyncio.sleep(MAX_RUN_S)
+
+
+def run_child(role: str, index: int) -> None:
+    def watch() -> None:
+        sys.stdin.read()
+        os._exit(0)
+
+    threading.Thread(target=watch, daemon=True).start()
+    uvloop.run({"node": run_node, "backend": run_backend}[role](index))
+
+
+class Child:
+    """Process of a node or backend server; ends when its input closes."""
+
+    def __init__(self, role: str, index: int) -> None:
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "bench.requests", "--child", role, str(index)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self.name = f"{role} {index}"
+        self._usage = psutil.Process(self._process.pid)
+
+    def wait_ready(self) -> None:
+        if self._process.stdout.readline() != b"ready\n":
+            raise RuntimeError(f"{self.name} did not start")
+
+    def cpu_s(self) -> float:
+        times = self._usage.cpu_times()
+        return times.user + times.system
+
+    def stop(self) -> None:
+        self._process.stdin.close()
+        self._process.wait(10)
+        self._process.stdout.close()
+
+
+# Load
+
+
+class Case:
+    """Figures of one mode and depth."""
+
+    def __init__(self, mode: str, depth: int) -> None:
+        self.mode = mode
+        self.depth = depth
+        self.histogram = HdrHistogram(1, 60_000_000, 3)  # us
+        self.calls = 0
+        self.failures = 0
+        self.node_cpu_s = 0.0
+
+    def quantile_ms(self, percent: float) -> float:
+        return self.histogram.get_value_at_percentile(percent) / 1000
+
+
+async def run_round(
+    case: Case, clients: Clients, seconds: float, rng: random.Random, record: bool
+) -> None:
+    port, target = find_call(CALLER, 0, case.mode, case.depth)
+
+    async def call() -> None:
+        started = monotonic()
+        try:
+            async with asyncio.timeout(10):
+                status = await clients.get(port, target)
+        except (OSError, TimeoutError):
+            status = 0
+        if not record:
+            return
+        case.calls += 1
+        case.failures += status != 200
+        case.histogram.record_value(max(1, int((monotonic() - started) * 1e6)))
+
+    tasks = set()
+    due = monotonic()
+    end = due + seconds
+    while due < end:
+        await asyncio.sleep(max(0, due - monotonic()))
+        task = asyncio.ensure_future(call())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        # Arrivals are open and uneven, as those of independent callers are.
+        due += rng.uniform(0.5, 1.5) / CALLS_PER_S
+    if tasks:
+        await asyncio.wait(tasks)
+
+
+async def measure(
+    nodes: list[Child], rounds: int, seconds: float, depths: tuple[int, ...]
+) -> dict:
+    rng = random.Random(7)
+    clients = Clients()
+    cases = [Case(m, d) for m, d in itertools.product(MODES, depths)]
+    for case in cases:
+        await run_round(case, clients, 0.5, rng, record=False)
+    gc.collect()
+    gc.freeze()
+    started, idle_cpu = monotonic(), sum(n.cpu_s() for n in nodes)
+    await asyncio.sleep(2)
+    idle = (sum(n.cpu_s() for n in nodes) - idle_cpu) / (monotonic() - started)
+    for _ in range(rounds):
+        rng.shuffle(cases)
+        for case in cases:
+            started, before = monotonic(), sum(n.cpu_s() for n in nodes)
+            await run_round(case, clients, seconds, rng, record=True)
+            spent = sum(n.cpu_s() for n in nodes) - before
+            case.node_cpu_s += spent - idle * (monotonic() - started)
+    return summarise(cases, idle / len(nodes))
+
+
+def summarise(cases: list[Case], idle_cpu: float) -> dict:
+    direct = {c.depth: c for c in cases if c.mode == "direct"}
+    rows = []
+    for case in sorted(cases, key=lambda c: (c.depth, MODES.index(c.mode))):
+        base = direct[case.depth]
+        rows.append(
+            {
+                "mode": case.mode,
+                "depth": case.depth,
+                "calls": case.calls,
+                "failures": case.failures,
+                "p50_ms": case.quantile_ms(50),
+                "p99_ms": case.quantile_ms(99),
+                "p999_ms": case.quantile_ms(99.9),
+                "direct_p99_ms": base.quantile_ms(99),
+                "added_p50_ms": case.quantile_ms(50) - base.quantile_ms(50),
+                "added_p99_ms": case.quantile_ms(99) - base.quantile_ms(99),
+                "node_cpu_us": case.node_cpu_s / (case.calls * case.depth) * 1e6,
+            }
+        )
+    return {"rows": rows, "idle_cpu_share": idle_cpu, "target_added_p99_ms": TARGET_MS}
+
+
+def run(quick: bool = False, depths: tuple[int, ...] = DEPTHS) -> dict:
+    """Measure the request path.
+
+    Parameters
+    ----------
+    quick : bool
+        Fewer and shorter rounds.
+    depths : tuple of int
+        Lengths of the chain of backend servers.
+
+    Returns
+    -------
+    dict
+        ``rows``, one for each mode and depth: quantiles in ms, and processor
+        time of the nodes in microseconds for each call at each depth, less
+        that of idle nodes; ``idle_cpu_share`` of one core for an idle node.
+    """
+    length = max(depths)
+    backends = [Child("backend", i) for i in range(length)]
+    nodes = [Child("node", i) for i in [*range(length), CALLER]]
+    children = backends + nodes
+    try:
+        for child in children:
+            child.wait_ready()
+        rounds, seconds = (3, 1.5) if quick else (8, 4.0)
+        return uvloop.run(measure(nodes, rounds, seconds, depths))
+    finally:
+        for child in children:
+            child.stop()
+
+
+def print_table(result: dict) -> None:
+    head = (
+        f"{'depth':>5} {'mode':<8} {'calls':>6} {'failed':>6} {'p50':>7} {'p99':>7} "
+        f"{'p99.9':>7} {'direct p99':>10} {'added p50':>9} {'added p99':>9} "
+        f"{'node us/call':>12}"
+    )
+    print(head)
+    for r in result["rows"]:
+        print(
+            f"{r['depth']:>5} {r['mode']:<8} {r['calls']:>6} {r['failures']:>6} "
+            f"{r['p50_ms']:>7.2f} {r['p99_ms']:>7.2f} {r['p999_ms']:>7.2f} "
+            f"{r['direct_p99_ms']:>10.2f} {r['added_p50_ms']:>9.2f} "
+            f"{r['added_p99_ms']:>9.2f} {r['node_cpu_us']:>12.0f}"
+        )
+    share = result["idle_cpu_share"]
+    print(
+        f"times in ms at {CALLS_PER_S} calls/s a node; idle node {share:.2%} of a core"
+    )
+
+
+def main() -> None:
+    """Run the measurement and print its table."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--json", action="store_true", help="print the figures as JSON")
+    parser.add_argument("--depths", type=int, nargs="+", default=DEPTHS)
+    parser.add_argument("--child", nargs=2, help=argparse.SUPPRESS)
+    args = parser.parse_args()
+    if args.child:
+        run_child(args.child[0], int(args.child[1]))
+        return
+    result = run(args.quick, tuple(args.depths))
+    if args.json:
+        print(json.dumps(result))
+    else:
+        print_table(result)
+
+
+if __name__ == "__main__":
+    main()
