Adapt the test fleet and the list publisher to render_instances

Cause: render_instances takes an InstanceList since the re-parse change, its callers were written against the earlier signature.

--- a/tests/core/fleet.py
+++ b/tests/core/fleet.py
@@ -25,7 +25,7 @@
 )
 from mangowell_core.instances import render_instances
 from mangowell_core.messages import decode_message, encode_message
-from mangowell_core.model import Instance
+from mangowell_core.model import Instance, InstanceList
 from mangowell_core.settings import NodeSettings, SourceSettings
 
 DOCUMENT = "documents/test"
@@ -108,8 +108,9 @@
 
     def publish_list(self, without: tuple[str, ...] = ()) -> None:
         self.revision += 1
-        shown = [i for n, i in self.instances.items() if n not in without]
-        self.publish(render_instances(self.revision, shown).encode(), "instances")
+        shown = {n: i for n, i in self.instances.items() if n not in without}
+        listed = InstanceList(self.revision, shown, text="", digest="")
+        self.publish(render_instances(listed).encode(), "instances")
 
     def start(self, *names: str) -> None:
         for name in names or tuple(self.instances):
