--- a/tests/core/test_document.py
+++ b/tests/core/test_document.py
@@ -85,6 +85,7 @@
 priority = 0~  |                 | 5  | class payment  | priority |        | missing key
 path = /stock  | path = stock    | 23 | route look     | path    | stock   | starts with
 path = /stock  | path = /a?b     | 23 | route look     | path    | /a?b    | starts with
+/stock         | /st;ck          | 23 | route look     | path    | /st;ck  | starts with
 = POST         | = POTS          | 18 | route pay      | methods | POTS    | one of GET
 = POST         | = GET,GET       | 18 | route pay      | methods | GET,GET | twice
 = yes~hedge    | = on~hedge      | 25 | route look     | idempotent | on   | yes or no
@@ -249,6 +250,28 @@
     assert parse_document(text, previous=example()) == result
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        TEXT + "[tenant web]\nweight = 1.5",
+        TEXT.replace("[service stock]\n", ""),
+        TEXT + "[route copy]\nservice = stock\npath = /stock\nclass = browse",
+    ],
+    ids=["verbatim copy of a section", "service still in use", "route that exists"],
+)
+def test_reparse_checks_changes_against_unchanged_sections(text):
+    result = parse_document(text, previous=example())
+    assert result == parse_document(text)
+    assert result.is_err()
+
+
+def test_reparse_takes_unchanged_sections_from_the_previous_document():
+    text = TEXT.replace("version = 3", "version = 4").replace("slots = 12", "slots = 9")
+    found = parse_document(text, previous=example()).unwrap()
+    assert found.routes["pay"] is example().routes["pay"]
+    assert found.services["orders"].slots == 9
+
+
 @given(documents(), documents())
 def test_reparse_of_changed_sections_equals_the_full_parse(old, new):
     previous = parse_document(old[0]).unwrap()
