--- a/packages/cli/src/mangowell_cli/internal/checks.py
+++ b/packages/cli/src/mangowell_cli/internal/checks.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from mangowell_cli.internal.errors import ExitCode
-from mangowell_cli.internal.files import PARSERS, guess_kind, read_text
+from mangowell_cli.internal.files import PARSERS, detect_kind, read_text
 from mangowell_cli.internal.output import clean, print_json
 from mangowell_core.document import SchemaError
 
@@ -21,7 +21,7 @@
     """
     match read_text(path):
         case Ok(text):
-            kind = guess_kind(text)
+            kind = detect_kind(text)
             return kind, PARSERS[kind](text, path)
         case Err(errors):
             return "", Err(errors)
--- a/packages/cli/src/mangowell_cli/internal/files.py
+++ b/packages/cli/src/mangowell_cli/internal/files.py
@@ -35,7 +35,7 @@
         return Err([SchemaError(path, line, "", "", "", "text is not valid UTF-8")])
 
 
-def guess_kind(text: str) -> str:
+def detect_kind(text: str) -> str:
     """Return which of `PARSERS` a text is meant for."""
     if text.startswith("# revision "):
         return "instances"
@@ -79,7 +79,7 @@
             file.write(text.encode())
         part.replace(target)
     except FileExistsError as exc:
-        raise CommandError(f"{part}: is in the way") from exc
+        raise CommandError(f"{part}: exists already") from exc
     except OSError as exc:
         part.unlink(missing_ok=True)
         raise CommandError(f"{path}: cannot be written: {exc.strerror}") from exc
--- a/packages/cli/src/mangowell_cli/internal/fleet.py
+++ b/packages/cli/src/mangowell_cli/internal/fleet.py
@@ -118,7 +118,7 @@
     return targets
 
 
-def judge(
+def classify_node(
     node: NodeAddress, answer: Result[NodeStatus, str], targets: dict[str, Target]
 ) -> NodeReport:
     """Decide the state of one node."""
@@ -173,7 +173,9 @@
     if document is not None:
         target = Target(document.version, document.digest)
         targets[document.environment] = target
-    reports = [judge(n, a, targets) for n, a in zip(nodes, answers, strict=True)]
+    reports = [
+        classify_node(n, a, targets) for n, a in zip(nodes, answers, strict=True)
+    ]
     return reports, targets
 
 
--- a/packages/cli/src/mangowell_cli/internal/output.py
+++ b/packages/cli/src/mangowell_cli/internal/output.py
@@ -12,7 +12,7 @@
 def clean(text: object) -> str:
     """Escape control characters.
 
-    Files and answers of nodes must not be able to steer the terminal.
+    Files and answers of nodes must not send escape sequences to the terminal.
     """
     return "".join(
         char if char.isprintable() else char.encode("unicode_escape").decode()
--- a/packages/cli/src/mangowell_cli/internal/promotion.py
+++ b/packages/cli/src/mangowell_cli/internal/promotion.py
@@ -17,7 +17,7 @@
 from mangowell_core.model import Document
 
 
-def find_objection(trial: Document, answer: Result[NodeStatus, str]) -> str:
+def find_mismatch(trial: Document, answer: Result[NodeStatus, str]) -> str:
     """Return why a node does not confirm a trial document; empty if it does."""
     match answer:
         case Err(reason):
@@ -102,17 +102,17 @@
     if output and os.path.realpath(output) == os.path.realpath(trial_path):
         raise CommandError("--output would overwrite the trial document")
     answers = ask_status(nodes, limits)
-    objections = [find_objection(trial, answer) for answer in answers]
-    refused = any(objections)
+    mismatches = [find_mismatch(trial, answer) for answer in answers]
+    refused = any(mismatches)
     if not refused and output:
         write_text(output, made.text)
     diff = diff_documents(current, made)
     if as_json:
-        _print_report(trial, made, nodes, objections, diff, output)
+        _print_report(trial, made, nodes, mismatches, diff, output)
     else:
-        for node, objection in zip(nodes, objections, strict=True):
-            if objection:
-                print(clean(f"{node.address}: {objection}"), file=sys.stderr)
+        for node, mismatch in zip(nodes, mismatches, strict=True):
+            if mismatch:
+                print(clean(f"{node.address}: {mismatch}"), file=sys.stderr)
         if refused:
             print("refused: not every trial node runs this document", file=sys.stderr)
         else:
@@ -124,8 +124,8 @@
     return ExitCode.FINDING if refused else ExitCode.SUCCESS
 
 
-def _print_report(trial, made, nodes, objections, diff, output) -> None:
-    promoted = not any(objections)
+def _print_report(trial, made, nodes, mismatches, diff, output) -> None:
+    promoted = not any(mismatches)
     report: dict[str, Any] = {
         "promoted": promoted,
         "trial": {
@@ -134,8 +134,8 @@
             "digest": trial.digest,
         },
         "nodes": [
-            {"node": node.address, "confirmed": not objection, "reason": objection}
-            for node, objection in zip(nodes, objections, strict=True)
+            {"node": node.address, "confirmed": not mismatch, "reason": mismatch}
+            for node, mismatch in zip(nodes, mismatches, strict=True)
         ],
         **describe_diff(diff),
     }
