Show a refused newer version in mangowell status

Refused instance lists stood among the refused documents. Change: the highest version that a node runs or refuses is the target; the refused list of /status names documents only. Conclusion: an operator sees that the published version is not in force, and why.

--- a/packages/cli/src/mangowell_cli/internal/fleet.py
+++ b/packages/cli/src/mangowell_cli/internal/fleet.py
@@ -102,17 +102,23 @@
 
 
 def find_targets(statuses: Iterable[NodeStatus]) -> dict[str, Target]:
-    """Return the highest version of each environment.
+    """Return the highest version that nodes of each environment run or refuse.
 
     If nodes run two digests of it, the one that more nodes run is the target.
+    A refused version counts, so that a fleet that keeps its last good version
+    does not look current to operators who have published a newer one.
     """
     held: dict[str, Counter[tuple[int, str]]] = {}
     for status in statuses:
+        counts = held.setdefault(status.environment, Counter())
         if status.version and status.digest:
-            counts = held.setdefault(status.environment, Counter())
             counts[status.version, status.digest] += 1
+        for entry in status.refused:
+            counts.setdefault((entry.version, entry.digest), 0)
     targets = {}
     for environment, counts in held.items():
+        if not counts:
+            continue
         version, digest = max(counts, key=lambda item: (item[0], counts[item], item[1]))
         targets[environment] = Target(version, digest)
     return targets
--- a/packages/core/src/mangowell_core/distribution/core.py
+++ b/packages/core/src/mangowell_core/distribution/core.py
@@ -196,7 +196,8 @@
             "delay_ms": max(0, round((board.snapshot_at - read_at) * 1000)),
             "refused": [
                 {"version": r.version, "digest": r.digest, "reason": r.reason}
-                for r in board.refused.values()
+                for (key, _, _), r in board.refused.items()
+                if key == self._context.document_key
             ],
             "instances_revision": self.board.membership.revision,
             "reader": self.board.membership.is_reader,
--- a/tests/cli/test_nodes.py
+++ b/tests/cli/test_nodes.py
@@ -140,6 +140,15 @@
     assert "2023-11-14 22:13:20Z" in out
 
 
+def test_status_shows_a_version_that_every_node_refuses(run, serve, make_status):
+    """A fleet on its last good version must not look current."""
+    refused = [{"version": DOC.version + 1, "digest": "f" * 64, "reason": "no class"}]
+    node = serve(make_status(DOC, refused=refused)).address
+    code, nodes = show_status(run, "--nodes", node)
+    assert code == 1
+    assert nodes[node] == ("refused", "no class")
+
+
 def test_status_against_a_document(run, serve, make_status, tmp_path):
     node = serve(make_status(DOC)).address
     newer = tmp_path / "newer.ini"
