--- a/packages/core/src/mangowell_core/distribution/corroboration.py
+++ b/packages/core/src/mangowell_core/distribution/corroboration.py
@@ -29,6 +29,9 @@
 # Time given to the second reader to confirm or contradict. Its check of the
 # source takes 0.2 s plus a round trip and the way down the tree.
 LONE_CLAIM_GRACE_S = 0.5
+# Readers do not check what only other nodes hold, but their watches end within
+# 10 s, and the confirmation needs up to a second to arrive.
+HOLDER_GRACE_S = 11.0
 # The time on the way is not part of an age, so a confirmation seems later than it
 # was. A reader that checks a claim does so at least 0.2 s after it.
 SKEW_S = 0.1
@@ -67,6 +70,22 @@
     )
 
 
+class Holders:
+    """Peers that hold a version no reader may claim any more.
+
+    `first_at` and `since` are fixed by the first peer, so that a faulty one
+    cannot renew its claim.
+    """
+
+    __slots__ = ("first_at", "heard_at", "peers", "since")
+
+    def __init__(self, first_at: float, now: float):
+        self.first_at = first_at
+        self.since = now
+        self.heard_at = now
+        self.peers: dict[Peer, float] = {}
+
+
 class Corroboration:
     """Controller that records evidence and judges versions by it."""
 
@@ -74,7 +93,7 @@
 
     def __init__(self, ctx: Context):
         self._ctx = ctx
-        self._holders: dict[KeyVersion, dict[Peer, float]] = {}
+        self._holders: dict[KeyVersion, Holders] = {}
         self._reported: dict[KeyVersion, None] = {}
         self._next_prune = 0.0
 
@@ -153,15 +172,28 @@
         oldest = min(claims, key=lambda name: (name in view, claims[name].heard_at))
         del claims[oldest]
 
-    def record_holder(self, held: KeyVersion, peer: Peer, now: float) -> None:
-        """Record that a peer holds a version, which alone is weak evidence."""
+    def record_holder(
+        self, held: KeyVersion, peer: Peer, first_at: float, now: float
+    ) -> None:
+        """Record that a peer holds a version, which alone is weak evidence.
+
+        Parameters
+        ----------
+        held : KeyVersion
+        peer : Peer
+        first_at : float
+            When a reader first got the version, by the peer's account.
+        now : float
+        """
         running = self._ctx.board.configuration.held.get(held.key)
         if running is not None and held.version <= running.version:
             return
         if held not in self._holders and len(self._holders) >= MAX_HOLDERS:
-            oldest = min(self._holders, key=lambda k: max(self._holders[k].values()))
+            oldest = min(self._holders, key=lambda k: self._holders[k].heard_at)
             del self._holders[oldest]
-        peers = self._holders.setdefault(held, {})
+        holders = self._holders.setdefault(held, Holders(first_at, now))
+        holders.heard_at = now
+        peers = holders.peers
         self._report_seen(held, describe_peer(peer))
         peers[peer] = now
         if len(peers) > SIGHTINGS_KEPT:
@@ -185,7 +217,8 @@
 
     def find_holders(self, held: KeyVersion) -> list[Peer]:
         """Return peers that hold a version, those heard last first."""
-        peers = self._holders.get(held, {})
+        holders = self._holders.get(held)
+        peers = {} if holders is None else holders.peers
         found = sorted(peers, key=peers.__getitem__, reverse=True)
         known = {peer.instance for peer in found}
         for name, claim in self._ctx.board.configuration.claims.items():
@@ -210,9 +243,14 @@
         lowest = 0 if running is None else running.version
         known = self._claimed(key)
         known.update(held for held in self._holders if held.key == key)
-        for held in sorted(known, key=lambda k: (k.version, k.digest), reverse=True):
-            if held.version <= lowest:
-                return None
+        # One version can have two digests; the one that more nodes hold is easier
+        # to get.
+        order = {
+            held: (held.version, len(self.find_holders(held)), held.digest)
+            for held in known
+            if held.version > lowest
+        }
+        for held in sorted(order, key=order.__getitem__, reverse=True):
             if (key, held.version, held.digest) in board.refused:
                 continue
             if self.judge(held, now) is not Verdict.HOLD:
@@ -228,15 +266,15 @@
         supporters = self._find_supporters(held)
         if len(supporters) >= 2 and len({c.via for c, _ in supporters}) >= 2:
             return Verdict.ACCEPT
-        first_at = min((s.first_at for _, s in supporters), default=-NEVER)
+        first_at, grace_until = self._find_start(held, supporters)
         names = {claim.heartbeat.reader for claim, _ in supporters}
-        verdict = Verdict.ACCEPT
         if (
             own is not None
             and own.version < held.version
             and own.confirmed_at > first_at + SKEW_S
         ):
             return Verdict.HOLD
+        verdict = Verdict.ACCEPT
         for claim in board.claims.values():
             if claim.heartbeat.source != "up" or claim.heartbeat.reader in names:
                 continue
@@ -245,10 +283,22 @@
                 continue
             if sightings[0].confirmed_at > first_at + SKEW_S:
                 return Verdict.HOLD
-            if self._delays(claim, first_at, now):
-                verdict = Verdict.WAIT
+            if now < grace_until and self._is_present(claim, now):
+                verdict = Verdict.WAIT if supporters else Verdict.HOLD
         return verdict
 
+    def _find_start(
+        self, held: KeyVersion, supporters: list[tuple[Claim, Sighting]]
+    ) -> tuple[float, float]:
+        """Return when a version was first read, and how long others may object."""
+        if supporters:
+            first_at = min(sighting.first_at for _, sighting in supporters)
+            return first_at, first_at + LONE_CLAIM_GRACE_S
+        holders = self._holders.get(held)
+        if holders is None:
+            return -NEVER, NEVER
+        return holders.first_at, holders.since + HOLDER_GRACE_S
+
     def _find_supporters(self, held: KeyVersion) -> list[tuple[Claim, Sighting]]:
         return [
             (claim, sighting)
@@ -259,14 +309,13 @@
 
     def find_first_read(self, held: KeyVersion) -> float:
         """Return when a reader first got a version, or infinity if unknown."""
-        supporters = self._find_supporters(held)
-        return min((sighting.first_at for _, sighting in supporters), default=NEVER)
+        return self._find_start(held, self._find_supporters(held))[0]
 
-    def _delays(self, claim: Claim, first_at: float, now: float) -> bool:
+    def _is_present(self, claim: Claim, now: float) -> bool:
+        """Return whether a reader of this domain is expected to react."""
         return (
             claim.heartbeat.failure_domain == self._ctx.settings.failure_domain
             and now - claim.heard_at < READER_FRESH_S
-            and now - first_at < LONE_CLAIM_GRACE_S
         )
 
     def find_source_state(self, now: float) -> str:
@@ -313,7 +362,8 @@
         for claim in claims.values():
             self._update_lag(claim, now)
         running = self._ctx.board.configuration.held
-        for held, peers in list(self._holders.items()):
+        for held, holders in list(self._holders.items()):
+            peers = holders.peers
             text = running.get(held.key)
             for peer in [p for p, at in peers.items() if now - at > HOLDER_TTL_S]:
                 del peers[peer]
--- a/packages/core/src/mangowell_core/distribution/gate.py
+++ b/packages/core/src/mangowell_core/distribution/gate.py
@@ -88,7 +88,9 @@
             How it compared with the running version before it was considered.
         """
         relation = self.relate(held)
-        read_at = min(now, self._corroboration.find_first_read(held))
+        read_at = self._corroboration.find_first_read(held)
+        if not -NEVER < read_at <= now:
+            read_at = now
         text = Text(
             held.key, held.version, held.digest, body, None, learned_from, read_at
         )
--- a/packages/core/src/mangowell_core/distribution/readers.py
+++ b/packages/core/src/mangowell_core/distribution/readers.py
@@ -297,8 +297,8 @@
         known = board.given.get(read.key)
         board.given[read.key] = Sighting(held.version, held.digest, now, now)
         relation = self._gate.offer(held, body, "source", now)
-        if relation in (Relation.REFUSED, Relation.LOWER):
-            # An invalid or older value is no evidence for or against others.
+        if relation in (Relation.REFUSED, Relation.LOWER, Relation.CONFLICT):
+            # Others cannot run such a value, so it is not evidence for them.
             if known is None:
                 del board.given[read.key]
             else:
--- a/packages/core/src/mangowell_core/distribution/spread.py
+++ b/packages/core/src/mangowell_core/distribution/spread.py
@@ -94,6 +94,10 @@
         texts = self._ctx.board.configuration.held.values()
         return [text.to_key_version() for text in texts]
 
+    def _ages(self, now: float) -> list[int]:
+        texts = self._ctx.board.configuration.held.values()
+        return [max(0, round((now - text.read_at) * 1000)) for text in texts]
+
     # Trees
 
     def _find_children(self, root: str, name: str, now: float) -> list[str]:
@@ -157,7 +161,7 @@
             ):
                 message = Announce(message.root, message.held, message.heartbeat)
             self._forward(message, self._ctx.instance, now)
-        self._corroboration.record_holder(message.held, sender, now)
+        self._corroboration.record_holder(message.held, sender, now, now)
         if body is not None:
             self._gate.offer(message.held, body, sender.instance, now)
 
@@ -268,7 +272,8 @@
 
     def query(self, peer: Peer, now: float) -> None:
         """Ask a peer what it holds, and tell it the same."""
-        self._ctx.send(peer, DigestQuery(self.held(), self._heartbeats(now)))
+        heartbeats = self._heartbeats(now)
+        self._ctx.send(peer, DigestQuery(self.held(), heartbeats, self._ages(now)))
 
     def _heartbeats(self, now: float) -> list[Heartbeat]:
         found = self._corroboration.find_heartbeats(EXCHANGED_HEARTBEATS, now)
@@ -282,8 +287,11 @@
                 NodeState.RUNNING,
                 NodeState.STOPPING,
             )
-            reply = DigestReply(self.held(), self._heartbeats(now), running)
-            self._ctx.send(sender, reply)
+            heartbeats = self._heartbeats(now)
+            self._ctx.send(
+                sender,
+                DigestReply(self.held(), heartbeats, running, self._ages(now)),
+            )
 
     def on_reply(self, sender: Peer, message: DigestReply, now: float) -> bool:
         """Take a peer's digest; return whether its content is valid."""
@@ -297,6 +305,10 @@
             problem = "too many keys in a digest"
         elif len(message.heartbeats) > MAX_HEARTBEATS:
             problem = "too many heartbeats in a digest"
+        elif len(message.ages_ms) != len(message.held):
+            problem = "ages do not match the keys of a digest"
+        elif min(message.ages_ms, default=0) < 0:
+            problem = "negative age"
         for held in message.held:
             problem = problem or check_key_version(held, self._ctx.keys)
         if problem:
@@ -304,8 +316,9 @@
             return False
         for heartbeat in message.heartbeats:
             self._corroboration.record(heartbeat, sender, now)
-        for held in message.held:
-            self._corroboration.record_holder(held, sender, now)
+        for held, age_ms in zip(message.held, message.ages_ms, strict=True):
+            first_at = now - age_ms / 1000
+            self._corroboration.record_holder(held, sender, first_at, now)
         return True
 
     def _exchange(self, now: float) -> None:
--- a/packages/core/src/mangowell_core/messages.py
+++ b/packages/core/src/mangowell_core/messages.py
@@ -86,21 +86,28 @@
 
 
 class DigestQuery(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
-    """What the sender holds; the receiver answers with `DigestReply`."""
+    """What the sender holds; the receiver answers with `DigestReply`.
+
+    `ages_ms` gives, for each entry of `held`, the time since a reader first got
+    it from the source, as far as the sender knows.
+    """
 
     held: list[KeyVersion]
     heartbeats: list[Heartbeat]
+    ages_ms: list[int] = []
 
 
 class DigestReply(msgspec.Struct, frozen=True, array_like=True, tag="digest-reply"):
     """What the receiver of a `DigestQuery` holds.
 
-    `running` tells whether the sender has completed its join.
+    `running` tells whether the sender has completed its join; `ages_ms` is as in
+    `DigestQuery`.
     """
 
     held: list[KeyVersion]
     heartbeats: list[Heartbeat]
     running: bool
+    ages_ms: list[int] = []
 
 
 class Fetch(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
