--- a/tests/core/test_distribution_random.py
+++ b/tests/core/test_distribution_random.py
@@ -132,7 +132,6 @@
             shown = self.version
         return max([*running, shown if shown in self.valid else 0])
 
-
     def is_settled(self, lowest: int) -> bool:
         """Return whether all nodes run the same valid version.
 
@@ -160,7 +159,9 @@
     except AssertionError as exc:
         pytest.fail(f"seed {seed}: {exc}\n{fleet.explain()}")
     if took > CONVERGENCE_BOUND_S:
-        pytest.fail(f"seed {seed}: not settled at {version} or above\n{fleet.explain()}")
+        pytest.fail(
+            f"seed {seed}: not settled at {version} or above\n{fleet.explain()}"
+        )
 
 
 @pytest.mark.parametrize("seed", range(60))
--- /dev/null
+++ b/tests/core/test_gate.py
@@ -0,0 +1,69 @@
+"""Guards I1 and I3: the acceptance rules, by one node and the source."""
+
+import pytest
+from tests.core.fleet import DOCUMENT, make_document
+
+from mangowell_core.events import EventCode
+from mangowell_core.messages import KeyVersion
+
+
+def find_node(fleet):
+    return next(iter(fleet.nodes.values()))
+
+
+def read_versions(fleet):
+    status = find_node(fleet).core.status(fleet.now)
+    return status["version"], [entry["version"] for entry in status["refused"]]
+
+
+@pytest.mark.parametrize(
+    ("bodies", "version", "refused", "code"),
+    [
+        ([make_document(5), make_document(4)], 5, [], "VERSION_STALE"),
+        ([make_document(5), make_document(5, "x")], 5, [], "VERSION_CONFLICT"),
+        ([make_document(5), make_document(6) + b"x"], 5, [6], "VERSION_REFUSED"),
+        ([make_document(5), b"\xff"], 5, [0], "VERSION_REFUSED"),
+        ([make_document(5), bytes(1_000_001)], 5, [], "SOURCE_DOWN"),
+        ([make_document(5).replace(b"test", b"other")], 1, [5], "VERSION_REFUSED"),
+        ([make_document(5) + b"x", make_document(6)], 6, [5], "VERSION_APPLIED"),
+        ([make_document(5), make_document(5)], 5, [], "VERSION_APPLIED"),
+    ],
+    ids=["lower", "conflict", "invalid", "binary", "oversized", "environment",
+         "after-invalid", "same"],
+)  # fmt: skip
+def test_acceptance_rules(single, bodies, version, refused, code):
+    for body in bodies:
+        single.publish(body)
+        single.run(12)
+    assert read_versions(single) == (version, refused)
+    assert code in single.codes()
+
+
+def test_refused_version_is_reported_once(single):
+    """A flapping source must not fill the log at night."""
+    for _ in range(5):
+        single.publish(make_document(5) + b"x")
+        single.run(3)
+        single.publish(make_document(1))
+        single.run(3)
+    codes = [event.code for _, _, event in single.events]
+    assert codes.count(EventCode.VERSION_REFUSED) == 1
+
+
+def test_refused_versions_are_bounded(single):
+    for version in range(2, 100):
+        single.publish(make_document(version) + b"x")
+        single.run(1.3)
+    assert len(find_node(single).core.board.configuration.refused) == 64
+
+
+def test_version_that_differs_from_the_announced_one_is_refused(single):
+    """A peer must not move the version order with a valid text."""
+    node = find_node(single)
+    body = make_document(9)
+    held = KeyVersion(DOCUMENT, 10, "0" * 64)
+    node.core._gate.offer(held, body, "peer", single.now)
+    assert read_versions(single) == (1, [10])
+    single.publish(body)
+    single.run(1)
+    assert read_versions(single)[0] == 9
