--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -30,7 +30,7 @@
 )
 from mangowell_core.settings import NodeSettings
 from mangowell_node.backend import BackendPool, HealthPoller
-from mangowell_node.egress import KEYS_TARGET, Egress, SendControl
+from mangowell_node.egress import KEYS_TARGET, Egress, SendControl, drop_answer
 from mangowell_node.exchange import (
     REQUEST_DROPPED,
     Answer,
@@ -175,7 +175,7 @@
         self._poller = HealthPoller(self._pool, self._take_health)
         key = derive_link_key(settings.security.curve_secret)
         self._links = LinkPool(settings.instance, key, self._reach, emit)
-        self._link_server = LinkServer(key, self._egress.run, self._egress.load, emit)
+        self._link_server = LinkServer(key, self._egress.run, self._policy.load, emit)
         self._ingress = IngressServer(self.serve)
         await self._link_server.start(settings.host, settings.link_port)
         await self._ingress.start(settings.host, settings.call_port)
@@ -198,12 +198,13 @@
             self._start_drain(now)
             linger_end = min(deadline, now + DRAIN_LINGER_S)
             while monotonic() < deadline:
-                idle = not (self._active or self._egress.running)
+                idle = not (self._active or self._policy.in_flight())
                 if idle and monotonic() >= linger_end:
                     break
                 await asyncio.sleep(0.01)
             await self._link_server.stop(deadline)
-        self._housekeeper.cancel()
+        if self._housekeeper is not None:
+            self._housekeeper.cancel()
         await self._poller.stop()
         await self._ingress.stop(max(0.0, deadline - monotonic()))
         if not graceful:
@@ -253,7 +254,6 @@
         service = self._snapshot.document.services.get(name)
         if service is not None:
             self._pool.limit = service.connections
-            self._egress.slots = service.slots
         self._egress.members = self._snapshot.instances.get(name, ())
 
     def handle_control(self, sender: Peer, message: Message) -> None:
@@ -308,7 +308,6 @@
                 self._telemetry.emit(Event(EventCode.BACKEND_UP, fields))
             elif before == "ok":
                 self._telemetry.emit(Event(EventCode.BACKEND_DOWN, fields))
-        egress.reported_load = load
         self._policy.backend_seen(instance, status == "ok", load, now)
 
     # Calls
@@ -406,8 +405,12 @@
                 refusal = choice if error is None else error.refusal
                 return self._refuse(head.request, plan, refusal, started, attempts)
             attempts += 1
+            hedge_at = policy.hedge_deadline(plan, now) if body is None else None
             try:
-                answer = await self._attempt(plan, choice, head, body)
+                if hedge_at is None:
+                    answer = await self._attempt(plan, choice, head, body)
+                else:
+                    answer = await self._hedge(plan, choice, head, excluded, hedge_at)
             except AttemptError as exc:
                 error = exc
                 refusal = exc.refusal
@@ -426,7 +429,9 @@
             allowed = plan.route.idempotent or result.outcome is Outcome.NOT_RUN
             if body is not None and body.started:
                 allowed = False
-            if not (allowed and policy.may_retry(plan, result, attempts, monotonic())):
+            now = monotonic()
+            allowed = allowed and policy.suspect(plan, now) is None
+            if not (allowed and policy.may_retry(plan, result, attempts, now)):
                 if error is None:
                     return self._answer(plan, answer, started, attempts)
                 return self._refuse(
@@ -487,6 +492,48 @@
             answer.stream = _ReportedBody(answer.stream, end)
         return answer
 
+    async def _hedge(
+        self,
+        plan: Plan,
+        choice: Choice,
+        head: RequestHead,
+        excluded: set[str],
+        hedge_at: float,
+    ) -> Answer:
+        """Make an attempt, and a second one if the first is slow.
+
+        The first answer that is no server error wins; the other attempt is
+        cancelled.
+        """
+        tasks = [asyncio.create_task(self._attempt(plan, choice, head, None))]
+        winner: asyncio.Task | None = None
+        try:
+            await asyncio.wait(tasks, timeout=max(0, hedge_at - monotonic()))
+            now = monotonic()
+            if not tasks[0].done() and self._policy.may_hedge(plan, now):
+                tried = excluded | {choice.instance.name}
+                second = self._policy.pick(plan, tried, now)
+                if type(second) is Choice:
+                    excluded.add(second.instance.name)
+                    attempt = self._attempt(plan, second, head, None)
+                    tasks.append(asyncio.create_task(attempt))
+            pending = set(tasks)
+            while winner is None and pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    if task.exception() is None and task.result().head.status < 500:
+                        winner = task
+            # Without a good answer, the first attempt's end counts.
+            winner = winner or tasks[0]
+            return winner.result()
+        finally:
+            for task in tasks:
+                if task is not winner:
+                    task.cancel()
+                    task.add_done_callback(drop_answer)
+
     async def _serve_internal(
         self, call: IncomingCall, request: str, path: str, query: str, now: float
     ) -> Reply:
@@ -527,7 +574,7 @@
         head = answer.head
         failed = head.status >= 500
         headers = (_HEADER_FAILED if failed else _HEADER_DONE) + head.headers
-        if failed and attempts > 1 and not head.retried:
+        if failed and not head.retried and self._policy.is_retried(plan, attempts):
             headers += _HEADER_RETRIED
         self._telemetry.observe_call(
             plan.tenant,
@@ -564,7 +611,7 @@
             alternate = self._find_alternate()
             if alternate:
                 lines.append(f"Mangowell-Alternate: {alternate}\r\n")
-        if attempts > 1:
+        if attempts and self._policy.is_retried(plan, attempts):
             lines.append("Mangowell-Retried: 1\r\n")
         lines.append("Content-Type: application/json\r\n")
         body = json.dumps({"outcome": outcome.value, **fields}) + "\n"
