Check for a pause before each call

Cause: after a pause the event loop may hand over calls before it runs the timer that notices the pause, so a call could meet an old document or ledger. Change: ingress and egress ask the driver first; a paused node refuses with not-run.

--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -4,7 +4,7 @@
 import json
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from time import monotonic
 from urllib.parse import parse_qs
 
@@ -19,7 +19,7 @@
 )
 from mangowell_core.model import Instance, InstanceState, Snapshot
 from mangowell_core.policy import RequestPolicy, make_fingerprint, with_fingerprint
-from mangowell_core.policy.outcome import refuse
+from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import (
     AttemptResult,
     Cause,
@@ -121,6 +121,7 @@
         self._alternates: tuple[Instance, ...] = ()
         self._snapshot: Snapshot | None = None
         self._paused = ""
+        self._check_pause: Callable[[], None] = _skip
         self._draining = False
         self._active = 0
         self._count = 0
@@ -175,7 +176,7 @@
         self._poller = HealthPoller(self._pool, self._take_health)
         key = derive_link_key(settings.security.curve_secret)
         self._links = LinkPool(settings.instance, key, self._reach, emit)
-        self._link_server = LinkServer(key, self._egress.run, self._policy.load, emit)
+        self._link_server = LinkServer(key, self._run_remote, self._policy.load, emit)
         self._ingress = IngressServer(self.serve)
         await self._link_server.start(settings.host, settings.link_port)
         await self._ingress.start(settings.host, settings.call_port)
@@ -281,6 +282,23 @@
         """Accept calls again."""
         self._paused = ""
 
+    def set_pause_check(self, check: Callable[[], None]) -> None:
+        """Set what is called before each call, to notice a pause of the process.
+
+        After a pause the event loop may take calls before it runs the timer
+        that would notice, so `check` may call `pause_calls` at once.
+        """
+        self._check_pause = check
+
+    def _run_remote(
+        self, head: RequestHead, body: Body | None, deadline: float
+    ) -> Awaitable[Answer]:
+        """Run a request that another node sent."""
+        self._check_pause()
+        if self._paused:
+            raise AttemptError.at(Cause.NOT_READY, Stage.UNSENT, self._paused)
+        return self._egress.run(head, body, deadline)
+
     # Housekeeping
 
     async def _keep_house(self) -> None:
@@ -327,6 +345,7 @@
         if self._draining:
             refusal = refuse(Cause.LEAVING, "node is stopping")
             return self._refuse(request, None, refusal, now)
+        self._check_pause()
         if self._paused:
             refusal = refuse(Cause.NOT_READY, self._paused)
             return self._refuse(request, None, refusal, now)
@@ -641,6 +660,10 @@
         return f"{instance.host}:{instance.call_port}"
 
 
+def _skip() -> None:
+    """Check nothing."""
+
+
 def _make_result(answer: Answer, latency_s: float = 0.0) -> AttemptResult:
     head = answer.head
     if head.status >= 500:
--- a/packages/node/src/mangowell_node/driver.py
+++ b/packages/node/src/mangowell_node/driver.py
@@ -86,6 +86,8 @@
         Called before anything that relies on current beliefs, because after
         a pause the event loop may run other callbacks before the timer.
         """
+        if self._loop is None:
+            return
         now = self._loop.time()
         paused_s = now - self._beat_at
         self._beat_at = now
--- a/packages/node/src/mangowell_node/node.py
+++ b/packages/node/src/mangowell_node/node.py
@@ -68,6 +68,7 @@
         self._calls = CallPath.from_settings(
             settings, self._policy, telemetry, reach, self._send_control
         )
+        self._calls.set_pause_check(self._driver.check_pause)
         self._admin = AdminServer(
             settings.host, settings.admin_port, telemetry, self.status
         )
--- /dev/null
+++ b/tests/node/test_driver.py
@@ -0,0 +1,40 @@
+"""Guards against a process that pauses and acts on old beliefs when it wakes."""
+
+from mangowell_core.distribution import io
+from mangowell_node.driver import PAUSE_S, DistributionDriver
+
+
+class RecordingCore:
+    """Core that stops serving when told of a pause."""
+
+    def __init__(self):
+        self.events = []
+
+    def handle(self, event, now):
+        self.events.append(event)
+        return []
+
+    def next_deadline(self):
+        return float("inf")
+
+    def serving(self):
+        return not any(isinstance(event, io.Resumed) for event in self.events)
+
+
+async def test_first_call_after_a_pause_finds_the_node_not_serving():
+    """A call that arrives before any timer must not meet old beliefs."""
+    core, serving = RecordingCore(), []
+    driver = DistributionDriver(core, None, None, None, None, serving.append)
+    driver.start()
+    driver.check_pause()
+    assert serving == [True]
+    # As if the process had been stopped for that long.
+    driver._beat_at -= PAUSE_S + 1
+    driver.check_pause()
+    assert serving == [True, False]
+    resumed = core.events[-1]
+    assert isinstance(resumed, io.Resumed) and resumed.paused_s > PAUSE_S
+    driver.stop()
+    driver.check_pause()
+    driver.feed(io.Tick())
+    assert core.events[-1] is resumed
