--- a/packages/core/src/mangowell_core/policy/idempotency.py
+++ b/packages/core/src/mangowell_core/policy/idempotency.py
@@ -13,6 +13,7 @@
     LIST_LAG_S,
     PINNED_PREFIX,
     RETENTION_S,
+    START_HOLD_S,
     Ownership,
     split_pinned,
 )
@@ -78,7 +79,15 @@
 
 
 class _Entry:
-    __slots__ = ("answer", "fingerprint", "size", "state", "until", "waiting")
+    __slots__ = (
+        "answer",
+        "ceded_to",
+        "fingerprint",
+        "size",
+        "state",
+        "until",
+        "waiting",
+    )
 
     def __init__(self):
         self.state = KeyState.ABSENT
@@ -87,6 +96,7 @@
         self.answer: StoredAnswer | None = None
         self.size = 0
         self.waiting: set[str] = set()
+        self.ceded_to = ""  # who got the promise
 
 
 class KeyLedger:
@@ -240,13 +250,11 @@
                 f"the key belongs to {owner.name if owner else 'no instance'}",
                 retry_after_s=1.0,
             )
-        wait_s = self._board.started_at + RETENTION_S - now
+        wait_s = self._board.started_at + START_HOLD_S - now
         if wait_s > 0.0:
-            # An earlier process of this name may have run the key, and one
-            # that left before this one started is in no view.
             return refuse(
                 Cause.KEY_UNKNOWN,
-                f"the owner started {RETENTION_S - wait_s:.0f} s ago; "
+                f"the owner started {START_HOLD_S - wait_s:.0f} s ago; "
                 "a key from /.mangowell/keys runs at once",
                 retry_after_s=wait_s,
             )
@@ -330,24 +338,32 @@
         if entry is not None:
             self._step(service, key, entry, "withdraw", now)
 
-    def promise(self, query: FenceQuery, now: float) -> FenceReply:
-        """Promise never to run a key, if it certainly has not run here."""
+    def promise(self, query: FenceQuery, sender: str, now: float) -> FenceReply:
+        """Promise never to run a key, if it certainly has not run here.
+
+        A promise is given to one instance only: after it, that one may have
+        run the key, so another one that asks is denied.
+        """
         self._expire(now)
         service, key = query.service, query.idempotency_key
-        return FenceReply(service, key, query.request, self._fence(service, key, now))
+        promised = self._cede(service, key, sender, now)
+        return FenceReply(service, key, query.request, promised)
 
-    def _fence(self, service: str, key: str, now: float) -> bool:
+    def _cede(self, service: str, key: str, sender: str, now: float) -> bool:
         if now - self._board.started_at < RETENTION_S:
             # An earlier process of this name may have run it.
             return False
         entry = self._entries.get((service, key))
         if entry is not None:
+            if entry.ceded_to != sender:
+                return False
             return self._step(service, key, entry, "fence", now)
         size = ENTRY_BYTES + len(key)
         if self._check_room(size, now, is_sure=True) is not None:
             return False
         entry = _Entry()
         entry.size = size
+        entry.ceded_to = sender
         self._bytes += size
         self._entries[service, key] = entry
         return self._step(service, key, entry, "fence", now)
--- a/packages/core/src/mangowell_core/policy/ownership.py
+++ b/packages/core/src/mangowell_core/policy/ownership.py
@@ -13,8 +13,12 @@
 VIEW_LAG_S = 3600.0  # longest partition: a node may run with a view this old
 LIST_LAG_S = 60.0  # between an instance's start or end and its showing in the list
 
+# A new process runs no plain key for this long. It cannot know who ran keys
+# before it started: its list lacks instances that have left, and one that a
+# partition hides may go on running keys for as long as the partition lasts.
+START_HOLD_S = RETENTION_S + VIEW_LAG_S
 # A new instance owns no key until the whole fleet lists it and it may run keys.
-ESTABLISH_S = RETENTION_S + 2 * LIST_LAG_S
+ESTABLISH_S = START_HOLD_S + 2 * LIST_LAG_S
 # Until this age an instance asks its rivals: a node with the oldest view may
 # have sent a key to the owner before it until `RETENTION_S` ago.
 SETTLE_S = ESTABLISH_S + VIEW_LAG_S + RETENTION_S
@@ -41,12 +45,12 @@
     def may_have_run(self, now: float) -> bool:
         """Tell whether it may have run a key within the retention time.
 
-        An instance runs no plain key in the first `RETENTION_S` after its
+        An instance runs no plain key in the first `START_HOLD_S` after its
         start, and none after it has left. One that vanished may run on,
         unseen, for as long as a partition lasts.
         """
         end = min(self.gone_at, now)
-        if not self.is_initial and end - self.since < RETENTION_S - LIST_LAG_S:
+        if not self.is_initial and end - self.since < START_HOLD_S - LIST_LAG_S:
             return False
         if self.gone_at > now:
             return True
@@ -93,7 +97,7 @@
         for item in members:
             names.add(item.name)
             old = seen.get(item.name)
-            if old is not None and now - old.gone_at < RETENTION_S:
+            if old is not None and self._continues(old, now):
                 old.instance = item
                 old.gone_at = float("inf")
             else:
@@ -107,6 +111,16 @@
                 sighting.was_leaving = name in self._board.leaving
             self._gone.add(service)
 
+    def _continues(self, old: _Sighting, now: float) -> bool:
+        """Tell whether a listed instance counts as never absent.
+
+        The own instance must not: while the list lacked it, others may have
+        run its keys, and it has to ask them again.
+        """
+        if old.gone_at > now:
+            return True
+        return old.instance.name != self._own and now - old.gone_at < RETENTION_S
+
     def _forget(self, service: str, now: float) -> None:
         seen = self._seen[service]
         old = [n for n, s in seen.items() if now - s.gone_at > SETTLE_S]
@@ -161,12 +175,12 @@
             or an empty string.
         """
         seen = self._seen.get(service, {})
-        settled = now - self._board.started_at >= SETTLE_S
-        if settled:
+        own = seen.get(self._own)
+        if own is not None and now - own.since >= SETTLE_S:
             # Who ranks lower can have owned the key only in a view without
             # the own instance, and no such view is left anywhere.
             ranked = rank_instances(key, tuple(seen))
-            names = ranked[: ranked.index(self._own)] if self._own in seen else ranked
+            names = ranked[: ranked.index(self._own)]
         else:
             names = [name for name in seen if name != self._own]
         rivals = []
--- a/packages/core/src/mangowell_core/policy/request.py
+++ b/packages/core/src/mangowell_core/policy/request.py
@@ -56,7 +56,7 @@
     quiet_s : float
         Seconds before the first `apply` for which it is certain that no
         earlier process of this service has run a plain key. 0 if that is not
-        known; then plain keys are refused for the retention time.
+        known; then plain keys are refused for `ownership.START_HOLD_S`.
     """
 
     __slots__ = (
@@ -413,9 +413,16 @@
         self._ledger.withdraw(service, key, now)
         self._checks.withdraw_run(service, key)
 
-    def fence(self, query: FenceQuery, now: float) -> FenceReply:
-        """Promise never to run a key, if it certainly has not run here."""
-        return self._ledger.promise(query, now)
+    def fence(self, query: FenceQuery, now: float, sender: str = "") -> FenceReply:
+        """Promise never to run a key, if it certainly has not run here.
+
+        Parameters
+        ----------
+        sender : str
+            Instance that asks. With it, a second instance that asks for the
+            same key is denied.
+        """
+        return self._ledger.promise(query, sender, now)
 
     def mint_key(self, now: float) -> str:
         """Issue a pinned key, which only this process will run."""
