Close three ways to a second run that random steps found

A run that waits longer than the retention time was forgotten while it could still start: it is now kept for 25 h, past the longest timeout of a route. An instance that a list flap had hidden looked new and was not asked. And an instance that is listed again now holds plain keys back as after a start.

--- a/packages/core/src/mangowell_core/policy/idempotency.py
+++ b/packages/core/src/mangowell_core/policy/idempotency.py
@@ -13,7 +13,6 @@
     LIST_LAG_S,
     PINNED_PREFIX,
     RETENTION_S,
-    START_HOLD_S,
     Ownership,
     split_pinned,
 )
@@ -33,6 +32,9 @@
 MAX_ANSWER_BYTES = 65_536  # a longer answer is not kept, only that it was given
 ENTRY_BYTES = 400  # entry, heap item and dictionary slot, without key and answer
 FENCE_WAIT_S = 2.0  # promises that come later count as missing
+# Routes allow timeouts of a day, and a deferrable request may wait as long. A
+# key forgotten before its request ends would run a second time.
+MAX_RUN_S = 90_000.0
 MAX_RIVALS = 32  # promises that one call may ask for
 
 
@@ -71,7 +73,7 @@
 # How long a state is kept. A promise outlives the run that it allowed.
 KEPT_S = {
     KeyState.ASKING: FENCE_WAIT_S,
-    KeyState.RUNNING: RETENTION_S,
+    KeyState.RUNNING: MAX_RUN_S,
     KeyState.DONE: RETENTION_S,
     KeyState.UNKNOWN: RETENTION_S,
     KeyState.FENCED: RETENTION_S + LIST_LAG_S,
@@ -250,11 +252,11 @@
                 f"the key belongs to {owner.name if owner else 'no instance'}",
                 retry_after_s=1.0,
             )
-        wait_s = self._board.started_at + START_HOLD_S - now
+        wait_s = self._ownership.find_hold_end(service) - now
         if wait_s > 0.0:
             return refuse(
                 Cause.KEY_UNKNOWN,
-                f"the owner started {START_HOLD_S - wait_s:.0f} s ago; "
+                "the owner started or was listed a short time ago; "
                 "a key from /.mangowell/keys runs at once",
                 retry_after_s=wait_s,
             )
--- a/packages/core/src/mangowell_core/policy/ownership.py
+++ b/packages/core/src/mangowell_core/policy/ownership.py
@@ -13,12 +13,13 @@
 VIEW_LAG_S = 3600.0  # longest partition: a node may run with a view this old
 LIST_LAG_S = 60.0  # between an instance's start or end and its showing in the list
 
-# A new process runs no plain key for this long. It cannot know who ran keys
-# before it started: its list lacks instances that have left, and one that a
-# partition hides may go on running keys for as long as the partition lasts.
-START_HOLD_S = RETENTION_S + VIEW_LAG_S
+# An instance runs no plain key for this long after its process started, or
+# after it was listed again. It cannot know who ran keys before: its list lacks
+# instances that have left, and one that a partition hides may go on running
+# keys for as long as the partition lasts.
+START_HOLD_S = RETENTION_S + VIEW_LAG_S + 2 * LIST_LAG_S
 # A new instance owns no key until the whole fleet lists it and it may run keys.
-ESTABLISH_S = START_HOLD_S + 2 * LIST_LAG_S
+ESTABLISH_S = START_HOLD_S + LIST_LAG_S
 # Until this age an instance asks its rivals: a node with the oldest view may
 # have sent a key to the owner before it until `RETENTION_S` ago.
 SETTLE_S = ESTABLISH_S + VIEW_LAG_S + RETENTION_S
@@ -30,27 +31,37 @@
     """One instance as this node's views have shown it.
 
     `since` is when it appeared, `gone_at` when it disappeared (infinite while
-    listed), `was_leaving` whether it disappeared in an orderly way.
+    listed), `was_leaving` whether it disappeared in an orderly way. `is_new`
+    says that it has certainly started only shortly before it appeared.
     """
 
-    __slots__ = ("gone_at", "instance", "is_initial", "since", "was_leaving")
+    __slots__ = (
+        "gone_at",
+        "instance",
+        "is_initial",
+        "is_new",
+        "since",
+        "was_leaving",
+    )
 
     def __init__(self, instance: Instance, since: float, is_initial: bool):
         self.instance = instance
         self.since = since
         self.is_initial = is_initial
+        self.is_new = False
         self.gone_at = float("inf")
         self.was_leaving = False
 
     def may_have_run(self, now: float) -> bool:
         """Tell whether it may have run a key within the retention time.
 
-        An instance runs no plain key in the first `START_HOLD_S` after its
-        start, and none after it has left. One that vanished may run on,
-        unseen, for as long as a partition lasts.
+        A new one runs no plain key in its first `START_HOLD_S`. It is passed
+        over while it can give no promise; by then this view may show it as
+        `VIEW_LAG_S` younger than it is. One that has left runs none; one that
+        vanished may run on, unseen, for as long as a partition lasts.
         """
         end = min(self.gone_at, now)
-        if not self.is_initial and end - self.since < START_HOLD_S - LIST_LAG_S:
+        if self.is_new and end - self.since < RETENTION_S + LIST_LAG_S:
             return False
         if self.gone_at > now:
             return True
@@ -103,6 +114,12 @@
             else:
                 since = self._board.started_at if is_first else now
                 seen[item.name] = _Sighting(item, since, is_first)
+                # An old process that a list flap had hidden also appears. But
+                # unlisted for this long, it had learned of that and stopped.
+                watched_s = now - self._board.started_at
+                seen[item.name].is_new = (
+                    old is None and not is_first and watched_s >= START_HOLD_S
+                )
         for name, sighting in seen.items():
             if name in names:
                 continue
@@ -151,6 +168,11 @@
     def _is_old(self, sighting: _Sighting, now: float) -> bool:
         return now - sighting.since >= ESTABLISH_S
 
+    def find_hold_end(self, service: str) -> float:
+        """Return the time from which the own instance may run plain keys."""
+        own = self._seen.get(service, {}).get(self._own)
+        return own.since + START_HOLD_S if own is not None else float("inf")
+
     def find_pinned(self, service: str, key: str) -> Instance | None:
         """Return the listed instance that a pinned key names, if any."""
         parts = split_pinned(key)
--- a/tests/core/test_idempotency.py
+++ b/tests/core/test_idempotency.py
@@ -16,6 +16,7 @@
 from mangowell_core.policy.checks import PolicyChecker
 from mangowell_core.policy.idempotency import (
     MAX_ANSWER_BYTES,
+    MAX_RUN_S,
     TRANSITIONS,
     KeyLedger,
     KeyState,
@@ -84,10 +85,12 @@
 
 
 def test_run_without_an_end_becomes_unknown():
-    """A driver that loses a run must not free its key."""
+    """A run may wait for a day; one that the driver lost must not block its key."""
     policy, key = make_ready(), find_key("a")
     policy.key_begin("shop", key, 1.0)
-    refusal = policy.key_begin("shop", key, 2.0 + RETENTION_S)
+    refusal = policy.key_begin("shop", key, 86_400.0)
+    assert refusal.cause is Cause.KEY_IN_PROGRESS
+    refusal = policy.key_begin("shop", key, 2.0 + MAX_RUN_S)
     assert refusal.cause is Cause.KEY_UNKNOWN
 
 
--- a/tests/core/test_policy_random.py
+++ b/tests/core/test_policy_random.py
@@ -18,6 +18,7 @@
 
 from mangowell_core.messages import FenceQuery
 from mangowell_core.model import InstanceState
+from mangowell_core.policy.idempotency import MAX_RUN_S
 from mangowell_core.policy.ownership import RETENTION_S, START_HOLD_S, VIEW_LAG_S
 from mangowell_core.policy.types import (
     AskFences,
@@ -288,6 +289,8 @@
         if not self.runs:
             return
         node, key, number = self.runs.pop(index % len(self.runs))
+        if self.now - self.executions[key][number] >= MAX_RUN_S:
+            end = "lose"  # every call has ended by then
         if end == "withdraw":
             node.key_withdraw("shop", key, self.now)
             self.executions[key][number] = float("-inf")
