Test crash fingerprints, alone and over random fleets

30 seeds of 400 calls over nine nodes in three domains, one to three poisonous requests, reports that arrive after the call that caused them, twice and out of order: at most 3 crashes per domain and fingerprint, no neighbour in quarantine, at least 97% of the other calls served.

--- a/tests/core/test_policy_random.py
+++ b/tests/core/test_policy_random.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from tests.core.policy_support import (
+    BROWSE,
     LONG_AGO_S,
     make_instance,
     make_plan,
@@ -18,16 +19,22 @@
 
 from mangowell_core.messages import FenceQuery
 from mangowell_core.model import InstanceState
+from mangowell_core.policy import classify_attempt, with_fingerprint
 from mangowell_core.policy.idempotency import MAX_RUN_S
+from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.ownership import RETENTION_S, START_HOLD_S, VIEW_LAG_S
 from mangowell_core.policy.types import (
+    Admitted,
     AskFences,
+    Cause,
     Choice,
+    Dispatch,
     Outcome,
     Refusal,
     ReplayKey,
     RunKey,
     StoredAnswer,
+    Work,
 )
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -356,5 +363,128 @@
 @pytest.mark.parametrize("block", range(4))
 def test_no_key_runs_twice_over_uniform_steps(block):
     """Long rows of rare events: handover, lost lists, restarts, lost promises."""
-    for seed in range(block * 100, block * 100 + 100):
+    for seed in range(block * 200, block * 200 + 200):
         run_uniform(seed)
+
+
+class CrashFleet:
+    """Nodes of one service in three domains, whose servers a request crashes."""
+
+    def __init__(self, seed, poisons):
+        self.rng = Random(seed)
+        self.poisons = poisons
+        self.members = [make_instance(f"{d}{i}", d) for d in "pqr" for i in range(3)]
+        self.nodes = {
+            m.name: make_policy(m.name, m.failure_domain, seed) for m in self.members
+        }
+        for node in self.nodes.values():
+            node.apply(make_snapshot(*self.members), 0.0)
+        self.in_flight = {name: {} for name in self.nodes}
+        self.crashes = Counter()
+        self.soon, self.late = [], []
+
+    def send(self, ingress, fingerprint, now):
+        """Route one call; return its cause after at most three attempts."""
+        self.deliver(now)
+        node = self.nodes[ingress]
+        plan = with_fingerprint(make_plan(node, now), fingerprint)
+        excluded = set()
+        for _ in range(3):
+            refusal = node.suspect(plan, now)
+            choice = refusal or node.pick(plan, excluded, now)
+            if isinstance(choice, Refusal):
+                return choice.cause
+            name = choice.instance.name
+            excluded.add(name)
+            node.attempt_started(plan, choice, now)
+            cause = self.serve(name, fingerprint, now)
+            stage = Stage.UNSENT
+            if cause in (Cause.NONE, Cause.BACKEND_CRASHED):
+                stage = Stage.ANSWERED if cause is Cause.NONE else Stage.SENT
+            result = classify_attempt(cause, stage)
+            node.attempt_finished(plan, choice, result, now)
+            if cause in (Cause.NONE, Cause.QUARANTINED):
+                return cause
+        return cause
+
+    def serve(self, name, fingerprint, now):
+        node = self.nodes[name]
+        work = Work("r", "shop", BROWSE, "t", now + 1.0, True, "", fingerprint)
+        found = node.offer(work, now)
+        if isinstance(found, Refusal):
+            return found.cause
+        flights = self.in_flight[name]
+        started = isinstance(found, Admitted)
+        while not started:
+            # The call waits until the others in flight have ended.
+            done = self.finish(name, next(iter(flights)), now)
+            started = Dispatch(found.ticket) in done
+        flights[found.ticket] = fingerprint
+        if fingerprint not in self.poisons:
+            return Cause.NONE
+        domain = name[0]
+        self.crashes[domain, fingerprint] += 1
+        reports = node.backend_crashed("shop", list(flights.values()), now)
+        lost = classify_attempt(Cause.BACKEND_CRASHED, Stage.SENT)
+        for ticket in list(flights):
+            del flights[ticket]
+            node.release(ticket, lost, now)
+        self.tell(name, reports)
+        return Cause.BACKEND_CRASHED
+
+    def tell(self, name, reports):
+        """Send reports: none arrives before the call that caused it has ended."""
+        for report in reports:
+            for other in self.nodes:
+                if other != name:
+                    copies = self.rng.choice((1, 2))
+                    near = other[0] == name[0] or self.rng.random() < 0.5
+                    (self.soon if near else self.late).extend(
+                        [(other, report)] * copies
+                    )
+
+    def deliver(self, now):
+        """Deliver reports in any order, those to other domains some calls late."""
+        self.rng.shuffle(self.late)
+        half = len(self.late) // 2
+        self.soon += self.late[:half]
+        del self.late[:half]
+        self.rng.shuffle(self.soon)
+        for other, report in self.soon:
+            self.nodes[other].crash_reported(report, now)
+        self.soon.clear()
+
+    def finish(self, name, ticket, now):
+        node, fingerprint = self.nodes[name], self.in_flight[name].pop(ticket)
+        done = classify_attempt(Cause.NONE, Stage.ANSWERED)
+        found = node.release(ticket, done, now)
+        self.tell(name, node.backend_completed(fingerprint, now))
+        return found
+
+    def finish_some(self, now):
+        for name, flights in self.in_flight.items():
+            for ticket in list(flights):
+                if self.rng.random() < 0.7:
+                    self.finish(name, ticket, now)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_crashes_are_bounded_and_neighbours_are_served(seed):
+    """A caller that retries a poisonous request must not take a service down."""
+    poisons = {f"bad{i}" for i in range(1 + seed % 3)}
+    fleet, now, served = CrashFleet(seed, poisons), 0.0, Counter()
+    for _ in range(400):
+        now += fleet.rng.choice((0.01, 0.05, 0.5))
+        ingress = fleet.rng.choice(list(fleet.nodes))
+        if fleet.rng.random() < 0.2:
+            fingerprint = fleet.rng.choice(sorted(poisons))
+        else:
+            fingerprint = f"page{fleet.rng.randrange(8)}"
+        cause = fleet.send(ingress, fingerprint, now)
+        served[fingerprint in poisons, cause] += 1
+        fleet.finish_some(now)
+    assert max(fleet.crashes.values()) <= 3, fleet.crashes
+    assert served[True, Cause.QUARANTINED] > 40
+    assert served[False, Cause.QUARANTINED] == 0
+    innocent = sum(count for (bad, _), count in served.items() if not bad)
+    assert served[False, Cause.NONE] >= 0.97 * innocent, served
