Measure the request policy; take the reference latency at low concurrency

The reference now averages up to 200 calls that ended while few others ran, the window is 50 calls and the tolerance 2.

--- a/packages/core/src/mangowell_core/policy/limiter.py
+++ b/packages/core/src/mangowell_core/policy/limiter.py
@@ -6,23 +6,28 @@
 is used rather than errors because it rises before requests fail, and rather
 than reported load because load endpoints lag or mislead.
 
-The reference latency is measured again at a quarter of the limit every
-`PROBE_INTERVAL_S`, since an average over all samples would follow an overload
-and call it normal. Latencies are compared within a traffic class only, so a
-change in the mix of classes does not look like a change of the server.
+The reference latency comes from requests that ended while few others ran. A
+server that is always busy is brought there every `PROBE_INTERVAL_S` by a
+limit of a quarter of its slots for one window. An average over all requests
+would follow an overload and call it normal. Latencies are compared within a
+traffic class only, so a change in the mix of classes does not look like one of
+the server.
 """
 
 from math import sqrt
 
-WINDOW_CALLS = 30  # mean of 30 exponential times has a deviation of 18%
-TOLERANCE = 1.5  # latency ratio taken as noise: nearly 3 deviations
+WINDOW_CALLS = 50  # the mean of 50 exponential times has a deviation of 14%
+REFERENCE_CALLS = 200  # that the reference of a class averages over
+REFERENCE_LEAST = 20  # with fewer, the class says nothing
+# Latency ratio taken as noise. With 1.5 and a reference of 30 calls, a good
+# server with exponential times lost two thirds of its slots.
+TOLERANCE = 2.0
 GRADIENT_MIN = 0.5
 SMOOTHING = 0.5
 PROBE_INTERVAL_S = 30.0
 # At half the limit, a server with a quarter of its documented slots still
 # queued while it was measured, and the limit stayed at 10.5 instead of 4.
 PROBE_SHARE = 0.25
-REFERENCE_WEIGHT = 0.1
 FAILURE_FACTOR = 0.7
 FAILURE_INTERVAL_S = 0.5  # one decrease for failures of the same moment
 RESTART_SHARE = 0.25  # of the slots, after a crash of the backend server
@@ -44,6 +49,7 @@
         "_failed_at",
         "_is_probing",
         "_limit",
+        "_low_calls",
         "_next_probe",
         "_peak",
         "_ratios",
@@ -57,6 +63,7 @@
         self._slots = 1
         self._limit = 0.0
         self._references: dict[str, list[float]] = {}  # class to [mean, calls]
+        self._low_calls = 0  # in this window, that count for the reference
         self._times: dict[str, float] = {}  # class to smoothed service time
         self._calls = 0
         self._ratios = 0.0
@@ -98,23 +105,26 @@
         if board.service_time_s <= 0.0:
             board.service_time_s = latency_s
         board.service_time_s += TIME_WEIGHT * (latency_s - board.service_time_s)
-        reference = self._references.get(traffic_class)
-        if reference is None:
-            reference = self._references[traffic_class] = [latency_s, 1]
-        elif self._is_probing or reference[1] < WINDOW_CALLS:
-            reference[1] += 1
-            weight = max(REFERENCE_WEIGHT, 1 / reference[1])
-            reference[0] += weight * (latency_s - reference[0])
-        self._ratios += latency_s / reference[0] if reference[0] > 0.0 else 1.0
+        reference = self._references.setdefault(traffic_class, [0.0, 0])
+        if running <= max(1.0, self._slots * PROBE_SHARE):
+            reference[1] = min(reference[1] + 1, REFERENCE_CALLS)
+            reference[0] += (latency_s - reference[0]) / reference[1]
+            self._low_calls += 1
+        if reference[1] < REFERENCE_LEAST:
+            self._ratios += 1.0
+        else:
+            self._ratios += latency_s / max(reference[0], 1e-9)
         self._calls += 1
         self._peak = max(self._peak, running)
-        if self._calls >= WINDOW_CALLS:
+        # A probe needs calls that started after it began.
+        if (self._low_calls if self._is_probing else self._calls) >= WINDOW_CALLS:
             self._close_window(now)
 
     def _close_window(self, now: float) -> None:
         ratio = self._ratios / self._calls
         was_probing, peak = self._is_probing, self._peak
         self._calls, self._ratios, self._peak = 0, 0.0, 0
+        self._low_calls = 0
         self._is_probing = False
         if not was_probing:
             gradient = min(1.0, max(GRADIENT_MIN, TOLERANCE / max(ratio, 1e-9)))
@@ -145,5 +155,5 @@
     def _publish(self) -> None:
         limit = int(self._limit)
         if self._is_probing:
-            limit = int(limit * PROBE_SHARE + 0.5)
+            limit = min(limit, int(self._slots * PROBE_SHARE))
         self._board.limit = max(1, limit)
