--- a/bench/idempotency.py
+++ b/bench/idempotency.py
@@ -61,6 +61,7 @@
         self.rng = Random(seed)
         self.now = 0.0
         self.revision = 0
+        self.incarnation = 0
         self.listed = {}
         self.alive = {}
         self.started = {}
@@ -94,7 +95,11 @@
             SourceSettings("http://127.0.0.1"),
             invariants="off",
         )
-        return RequestPolicy.from_settings(settings, self.rng, 1, quiet_s)
+        # Two processes of one name must differ, as their start times do.
+        self.incarnation += 1
+        return RequestPolicy.from_settings(
+            settings, self.rng, self.incarnation, quiet_s
+        )
 
     def start(self, name, quiet_s=0.0):
         """Start a process, which may find its name in the list already."""
