--- a/packages/core/src/mangowell_core/distribution/gate.py
+++ b/packages/core/src/mangowell_core/distribution/gate.py
@@ -88,7 +88,9 @@
             How it compared with the running version before it was considered.
         """
         relation = self.relate(held)
-        read_at = min(now, self._corroboration.find_first_read(held))
+        read_at = self._corroboration.find_first_read(held)
+        if not -NEVER < read_at <= now:
+            read_at = now
         text = Text(
             held.key, held.version, held.digest, body, None, learned_from, read_at
         )
@@ -195,7 +197,7 @@
     def run(self, now: float) -> None:
         """Apply the highest pending text that is corroborated."""
         for key, pending in self._pending.items():
-            if pending:
+            if pending or key in self._ctx.board.configuration.contradicted_since:
                 self._run_key(key, pending, now)
 
     def _run_key(self, key: str, pending: dict, now: float) -> None:
--- a/packages/core/src/mangowell_core/distribution/spread.py
+++ b/packages/core/src/mangowell_core/distribution/spread.py
@@ -32,7 +32,7 @@
 EXCHANGE_SOURCE_DOWN_S = 1.0
 # Spreads the exchanges of a fleet that starts at once.
 EXCHANGE_JITTER = 0.1
-EXCHANGED_HEARTBEATS = 3
+EXCHANGED_HEARTBEATS = 2
 MAX_HEARTBEATS = 8
 MAX_DELTA_BYTES = 65_536
 SEEN_KEPT = 64
@@ -94,6 +94,10 @@
         texts = self._ctx.board.configuration.held.values()
         return [text.to_key_version() for text in texts]
 
+    def _ages(self, now: float) -> list[int]:
+        texts = self._ctx.board.configuration.held.values()
+        return [max(0, round((now - text.read_at) * 1000)) for text in texts]
+
     # Trees
 
     def _find_children(self, root: str, name: str, now: float) -> list[str]:
@@ -115,6 +119,8 @@
 
     def on_unreachable(self, peer: Peer, now: float) -> None:
         """Pass over a child whose connection failed."""
+        if peer.instance in self._ctx.board.membership.view:
+            self._suspects[peer.instance] = now + SUSPECT_S
         for root, held, child in [k for k in self._pending if k[2] == peer.instance]:
             _, message = self._pending.pop((root, held, child))
             self._skip(root, held, child, message, now)
@@ -155,7 +161,7 @@
             ):
                 message = Announce(message.root, message.held, message.heartbeat)
             self._forward(message, self._ctx.instance, now)
-        self._corroboration.record_holder(message.held, sender, now)
+        self._corroboration.record_holder(message.held, sender, now, now)
         if body is not None:
             self._gate.offer(message.held, body, sender.instance, now)
 
@@ -266,13 +272,13 @@
 
     def query(self, peer: Peer, now: float) -> None:
         """Ask a peer what it holds, and tell it the same."""
-        self._ctx.send(peer, DigestQuery(self.held(), self._heartbeats(now)))
+        heartbeats = self._heartbeats(now)
+        self._ctx.send(peer, DigestQuery(self.held(), heartbeats, self._ages(now)))
 
     def _heartbeats(self, now: float) -> list[Heartbeat]:
         found = self._corroboration.find_heartbeats(EXCHANGED_HEARTBEATS, now)
-        if self._ctx.board.membership.is_reader:
-            found.insert(0, self._readers.make_heartbeat(now))
-        return found
+        own = self._readers.last_heartbeat(now)
+        return [own, *found] if own is not None else found
 
     def on_query(self, sender: Peer, message: DigestQuery, now: float) -> None:
         """Answer with what this node holds."""
@@ -281,8 +287,11 @@
                 NodeState.RUNNING,
                 NodeState.STOPPING,
             )
-            reply = DigestReply(self.held(), self._heartbeats(now), running)
-            self._ctx.send(sender, reply)
+            heartbeats = self._heartbeats(now)
+            self._ctx.send(
+                sender,
+                DigestReply(self.held(), heartbeats, running, self._ages(now)),
+            )
 
     def on_reply(self, sender: Peer, message: DigestReply, now: float) -> bool:
         """Take a peer's digest; return whether its content is valid."""
@@ -296,6 +305,10 @@
             problem = "too many keys in a digest"
         elif len(message.heartbeats) > MAX_HEARTBEATS:
             problem = "too many heartbeats in a digest"
+        elif len(message.ages_ms) != len(message.held):
+            problem = "ages do not match the keys of a digest"
+        elif min(message.ages_ms, default=0) < 0:
+            problem = "negative age"
         for held in message.held:
             problem = problem or check_key_version(held, self._ctx.keys)
         if problem:
@@ -303,8 +316,9 @@
             return False
         for heartbeat in message.heartbeats:
             self._corroboration.record(heartbeat, sender, now)
-        for held in message.held:
-            self._corroboration.record_holder(held, sender, now)
+        for held, age_ms in zip(message.held, message.ages_ms, strict=True):
+            first_at = now - age_ms / 1000
+            self._corroboration.record_holder(held, sender, first_at, now)
         return True
 
     def _exchange(self, now: float) -> None:
--- a/packages/core/src/mangowell_core/messages.py
+++ b/packages/core/src/mangowell_core/messages.py
@@ -43,7 +43,10 @@
     held : list of KeyVersion
         What the source gave.
     confirmed_age_ms : int
-        Time since the source last confirmed it.
+        Time since the source last confirmed all of it.
+    held_ages_ms : list of int
+        The same for each entry of `held`. The keys are read independently, so
+        the oldest age says nothing of which version of another key is newer.
     """
 
     failure_domain: str
@@ -53,6 +56,7 @@
     source: str
     held: list[KeyVersion]
     confirmed_age_ms: int
+    held_ages_ms: list[int] = []
 
 
 class Announce(msgspec.Struct, frozen=True, array_like=True, tag="announce"):
@@ -82,21 +86,28 @@
 
 
 class DigestQuery(msgspec.Struct, frozen=True, array_like=True, tag="digest"):
-    """What the sender holds; the receiver answers with `DigestReply`."""
+    """What the sender holds; the receiver answers with `DigestReply`.
+
+    `ages_ms` gives, for each entry of `held`, the time since a reader first got
+    it from the source, as far as the sender knows.
+    """
 
     held: list[KeyVersion]
     heartbeats: list[Heartbeat]
+    ages_ms: list[int] = []
 
 
 class DigestReply(msgspec.Struct, frozen=True, array_like=True, tag="digest-reply"):
     """What the receiver of a `DigestQuery` holds.
 
-    `running` tells whether the sender has completed its join.
+    `running` tells whether the sender has completed its join; `ages_ms` is as in
+    `DigestQuery`.
     """
 
     held: list[KeyVersion]
     heartbeats: list[Heartbeat]
     running: bool
+    ages_ms: list[int] = []
 
 
 class Fetch(msgspec.Struct, frozen=True, array_like=True, tag="fetch"):
