--- a/packages/core/src/mangowell_core/distribution/corroboration.py
+++ b/packages/core/src/mangowell_core/distribution/corroboration.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from mangowell_core.blackboard import Claim, Sighting
+from mangowell_core.blackboard import Claim, Sighting, SourceState
 from mangowell_core.distribution.context import NEVER, Context, describe_peer
 from mangowell_core.distribution.io import Peer
 from mangowell_core.events import EventCode
@@ -37,6 +37,9 @@
 SKEW_S = 0.1
 # A reader that has been silent for this long does not delay a lone claim.
 READER_FRESH_S = 2.5
+# Targets are evaluated at most this often, so that a peer that sends very many
+# versions costs little processor time.
+TARGET_INTERVAL_S = 0.05
 MAX_VERSION = 2**62
 STATES = frozenset(("up", "down", "stale"))
 
@@ -89,12 +92,21 @@
 class Corroboration:
     """Controller that records evidence and judges versions by it."""
 
-    __slots__ = ("_ctx", "_holders", "_next_prune", "_reported")
+    __slots__ = (
+        "_changed",
+        "_ctx",
+        "_holders",
+        "_next_prune",
+        "_reported",
+        "_targets",
+    )
 
     def __init__(self, ctx: Context):
         self._ctx = ctx
         self._holders: dict[KeyVersion, Holders] = {}
         self._reported: dict[KeyVersion, None] = {}
+        self._targets: dict[str, tuple[float, KeyVersion | None]] = {}
+        self._changed: set[str] = set()
         self._next_prune = 0.0
 
     def check_heartbeat(self, heartbeat: Heartbeat) -> str:
@@ -140,6 +152,7 @@
         claim.via = describe_peer(sender)
         for held, age_ms in zip(heartbeat.held, heartbeat.held_ages_ms, strict=True):
             self._record_sighting(claim, held, now - age_ms / 1000)
+            self._changed.add(held.key)
             self._report_seen(held, heartbeat.reader)
         self._update_lag(claim, now)
         return True
@@ -193,6 +206,7 @@
             del self._holders[oldest]
         holders = self._holders.setdefault(held, Holders(first_at, now))
         holders.heard_at = now
+        self._changed.add(held.key)
         peers = holders.peers
         self._report_seen(held, describe_peer(peer))
         peers[peer] = now
@@ -236,25 +250,41 @@
             if held.key == key
         }
 
-    def find_target(self, key: str, now: float) -> KeyVersion | None:
-        """Return the highest version that is worth fetching, if any."""
-        board = self._ctx.board.configuration
-        running = board.held.get(key)
+    def find_target(
+        self, key: str, now: float, exact: bool = False
+    ) -> KeyVersion | None:
+        """Return the highest version that is worth fetching, if any.
+
+        Unless `exact` is set, the result may be `TARGET_INTERVAL_S` old.
+        """
+        running = self._ctx.board.configuration.held.get(key)
         lowest = 0 if running is None else running.version
-        known = self._claimed(key)
-        known.update(held for held in self._holders if held.key == key)
-        # One version can have two digests; the one that more nodes hold is easier
-        # to get.
-        order = {
-            held: (held.version, len(self.find_holders(held)), held.digest)
-            for held in known
-            if held.version > lowest
-        }
-        for held in sorted(order, key=order.__getitem__, reverse=True):
-            if (key, held.version, held.digest) in board.refused:
-                continue
-            if self.judge(held, now) is not Verdict.HOLD:
-                return held
+        at, target = self._targets.get(key, (-NEVER, None))
+        is_current = target is None or target.version > lowest
+        if exact or now - at >= TARGET_INTERVAL_S or not is_current:
+            target = self._choose_target(key, lowest, now)
+            self._targets[key] = now, target
+            self._changed.discard(key)
+        return target
+
+    def _choose_target(self, key: str, lowest: int, now: float) -> KeyVersion | None:
+        refused = self._ctx.board.configuration.refused
+        versions: dict[int, list[KeyVersion]] = {}
+        for held in self._claimed(key) | {h for h in self._holders if h.key == key}:
+            if (
+                held.version > lowest
+                and (key, held.version, held.digest) not in refused
+            ):
+                versions.setdefault(held.version, []).append(held)
+        for version in sorted(versions, reverse=True):
+            found = versions[version]
+            if len(found) > 1:
+                # One version can have two digests; the one that more nodes hold
+                # is easier to get.
+                found.sort(key=lambda h: (-len(self.find_holders(h)), h.digest))
+            for held in found:
+                if self.judge(held, now) is not Verdict.HOLD:
+                    return held
         return None
 
     def judge(self, held: KeyVersion, now: float) -> Verdict:
@@ -275,6 +305,14 @@
         ):
             return Verdict.HOLD
         verdict = Verdict.ACCEPT
+        if (
+            own is not None
+            and board.source is SourceState.UP
+            and self._ctx.board.membership.is_reader
+            and now < grace_until
+        ):
+            # This node is itself the second reader and checks the source first.
+            verdict = Verdict.WAIT if supporters else Verdict.HOLD
         for claim in board.claims.values():
             if claim.heartbeat.source != "up" or claim.heartbeat.reader in names:
                 continue
@@ -372,4 +410,5 @@
 
     def next_deadline(self) -> float:
         """Return when `run` has work to do."""
-        return self._next_prune
+        evaluated = (self._targets.get(key, (NEVER,))[0] for key in self._changed)
+        return min(self._next_prune, min(evaluated, default=NEVER) + TARGET_INTERVAL_S)
--- a/packages/core/src/mangowell_core/distribution/join.py
+++ b/packages/core/src/mangowell_core/distribution/join.py
@@ -161,7 +161,10 @@
         return now + self._ctx.rng.uniform(0.5, 1.0) * max(1.0, window)
 
     def _has_target(self, now: float) -> bool:
-        return any(self._corroboration.find_target(k, now) for k in self._ctx.keys)
+        return any(
+            self._corroboration.find_target(key, now, exact=True)
+            for key in self._ctx.keys
+        )
 
     def _complete(self, now: float, source: str) -> None:
         board = self._ctx.board.configuration
--- a/packages/core/src/mangowell_core/distribution/readers.py
+++ b/packages/core/src/mangowell_core/distribution/readers.py
@@ -496,12 +496,13 @@
 
     def next_deadline(self) -> float:
         """Return when a read, heartbeat or change of role is due."""
-        check_at = NEVER
-        if self._ahead_since < NEVER:
+        heartbeat_at = check_at = NEVER
+        if self._ctx.board.membership.is_reader:
+            heartbeat_at = self._heartbeat_at
             check_at = max(self._ahead_since + VERIFY_AFTER_S, self._verify_at)
         return min(
-            self._heartbeat_at if self._ctx.board.membership.is_reader else NEVER,
+            heartbeat_at,
             self._role_deadline,
-            check_at,
+            check_at if self._ahead_since < NEVER else NEVER,
             *(read.due for read in self._reads.values()),
         )
--- a/packages/core/src/mangowell_core/distribution/transfer.py
+++ b/packages/core/src/mangowell_core/distribution/transfer.py
@@ -23,7 +23,7 @@
 # A peer that has not sent the next piece by then is replaced by another.
 PIECE_TIMEOUT_S = 1.0
 RETRY_MIN_S = 0.1
-RETRY_MAX_S = 2.0
+RETRY_MAX_S = 0.5
 MAX_RETRY_AFTER_MS = 5_000
 # Bytes of a message besides its data, for the token bucket.
 OVERHEAD_BYTES = 300
@@ -64,16 +64,15 @@
 class Transfer:
     """Fetch of one key: its target, the peer asked, and the pieces so far."""
 
-    __slots__ = ("base", "data", "peer", "seen_at", "target", "tried", "until")
+    __slots__ = ("base", "data", "peer", "target", "tried", "until")
 
     def __init__(self, target: KeyVersion, now: float):
         self.target = target
-        self.seen_at = now
         self.peer: Peer | None = None
         self.base = ""
         self.data = bytearray()
         self.tried: set[Peer] = set()
-        self.until = NEVER
+        self.until = now
 
     def restart(self) -> None:
         """Forget the peer and its pieces."""
@@ -201,6 +200,7 @@
             transfer.until = now + RETRY_MIN_S
             return
         if body is None:
+            transfer.peer = sender
             self._request(transfer, now)
             return
         del self._transfers[message.key]
@@ -208,10 +208,11 @@
 
     @staticmethod
     def _matches(transfer: Transfer, sender: Peer, message: Piece) -> bool:
-        asked = transfer.peer
+        # A piece that comes after its time-out is as good as one in time; what a
+        # peer sends is checked by its digest.
+        asked = {(peer.host, peer.control_port) for peer in transfer.tried}
         return (
-            asked is not None
-            and (asked.host, asked.control_port) == (sender.host, sender.control_port)
+            (sender.host, sender.control_port) in asked
             and message.digest == transfer.target.digest
             and message.offset == len(transfer.data)
         )
@@ -280,7 +281,7 @@
         if transfer is None or transfer.target != target:
             transfer = self._transfers[key] = Transfer(target, now)
             joining = self._ctx.board.configuration.state is not NodeState.RUNNING
-            transfer.until = now if joining else now + FETCH_DELAY_S
+            transfer.until += 0.0 if joining else FETCH_DELAY_S
         if now < transfer.until:
             return
         if transfer.peer is not None:
--- /dev/null
+++ b/tests/core/test_join.py
@@ -0,0 +1,108 @@
+"""Guards join, pause, isolation and stop."""
+
+import pytest
+from tests.core.fleet import Fleet, make_document
+
+from mangowell_core.distribution import DistributionCore
+from mangowell_core.distribution.io import Stopping
+from mangowell_core.distribution.join import parse_seed
+
+
+def state_of(fleet, name):
+    return fleet.nodes[name].core.board.configuration.state.value
+
+
+def test_small_fleet_without_running_nodes_starts_quickly():
+    """With nobody to ask, the first nodes must read at once, not in 12 s."""
+    fleet = Fleet(2, domains=3, per_domain=3)
+    fleet.start()
+    assert fleet.run(5, lambda: fleet.converged(1)) < 1
+
+
+def test_new_node_adopts_the_highest_version_before_it_serves(fleet):
+    """A node that serves an older version than its predecessor ran breaks I1."""
+    fleet.publish(make_document(2))
+    fleet.run(1)
+    fleet.set_source("stale")
+    fleet.shown = dict.fromkeys(fleet.shown, 0)
+    fleet.crash("d0n003")
+    fleet.start("d0n003")
+    fleet.run(10)
+    node = fleet.nodes["d0n003"]
+    assert node.core.serving()
+    assert [s.document.version for s in node.snapshots] == [2]
+
+
+def test_new_node_joins_while_the_source_is_down(fleet):
+    fleet.publish(make_document(2))
+    fleet.run(1)
+    fleet.set_source("down")
+    for name in [*fleet.readers("d0"), "d1n000"]:
+        fleet.crash(name)
+        fleet.start(name)
+    assert fleet.run(14, lambda: fleet.converged(2)) < 14
+
+
+def test_fleet_without_source_and_peers_does_not_serve():
+    fleet = Fleet(2, domains=1, per_domain=1)
+    fleet.set_source("down")
+    fleet.start()
+    fleet.run(20)
+    assert not fleet.nodes["d0n000"].core.serving()
+    assert "JOIN_ALONE" in fleet.codes()
+    fleet.set_source("up")
+    assert fleet.run(14, lambda: fleet.converged(1)) < 14
+
+
+def test_node_that_the_list_does_not_show_is_kept_up_to_date(fleet):
+    """The list lags behind the processes."""
+    fleet.add_instance("d0", "d0new")
+    fleet.start("d0new")
+    assert fleet.run(6, lambda: fleet.converged(1)) < 6
+    fleet.publish(make_document(2))
+    assert fleet.run(14, lambda: fleet.converged(2)) < 5
+
+
+def test_resumed_node_waits_for_a_confirmation(fleet):
+    """It may have slept through changes that callers already rely on."""
+    fleet.pause("d0n002", 20)
+    fleet.publish(make_document(2))
+    fleet.run(19.9)
+    fleet.delay_s = 0.3
+    fleet.run(0.11)
+    assert not fleet.nodes["d0n002"].core.serving()
+    fleet.run(3)
+    assert fleet.nodes["d0n002"].core.serving()
+    assert fleet.converged(2)
+
+
+def test_resumed_node_that_reaches_nobody_serves_after_2_s(fleet):
+    fleet.pause("d0n002", 5)
+    fleet.run(4.9)
+    fleet.drop = 1.0
+    fleet.source = "silent"
+    fleet.run(0.2)
+    assert state_of(fleet, "d0n002") == "paused"
+    fleet.run(2.2)
+    assert state_of(fleet, "d0n002") == "running"
+
+
+def test_stopping_reader_hands_over(fleet):
+    name = fleet.readers("d0")[0]
+    fleet._handle(fleet.nodes[name], Stopping())
+    assert not fleet.nodes[name].core.serving()
+    assert not fleet.nodes[name].reads
+    fleet.run(5)
+    assert len(fleet.readers("d0")) == 2
+    assert state_of(fleet, name) == "stopping"
+
+
+@pytest.mark.parametrize("seed", ["host", ":1", "host:x", ""])
+def test_invalid_seed_names_the_value(seed):
+    with pytest.raises(ValueError, match="host:control_port"):
+        parse_seed(seed)
+
+
+def test_incarnation_must_be_positive():
+    with pytest.raises(ValueError, match="incarnation"):
+        DistributionCore.from_settings(None, None, 0)
--- /dev/null
+++ b/tests/core/test_readers.py
@@ -0,0 +1,143 @@
+"""Guards who reads the source, how often, and what replaces a failed reader."""
+
+import pytest
+from tests.core.fleet import Fleet, make_document
+
+from mangowell_core.distribution.gate import Relation
+
+BOUND_S = 14.0
+READERS = 6  # two in each of three domains
+
+
+def all_readers(fleet):
+    return [name for domain in ("d0", "d1", "d2") for name in fleet.readers(domain)]
+
+
+def publish(fleet, version):
+    fleet.publish(make_document(version))
+    return fleet.run(BOUND_S, lambda: fleet.converged(version))
+
+
+def test_two_readers_in_each_domain(fleet):
+    fleet.run(20)
+    assert [len(fleet.readers(f"d{i}")) for i in range(3)] == [2, 2, 2]
+
+
+def test_reads_in_steady_state_and_per_change(fleet):
+    """The platform counts every read."""
+    fleet.reads = 0
+    fleet.run(60)
+    assert fleet.reads / 60 <= READERS * 2 / 6.0
+    before = fleet.reads
+    fleet.publish(make_document(2))
+    fleet.run(1)
+    assert fleet.reads - before <= 4 * 3
+
+
+def test_change_arrives_within_the_target(fleet):
+    for version in range(2, 12):
+        assert publish(fleet, version) < 2.0
+        fleet.run(0.3)
+
+
+@pytest.mark.parametrize("failed", [1, 2], ids=["one reader", "both readers"])
+def test_failed_readers_are_replaced(fleet, failed):
+    lost = fleet.readers("d0")[:failed]
+    fleet.crash(*lost)
+    assert publish(fleet, 2) < BOUND_S
+    fleet.run(5)
+    assert len(fleet.readers("d0")) == 2
+    fleet.start(*lost)
+    fleet.run(10)
+    assert set(fleet.readers("d0")) == set(lost) | set(fleet.readers("d0"))
+    assert len(fleet.readers("d0")) == 2
+
+
+def test_paused_readers_are_replaced(fleet):
+    """A paused process keeps its connections, so nobody sees a failure."""
+    for name in all_readers(fleet):
+        fleet.pause(name, 30)
+    fleet.publish(make_document(2))
+    running = [n for n in fleet.nodes.values() if not n.paused]
+    fleet.run(BOUND_S)
+    assert {n.core.status(fleet.now)["version"] for n in running} == {2}
+
+
+def test_source_outage_makes_nobody_else_read(fleet):
+    """3,100 nodes that retry would keep a recovering source down."""
+    before = all_readers(fleet)
+    fleet.set_source("down")
+    fleet.run(60)
+    fleet.reads = 0
+    fleet.run(60)
+    assert all_readers(fleet) == before
+    assert fleet.reads < 60 * READERS * 2 / 3
+    fleet.publish(make_document(2))
+    fleet.set_source("up")
+    assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < BOUND_S
+
+
+def test_silent_watches_are_given_up(fleet):
+    """Connections can go silent for all readers while new ones work."""
+    fleet.run(3)
+    open_reads = [(n, dict(n.reads)) for n in fleet.nodes.values()]
+    fleet.source = "silent"
+    fleet.publish(make_document(2))
+    fleet.source = "up"
+    assert sum(len(reads) for _, reads in open_reads) == READERS * 2
+    assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < BOUND_S
+
+
+def test_stale_and_flapping_source_does_not_take_a_version_back(fleet):
+    assert publish(fleet, 2) < 2
+    fleet.run(1)
+    fleet.set_source("flapping")
+    fleet.run(30)
+    assert fleet.converged(2)
+    assert "SOURCE_STALE" in fleet.codes()
+    fleet.reads = 0
+    fleet.run(30)
+    assert fleet.reads <= 30 * READERS * 2 * 1.2
+    fleet.set_source("up")
+    assert publish(fleet, 3) < BOUND_S
+
+
+def test_domain_without_the_source_follows_the_others(fleet):
+    fleet.source_cuts.add("d1")
+    fleet.set_source("up")
+    fleet.run(5)
+    assert publish(fleet, 2) < BOUND_S
+
+
+@pytest.mark.parametrize("number", [10, 100])
+def test_burst_is_coalesced(fleet, number):
+    """Each announcement and each read costs; the last version counts."""
+    fleet.reads = 0
+    for version in range(2, 2 + number):
+        fleet.publish(make_document(version))
+        fleet.run(0.02)
+    assert fleet.run(BOUND_S, lambda: fleet.converged(1 + number)) < 4
+    assert fleet.reads < number / 2 * READERS
+
+
+def test_lagging_reader_counts_as_absent(fleet):
+    """A reader that is alive and does not follow would freeze its domain."""
+    name = fleet.readers("d0")[0]
+    lagging = fleet.nodes[name]
+    lagging.core._gate._actions[Relation.HIGHER] = lambda text, now: None
+    read = fleet._read
+    fleet._read = lambda node, key: None if node is lagging else read(node, key)
+    assert publish(fleet, 2) == float("inf")
+    assert len(fleet.readers("d0")) == 3
+
+
+def test_whole_fleet_restart_stays_below_half_of_the_reads():
+    fleet = Fleet(5, domains=4, per_domain=30)
+    fleet.start()
+    assert fleet.run(BOUND_S, lambda: fleet.converged(1)) < BOUND_S
+    fleet.crash(*fleet.nodes)
+    fleet.reads = 0
+    fleet.start()
+    assert fleet.run(BOUND_S, lambda: fleet.converged(1)) < BOUND_S
+    # 2 reads of each node and 2 of each of the 8 readers; the window is 0.48 s.
+    assert fleet.reads <= 120 * 2 + 8 * 4
--- /dev/null
+++ b/tests/core/test_spread.py
@@ -0,0 +1,187 @@
+"""Guards the trees and the digest exchange."""
+
+import pytest
+from tests.core.fleet import DOCUMENT, Fleet, make_document
+
+from mangowell_core.distribution.io import Peer, PeerMessage, SendPeer
+from mangowell_core.distribution.ranking import Tree, rank_instances
+from mangowell_core.messages import (
+    Acknowledge,
+    Announce,
+    DigestQuery,
+    Heartbeat,
+    HeartbeatRelay,
+    KeyVersion,
+)
+
+BOUND_S = 14.0
+STRANGER = Peer("stranger", "10.0.0.9", 9)
+
+
+def beat(held=(), ages=(), sequence=1, **changes):
+    fields = {
+        "failure_domain": "d0",
+        "reader": "stranger",
+        "incarnation": 1,
+        "sequence": sequence,
+        "source": "up",
+        "held": list(held),
+        "confirmed_age_ms": 0,
+        "held_ages_ms": list(ages),
+    }
+    return Heartbeat(**{**fields, **changes})
+
+
+@pytest.mark.parametrize("size", [1, 2, 5, 6, 21, 194])
+def test_tree_reaches_every_node_once(size):
+    names = tuple(f"n{i}" for i in range(size))
+    tree = Tree("n0", names, 4)
+    level, reached, depth = ["n0"], ["n0"], 0
+    while level := [child for name in level for child in tree.find_children(name)]:
+        reached += level
+        depth += 1
+    assert sorted(reached) == sorted(names)
+    assert depth <= 4
+
+
+def test_ranking_is_stable_when_names_come_and_go():
+    names = tuple(f"n{i}" for i in range(50))
+    fewer = tuple(name for name in names if name != "n7")
+    ranked = rank_instances("d", names)
+    assert rank_instances("d", fewer) == tuple(n for n in ranked if n != "n7")
+
+
+def test_dead_relays_are_skipped():
+    """Half of a domain dies; its list does not show it yet."""
+    fleet = Fleet(11, domains=1, per_domain=40)
+    fleet.start()
+    fleet.run(8, lambda: fleet.converged(1))
+    fleet.run(2)
+    others = sorted(set(fleet.nodes) - set(fleet.readers("d0")))
+    fleet.crash(*others[::2])
+    fleet.publish(make_document(2))
+    assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < 4
+    assert "CHILD_SKIPPED" in fleet.codes()
+
+
+def test_silent_relays_are_skipped():
+    """A paused child accepts bytes and does not acknowledge."""
+    fleet = Fleet(12, domains=1, per_domain=40)
+    fleet.start()
+    fleet.run(8, lambda: fleet.converged(1))
+    fleet.run(2)
+    others = sorted(set(fleet.nodes) - set(fleet.readers("d0")))
+    for name in others[::3]:
+        fleet.pause(name, 60)
+    running = [node for node in fleet.nodes.values() if not node.paused]
+    fleet.publish(make_document(2))
+    fleet.run(4)
+    assert {node.core.status(fleet.now)["version"] for node in running} == {2}
+
+
+@pytest.mark.parametrize("drop", [0.3, 0.6, 0.95])
+def test_lost_messages_are_repaired(fleet, drop):
+    """The bound counts from the end of the faults."""
+    fleet.drop = drop
+    fleet.publish(make_document(2))
+    fleet.run(5)
+    fleet.drop = 0.0
+    assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < BOUND_S
+
+
+def test_reordered_and_duplicated_announcements(fleet):
+    """An announcement that is 2 s late must change nothing."""
+    fleet.delay_s, fleet.duplicate = 2.0, 0.5
+    for version in range(2, 12):
+        fleet.publish(make_document(version))
+        fleet.run(0.5)
+    assert fleet.run(BOUND_S, lambda: fleet.converged(11)) < BOUND_S
+
+
+def test_healed_partition_takes_the_highest_version(fleet):
+    for ends in ("d0", "d1"), ("d0", "d2"):
+        fleet.cuts.add(frozenset(ends))
+    fleet.source_cuts.add("d0")
+    fleet.set_source("up")
+    fleet.run(12)
+    fleet.publish(make_document(2))
+    fleet.run(20)
+    versions = {n: x.core.status(0)["version"] for n, x in fleet.nodes.items()}
+    assert {v for n, v in versions.items() if n.startswith("d0")} == {1}
+    assert {v for n, v in versions.items() if not n.startswith("d0")} == {2}
+    assert all(node.core.serving() for node in fleet.nodes.values())
+    fleet.cuts.clear()
+    assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < 5
+
+
+HELD = KeyVersion(DOCUMENT, 9, "a" * 64)
+MALFORMED = [
+    HeartbeatRelay(beat(source="sideways")),
+    HeartbeatRelay(beat(sequence=0)),
+    HeartbeatRelay(beat(incarnation=-1)),
+    HeartbeatRelay(beat([HELD], [])),
+    HeartbeatRelay(beat([HELD], [-5])),
+    HeartbeatRelay(beat([KeyVersion("secrets", 9, "a" * 64)], [0])),
+    HeartbeatRelay(beat([HELD] * 3, [0] * 3)),
+    DigestQuery([KeyVersion(DOCUMENT, -1, "a" * 64)], [], [0]),
+    DigestQuery([KeyVersion(DOCUMENT, 2**80 % 2**63, "a" * 64)], [], []),
+    DigestQuery([KeyVersion(DOCUMENT, 2**63 - 1, "a" * 64)], [], [0]),
+    DigestQuery([KeyVersion(DOCUMENT, 9, "a" * 5000)], [], [0]),
+    DigestQuery([HELD] * 9, [], [0] * 9),
+    DigestQuery([], [beat()] * 9),
+    Announce("other", HELD, beat([HELD], [0])),
+    Announce("stranger", HELD, beat([HELD], [0]), "b" * 64, bytes(70_000)),
+]
+
+
+@pytest.mark.parametrize("message", MALFORMED, ids=range(len(MALFORMED)))
+def test_malformed_content_is_counted_and_dropped(fleet, message):
+    """A faulty peer holds the fleet's key; its content is checked all the same."""
+    node = fleet.nodes["d0n000"]
+    fleet._handle(node, PeerMessage(STRANGER, message))
+    assert fleet.events[-1][2].code.name == "PEER_MESSAGE_DROPPED"
+    assert "stranger" not in node.core.board.configuration.claims
+    fleet.run(3)
+    assert fleet.converged(1)
+
+
+def test_delta_with_another_digest_is_dropped_and_not_passed_on(fleet):
+    node = fleet.nodes["d0n000"]
+    text = node.core.board.configuration.held[DOCUMENT]
+    message = Announce("stranger", HELD, beat([HELD], [0]), text.digest, b"junk")
+    effects = node.core.handle(PeerMessage(STRANGER, message), fleet.now)
+    sent = [e.message for e in effects if isinstance(e, SendPeer)]
+    assert not any(isinstance(found, Announce) for found in sent)
+    assert node.core._context.dropped == 1
+
+
+def test_forged_messages_do_not_fill_memory(fleet):
+    node = fleet.nodes["d0n000"]
+    for number in range(2000):
+        held = KeyVersion(DOCUMENT, 10 + number, f"{number:064}")
+        forged = beat([held], [0], reader=f"r{number}")
+        for message in (
+            Announce(f"r{number}", held, forged),
+            DigestQuery([held], [], [0]),
+            Acknowledge(f"r{number}", held),
+        ):
+            fleet._handle(node, PeerMessage(STRANGER, message))
+    core = node.core
+    assert len(core.board.configuration.claims) <= 128
+    assert len(core._corroboration._holders) <= 64
+    assert len(core._spread._seen) <= 64
+    assert len(core._spread._pending) <= 256
+    assert len(core._transfer._transfers) <= 2
+    fleet.run(60)
+    assert not [n for n in core.board.configuration.claims if n.startswith("r")]
+    assert fleet.converged(1)
+
+
+def test_replayed_heartbeat_is_not_passed_on(fleet):
+    node = fleet.nodes["d0n000"]
+    message = PeerMessage(STRANGER, HeartbeatRelay(beat([], [], sequence=5)))
+    old = PeerMessage(STRANGER, HeartbeatRelay(beat([], [], sequence=4)))
+    node.core.handle(message, fleet.now)
+    for replayed in (message, old):
+        effects = node.core.handle(replayed, fleet.now)
+        assert not any(isinstance(e, SendPeer) for e in effects)
