--- a/packages/core/src/mangowell_core/distribution/spread.py
+++ b/packages/core/src/mangowell_core/distribution/spread.py
@@ -122,8 +122,9 @@
         if peer.instance in self._ctx.board.membership.view:
             self._suspects[peer.instance] = now + SUSPECT_S
         for root, held, child in [k for k in self._pending if k[2] == peer.instance]:
-            _, message = self._pending.pop((root, held, child))
-            self._skip(root, held, child, message, now)
+            entry = self._pending.pop((root, held, child), None)
+            if entry is not None:
+                self._skip(root, held, child, entry[1], now)
 
     def on_acknowledge(self, sender: Peer, message: Acknowledge, now: float) -> None:
         """Record that a child has the announcement."""
@@ -372,8 +373,10 @@
     def run(self, now: float) -> None:
         """Announce, skip silent children, and exchange digests."""
         for identity in [k for k, v in self._pending.items() if v[0] <= now]:
-            _, message = self._pending.pop(identity)
-            self._skip(*identity, message, now)
+            # Skipping one child can push others out of the bounded table.
+            entry = self._pending.pop(identity, None)
+            if entry is not None:
+                self._skip(*identity, entry[1], now)
         for name in [n for n, until in self._suspects.items() if until <= now]:
             del self._suspects[name]
         if self._ctx.board.configuration.state is NodeState.STOPPING:
--- a/tests/core/fleet.py
+++ b/tests/core/fleet.py
@@ -82,6 +82,7 @@
         self.instances: dict[str, Instance] = {}
         self.values: dict[str, list[bytes]] = {DOCUMENT: [], "instances": []}
         self.shown: dict[str, int] = {}
+        self._names: dict[int, str] = {}
         self._queue: list = []
         self._order = count()
         self._starts = count(1)
@@ -95,6 +96,7 @@
 
     def add_instance(self, domain: str, name: str, service: str = "web") -> None:
         port = 1000 + len(self.instances)
+        self._names[port] = name
         self.instances[name] = Instance(
             name, service, domain, "10.0.0.1", port, port, port, port, port
         )
@@ -242,14 +244,7 @@
     def _send(self, sender: Node, peer: Peer, message) -> None:
         data = encode_message(message)
         self.bytes += len(data)
-        target = next(
-            (
-                n
-                for n in self.nodes.values()
-                if n.peer.control_port == peer.control_port
-            ),
-            None,
-        )
+        target = self.nodes.get(self._names[peer.control_port])
         if target is None:
             self._push(self.now + 0.001, sender, PeerUnreachable(peer))
             return
