Give each length of chain its own class in the request measurement

Cause: at depth 10 the added p99 was 294 and 442 ms with 183 of 954 calls refused. The concurrency limit of the policy fell from 12 to 1 with one request running and none waiting: it compares latencies within a class, and the cases differ in latency by design. Change: one class for each mode and remaining depth.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -177,10 +177,16 @@
 
 def make_snapshot(count: int) -> Snapshot:
     services = {f"s{i}": Service(f"s{i}") for i in range(count)}
-    routes = {
-        f"r{i}": Route(f"r{i}", f"s{i}", f"/s{i}/", ("GET",), "c", timeout_ms=10_000)
-        for i in range(count)
-    }
+    # A class for each kind of work: the concurrency limit compares latencies
+    # within a class, and a longer chain is no slower backend server.
+    classes = {}
+    routes = {}
+    for i, mode, depth in itertools.product(range(count), MODES[1:], range(count + 1)):
+        kind = f"{mode}-{depth}"
+        classes[kind] = TrafficClass(kind, 0)
+        name = f"{kind}-{i}"
+        path = f"/s{i}/{mode}/{depth}"
+        routes[name] = Route(name, f"s{i}", path, ("GET",), kind, timeout_ms=10_000)
     instances = {}
     for i in range(count):
         p = Ports(i)
@@ -197,7 +203,6 @@
                 p.backend,
             ),
         )
-    classes = {"c": TrafficClass("c", 0)}
     document = Document("bench", 1, classes, {}, services, routes, "", "")
     return Snapshot(document, 1, instances)
 
