--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -37,6 +37,7 @@
     KeyVersion,
     encode_message,
 )
+from mangowell_core.model import InstanceList
 from mangowell_core.settings import NodeSettings, SourceSettings
 
 NODES = 3_100
@@ -329,7 +330,8 @@
     """Return the instance list at the design scale."""
     fleet = Fleet(1, domains=1, per_domain=DOMAIN_NODES)
     add_other_domains(fleet)
-    return render_instances(1, fleet.instances.values()).encode()
+    listed = InstanceList(1, fleet.instances, text="", digest="")
+    return render_instances(listed).encode()
 
 
 def add_other_domains(fleet: Fleet) -> None:
