--- a/packages/core/src/mangowell_core/policy/admission.py
+++ b/packages/core/src/mangowell_core/policy/admission.py
@@ -29,6 +29,10 @@
 DEFERRABLE_RETRY_S = 900.0  # doubled at most by chance, against a joint return
 DEFERRABLE_PATIENCE_S = 60.0  # less time than this cannot outlast an overload
 MAX_SUSPECTS = 8  # waiting to run alone, each for one service time
+# A suspect holds others back for this long before and after its start. Without
+# a bound, one long request would idle all other slots of the instance.
+ALONE_WAIT_S = 1.0
+ALONE_RUN_S = 2.0
 RETRY_AFTER_S = 1.0
 SHED_STATUSES = frozenset({429, 503})  # by which a backend server sheds load
 
@@ -59,6 +63,7 @@
 
     __slots__ = (
         "_alone",
+        "_alone_until",
         "_board",
         "_drain",
         "_emit",
@@ -71,6 +76,7 @@
         "_results",
         "_rng",
         "_running",
+        "_suspect",
         "_suspects",
     )
 
@@ -85,7 +91,9 @@
         self._queue = RequestQueue()
         self._suspects: deque[Waiting] = deque()
         self._running: dict[int, _Running] = {}
-        self._alone = 0  # ticket of the suspect that runs alone
+        self._suspect = 0  # ticket of the suspect that runs
+        self._alone = 0  # the same, if nothing else has run beside it
+        self._alone_until = 0.0
         self._results: list[Dispatch | Expired] = []  # for the next `expire`
         self._is_due = False
         self._next_ticket = 0
@@ -122,7 +130,7 @@
             return refusal
         if work.fingerprint in self._board.suspects:
             return self._offer_suspect(work, now)
-        if self._may_start(work):
+        if self._may_start(work, now):
             return Admitted(self._start(self._issue(), work, now))
         return self._enqueue(work, now)
 
@@ -147,19 +155,17 @@
 
     def _offer_suspect(self, work: Work, now: float) -> Admitted | Queued | Refusal:
         if not self._running and not self._suspects:
-            ticket = self._start(self._issue(), work, now)
-            self._alone = ticket
-            return Admitted(ticket)
+            return Admitted(self._start_alone(self._issue(), work, now))
         if len(self._suspects) >= MAX_SUSPECTS:
             return refuse(Cause.SUSPECTED, "too many suspects of a crash wait")
-        item = Waiting(self._issue(), work, "", work.deadline)
+        item = Waiting(self._issue(), work, "", work.deadline, now)
         self._suspects.append(item)
         self._count()
         return Queued(item.ticket)
 
-    def _may_start(self, work: Work) -> bool:
+    def _may_start(self, work: Work, now: float) -> bool:
         """Tell whether a new request may start before all that wait."""
-        if self._alone or self._suspects:
+        if self._suspects or self._is_held(now):
             return False
         running, limit = len(self._running), self._board.limit
         if work.traffic_class.deferrable:
@@ -171,6 +177,10 @@
         head = self._queue.peek()
         return find_rank(head.work) > find_rank(work)
 
+    def _is_held(self, now: float) -> bool:
+        """Tell whether a suspect runs alone and others must wait."""
+        return self._alone != 0 and now < self._alone_until
+
     def _find_spare(self) -> int:
         return max(1, int(self._board.limit * SPARE_SHARE))
 
@@ -196,7 +206,8 @@
                 victim.work, "shed in favour of more urgent requests", wait_s
             )
             self._results.append(Expired(victim.ticket, refusal))
-        item = Waiting(self._issue(), work, tenant, max(now, work.deadline - time_s))
+        expires_at = max(now, work.deadline - time_s)
+        item = Waiting(self._issue(), work, tenant, expires_at, now)
         self._queue.push(item, weight)
         self._count()
         return Queued(item.ticket)
@@ -246,6 +257,11 @@
         self._next_ticket += 1
         return self._next_ticket
 
+    def _start_alone(self, ticket: int, work: Work, now: float) -> int:
+        self._suspect = self._alone = ticket
+        self._alone_until = now + ALONE_RUN_S
+        return self._start(ticket, work, now)
+
     def _start(self, ticket: int, work: Work, now: float) -> int:
         self._running[ticket] = _Running(work, now)
         self._count()
@@ -261,8 +277,8 @@
         """Give a slot back and start what waits; an unknown ticket is ignored."""
         running = self._running.pop(ticket, None)
         if running is not None:
-            if ticket == self._alone:
-                self._alone = 0
+            if ticket == self._suspect:
+                self._suspect = self._alone = 0
             self._learn(running, result, now)
         return self.expire(now)
 
@@ -318,11 +334,12 @@
         return self._shed(work, "the request could not end before its deadline", 0.0)
 
     def _fill(self, found: list[Dispatch | Expired], now: float) -> None:
-        while not self._alone and len(self._running) < self._board.limit:
-            if self._suspects:
+        while len(self._running) < self._board.limit and not self._is_held(now):
+            if self._suspects and not self._suspect:
                 if not self._start_suspect(found, now):
                     return
                 continue
+            self._alone = 0  # whatever starts now runs beside a suspect
             item = self._queue.peek()
             if item is None:
                 return
@@ -334,6 +351,7 @@
             if work.fingerprint in self._board.suspects:
                 self._queue.remove(item.ticket)
                 item.expires_at = work.deadline
+                item.since = now
                 self._suspects.append(item)
                 continue
             self._queue.start(item)
@@ -344,21 +362,25 @@
         """Start the first suspect; return False while it must wait.
 
         It waits until nothing runs, and nothing starts before it, so that
-        its neighbours neither share its crash nor the blame.
+        its neighbours neither share its crash nor the blame. After
+        `ALONE_WAIT_S` it starts beside those that still run.
         """
         item = self._suspects[0]
         work = item.work
         state = self._fingerprints.find_state(work.fingerprint, now)
-        if state is FingerprintState.SUSPECT and self._running:
+        is_suspect = state is FingerprintState.SUSPECT
+        if is_suspect and self._running and now < item.since + ALONE_WAIT_S:
             return False
         self._suspects.popleft()
         if state is FingerprintState.REFUSED:
             refusal = self._fingerprints.check(work.fingerprint, now)
             found.append(Expired(item.ticket, refusal))
             return True
-        self._start(item.ticket, work, now)
-        if state is FingerprintState.SUSPECT:
-            self._alone = item.ticket
+        if is_suspect and not self._running:
+            self._start_alone(item.ticket, work, now)
+        else:
+            self._start(item.ticket, work, now)
+            self._suspect = item.ticket if is_suspect else 0
         found.append(Dispatch(item.ticket))
         return True
 
@@ -369,6 +391,12 @@
         due = self._queue.next_expiry()
         for item in self._suspects:
             due = min(due, item.expires_at)
+        if self._board.running < self._board.limit:
+            # Without a free slot the next release decides.
+            if self._suspects and not self._suspect:
+                due = min(due, self._suspects[0].since + ALONE_WAIT_S)
+            if self._alone and self._board.waiting:
+                due = min(due, self._alone_until)
         if self._board.waiting or not self._board.running:
             due = min(due, self._drain.next_change)
         return due
--- a/packages/core/src/mangowell_core/policy/queues.py
+++ b/packages/core/src/mangowell_core/policy/queues.py
@@ -10,13 +10,16 @@
 class Waiting:
     """One waiting request."""
 
-    __slots__ = ("expires_at", "tenant", "ticket", "work")
+    __slots__ = ("expires_at", "since", "tenant", "ticket", "work")
 
-    def __init__(self, ticket: int, work: Work, tenant: str, expires_at: float):
+    def __init__(
+        self, ticket: int, work: Work, tenant: str, expires_at: float, since: float
+    ):
         self.ticket = ticket
         self.work = work
         self.tenant = tenant
         self.expires_at = expires_at
+        self.since = since
 
 
 class _TenantQueue:
--- a/packages/core/src/mangowell_core/policy/routing.py
+++ b/packages/core/src/mangowell_core/policy/routing.py
@@ -21,6 +21,7 @@
 MIN_RAMP = 0.1  # share of a new instance at the start of its slow start
 LATENCY_FACTOR_MIN, LATENCY_FACTOR_MAX = 0.5, 4.0
 TYPICAL_WEIGHT = 0.02
+SAMPLE = 16  # instances looked at for one choice; two of them are compared
 
 
 class _ServiceState:
@@ -198,6 +199,8 @@
         load = 0.0
         leaving, cut = self._board.leaving, self._cut_domains
         slow_start_s = service.slow_start_s
+        if len(members) > SAMPLE:
+            members = self._rng.sample(members, SAMPLE)
         for item in members:
             name = item.name
             if name in leaving or name in excluded:
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -16,6 +16,7 @@
     make_work,
 )
 
+from mangowell_core.messages import CrashReport
 from mangowell_core.policy.limiter import WINDOW_CALLS, ConcurrencyLimiter
 from mangowell_core.policy.types import (
     Admitted,
@@ -258,6 +259,61 @@
     assert policy.in_flight() == 3
 
 
+@pytest.mark.parametrize("seed", range(30))
+def test_random_requests_each_end_once_and_leave_nothing_due(seed):
+    """A lost ticket would hang its caller; a time in the past would spin the node."""
+    rng, policy, now = Random(seed), make_policy(), 0.0
+    policy.apply(make_snapshot(make_instance("a"), slots=3, queue_limit=6), now)
+    running, waiting = set(), set()
+
+    def follow(found):
+        for item in found:
+            waiting.remove(item.ticket)
+            if isinstance(item, Dispatch):
+                running.add(item.ticket)
+
+    for i in range(300):
+        now += rng.choice((0.0, 0.001, 0.02, 0.5))
+        action = rng.random()
+        if action < 0.5:
+            name = f"f{rng.randrange(4)}"
+            kind = rng.choice((PAYMENT, BROWSE, SHEETS))
+            time_s = rng.choice((0.01, 0.2, 3.0))
+            work = make_work(now, kind, f"t{i % 3}", time_s, fingerprint=name)
+            match policy.offer(work, now):
+                case Admitted(ticket):
+                    running.add(ticket)
+                case Queued(ticket):
+                    waiting.add(ticket)
+        elif action < 0.85 and running:
+            ticket = rng.choice(sorted(running))
+            running.remove(ticket)
+            follow(policy.release(ticket, OK, now))
+        elif action < 0.9 and waiting:
+            ticket = rng.choice(sorted(waiting))
+            waiting.remove(ticket)
+            policy.cancel(ticket, now)
+        elif action < 0.93:
+            name = f"f{rng.randrange(4)}"
+            policy.crash_reported(CrashReport("shop", "d2", name, i, f"r{i}"), now)
+        elif action < 0.94:
+            policy.backend_crashed("shop", ["f1", "f2"], now)
+        elif action < 0.97:
+            policy.backend_completed(f"f{rng.randrange(4)}", now)
+        if policy.next_deadline() <= now:
+            follow(policy.expire(now))
+        assert policy.next_deadline() > now
+        assert (policy.board.running, policy.board.waiting) == (
+            len(running),
+            len(waiting),
+        )
+    while running:
+        now += 0.1
+        follow(policy.release(running.pop(), OK, now))
+    follow(policy.expire(now + 60.0))
+    assert not waiting or running
+
+
 def test_foreign_service_is_refused():
     """A node runs requests of its own backend server only."""
     policy, now = make_ready()
--- a/tests/core/test_fingerprints.py
+++ b/tests/core/test_fingerprints.py
@@ -12,6 +12,7 @@
 
 from mangowell_core.messages import CrashReport, decode_message, encode_message
 from mangowell_core.policy import make_fingerprint, with_fingerprint
+from mangowell_core.policy.admission import ALONE_RUN_S, ALONE_WAIT_S
 from mangowell_core.policy.fingerprints import (
     ENFORCE_S,
     MAX_ENTRIES,
@@ -111,6 +112,32 @@
     assert policy.release(suspect.ticket, CRASHED, 1.2) == [Dispatch(other.ticket)]
 
 
+def test_suspect_holds_others_back_for_a_short_time_only():
+    """A long request must not idle all other slots of its instance."""
+    policy = make_ready()
+    long = policy.offer(make_work(1.0, time_s=60), 1.0)
+    policy.crash_reported(CrashReport("shop", "d1", POISON, 1, "z"), 1.0)
+    late = 1.0 + ENFORCE_S
+    suspect = policy.offer(make_work(late, time_s=60, fingerprint=POISON), late)
+    other = policy.offer(make_work(late, time_s=60), late)
+    assert policy.next_deadline() == late + ALONE_WAIT_S
+    now = late + ALONE_WAIT_S
+    assert policy.expire(now) == [Dispatch(suspect.ticket), Dispatch(other.ticket)]
+    # It began as a suspect, so its neighbours are not blamed for its crash.
+    reports = policy.backend_crashed("shop", [POISON, NEIGHBOUR], now + 0.1)
+    assert [report.fingerprint for report in reports] == [POISON]
+    for item in (long, suspect, other):
+        policy.release(item.ticket, CRASHED, now + 0.2)
+    suspect = make_work(now + 0.3, time_s=60, fingerprint="s" * 64)
+    policy.crash_reported(CrashReport("shop", "d1", "s" * 64, 1, "z"), now - 60)
+    alone = policy.offer(suspect, now + 0.3)
+    assert isinstance(alone, Admitted)
+    other = policy.offer(make_work(now + 0.3, time_s=60), now + 0.3)
+    assert policy.next_deadline() == now + 0.3 + ALONE_RUN_S
+    found = policy.expire(now + 0.3 + ALONE_RUN_S)
+    assert found == [Dispatch(other.ticket)]
+
+
 def test_request_that_becomes_a_suspect_while_waiting_runs_alone():
     """A report may arrive after the request was queued."""
     policy = make_ready()
