Never call a request not-run once an earlier attempt may have run it

Cause: a random test with coinciding faults found that a retry which ended before any byte was sent gave its own not-run to the caller, although the attempt before it had run; the same held for a hedge and for the second connection after a stale one. Change: a call remembers whether an attempt can have reached a backend server, and then weakens not-run to unknown; hedged attempts are ranked by what they say. A connection that closes before the request is written is not-run.

--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from time import monotonic
 from urllib.parse import parse_qs
 
@@ -458,6 +459,7 @@
         attempts = 0
         error: AttemptError | None = None
         answer: Answer | None = None
+        has_run = False  # whether an attempt can have reached a backend server
         while True:
             now = monotonic()
             choice = policy.pick(plan, excluded, now)
@@ -466,6 +468,8 @@
                     return self._answer(plan, answer, started, attempts)
                 # What the attempts before have met says more than this does.
                 refusal = choice if error is None else error.refusal
+                if has_run:
+                    refusal = _weaken(refusal)
                 return self._refuse(head.request, plan, refusal, started, attempts)
             attempts += 1
             hedge_at = policy.hedge_deadline(plan, now) if body is None else None
@@ -490,6 +494,7 @@
                     return self._answer(plan, answer, started, attempts)
                 error = None
             excluded.add(choice.instance.name)
+            has_run = has_run or result.outcome is not Outcome.NOT_RUN
             allowed = plan.route.idempotent or result.outcome is Outcome.NOT_RUN
             if body is not None and body.started:
                 allowed = False
@@ -500,9 +505,8 @@
             if not (allowed and policy.may_retry(plan, result, attempts, now)):
                 if error is None:
                     return self._answer(plan, answer, started, attempts)
-                return self._refuse(
-                    head.request, plan, error.refusal, started, attempts
-                )
+                refusal = _weaken(error.refusal) if has_run else error.refusal
+                return self._refuse(head.request, plan, refusal, started, attempts)
             self._emit_limited(
                 EventCode.CALL_RETRIED,
                 {
@@ -591,8 +595,7 @@
                 for task in done:
                     if task.exception() is None and task.result().head.status < 500:
                         winner = task
-            # Without a good answer, the first attempt's end counts.
-            winner = winner or tasks[0]
+            winner = winner or max(tasks, key=_rank_failure)
             return winner.result()
         finally:
             for task in tasks:
@@ -730,6 +733,24 @@
     )
 
 
+def _weaken(refusal: Refusal) -> Refusal:
+    """Turn ``not-run`` into ``unknown``, as an earlier attempt may have run."""
+    if refusal.outcome is not Outcome.NOT_RUN:
+        return refusal
+    return replace(refusal, outcome=Outcome.UNKNOWN)
+
+
+def _rank_failure(task: asyncio.Task) -> int:
+    """Rank failed attempts by what they say of the request."""
+    error = task.exception()
+    if error is None:
+        return 2
+    is_not_run = type(error) is AttemptError and (
+        error.refusal.outcome is Outcome.NOT_RUN
+    )
+    return 0 if is_not_run else 1
+
+
 def _read_remaining(value: str | None) -> int | None:
     if value is None:
         return None
--- a/packages/node/src/mangowell_node/egress.py
+++ b/packages/node/src/mangowell_node/egress.py
@@ -321,8 +321,16 @@
                 ) from exc
             if not (stale and body is None):
                 raise
-        conn = await self._pool.open(deadline)
-        return await self._send(conn, head, None, deadline, on_end)
+        try:
+            conn = await self._pool.open(deadline)
+            return await self._send(conn, head, None, deadline, on_end)
+        except AttemptError as exc:
+            if exc.refusal.outcome is not Outcome.NOT_RUN:
+                raise
+            # The first connection may have passed the request on.
+            raise AttemptError.at(
+                Cause.CONNECTION_LOST, Stage.SENT, "backend server closed"
+            ) from exc
 
     async def _send(
         self,
@@ -332,6 +340,10 @@
         deadline: float,
         on_end: Callable[[AttemptError | None], None],
     ) -> Answer:
+        if not conn.is_open:
+            raise AttemptError.at(
+                Cause.CONNECT_FAILED, Stage.UNSENT, "backend server closed"
+            )
         upload = None
         try:
             waiter = conn.start(head, deadline)
@@ -389,7 +401,7 @@
         on_end: Callable[[AttemptError | None], None],
     ) -> Answer:
         conn = await self._pool.open(deadline)
-        run.is_sent = True
+        run.is_sent = conn.is_open
         stored = None
         try:
             answer = await self._send_keyed(conn, head, body, deadline, on_end)
@@ -397,9 +409,10 @@
                 stored = _store_answer(answer.head)
             return answer
         finally:
-            self._policy.key_finish(
-                head.service, head.idempotency_key, stored, monotonic()
-            )
+            if run.is_sent:
+                self._policy.key_finish(
+                    head.service, head.idempotency_key, stored, monotonic()
+                )
 
     async def _send_keyed(
         self,
