Measure relays that only copy bytes beside the nodes

Cause: two hops show a tail of 2 to 5 ms at p99 with a p50 of 0.7 ms, and neither the garbage collector nor a periodic task of the node explains it. Change: the measurement runs one and two relay processes that copy bytes, in the same rounds.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -39,6 +39,9 @@
 ANSWER_BYTES = 1024
 DEPTHS = (1, 2, 10)
 MODES = ("direct", "one-hop", "two-hop")
+# Processes that only copy bytes, as many as there are nodes on the way: what
+# remains of a quantile without them is the cost of the nodes' own work.
+RELAYS = {"relay-1": "one-hop", "relay-2": "two-hop"}
 MAX_RUN_S = 900.0  # a forgotten child process ends by itself
 HOST = "127.0.0.1"
 # Below the range of outgoing connections; two measurements may run at once.
@@ -169,9 +172,50 @@
             return Ports(index).backend, target
         case "one-hop":
             return Ports(index).call, target
+        case "relay-1" | "relay-2":
+            return find_relay(mode[-1]), target
     return Ports(caller).call, target
 
 
+def find_relay(number: int | str) -> int:
+    return Ports(CALLER + int(number)).call
+
+
+class RelayEnd(asyncio.Protocol):
+    """One side of a relay; copies what it receives to the other side."""
+
+    def __init__(self, other: "RelayEnd | None" = None) -> None:
+        self._other = other
+        self._early: list[bytes] = []
+        self._work: asyncio.Task | None = None
+        self._port = 0
+
+    @classmethod
+    def accept(cls, port: int) -> "RelayEnd":
+        end = cls()
+        end._port = port
+        return end
+
+    def connection_made(self, transport) -> None:
+        self.transport = transport
+        if self._other is None:
+            self._work = asyncio.ensure_future(self._connect())
+
+    async def _connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        _, self._other = await loop.create_connection(
+            lambda: RelayEnd(self), HOST, self._port
+        )
+        for data in self._early:
+            self._other.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        if self._other is None:
+            self._early.append(data)
+        else:
+            self._other.transport.write(data)
+
+
 # Processes
 
 
@@ -241,13 +285,22 @@
     await asyncio.sleep(MAX_RUN_S)
 
 
+async def run_relay(number: int) -> None:
+    port = Ports(0).backend if number == 1 else find_relay(number - 1)
+    loop = asyncio.get_running_loop()
+    await loop.create_server(lambda: RelayEnd.accept(port), HOST, find_relay(number))
+    print("ready", flush=True)
+    await asyncio.sleep(MAX_RUN_S)
+
+
 def run_child(role: str, index: int) -> None:
     def watch() -> None:
         sys.stdin.read()
         os._exit(0)
 
     threading.Thread(target=watch, daemon=True).start()
-    uvloop.run({"node": run_node, "backend": run_backend}[role](index))
+    roles = {"node": run_node, "backend": run_backend, "relay": run_relay}
+    uvloop.run(roles[role](index))
 
 
 class Child:
@@ -333,6 +386,7 @@
     rng = random.Random(7)
     clients = Clients()
     cases = [Case(m, d) for m, d in itertools.product(MODES, depths)]
+    cases += [Case(mode, 1) for mode in RELAYS if 1 in depths]
     for case in cases:
         await run_round(case, clients, 0.5, rng, record=False)
     gc.collect()
@@ -353,7 +407,8 @@
 def summarise(cases: list[Case], idle_cpu: float) -> dict:
     direct = {c.depth: c for c in cases if c.mode == "direct"}
     rows = []
-    for case in sorted(cases, key=lambda c: (c.depth, MODES.index(c.mode))):
+    order = [*MODES, *RELAYS]
+    for case in sorted(cases, key=lambda c: (c.depth, order.index(c.mode))):
         base = direct[case.depth]
         rows.append(
             {
@@ -393,7 +448,7 @@
     length = max(depths)
     backends = [Child("backend", i) for i in range(length)]
     nodes = [Child("node", i) for i in [*range(length), CALLER]]
-    children = backends + nodes
+    children = backends + nodes + [Child("relay", n) for n in (1, 2)]
     try:
         for child in children:
             child.wait_ready()
