Do not blame a request that began before it was suspected

The node computes fingerprints only while it knows of suspects, so a popular request in flight when a report arrived had no known start and was convicted by the next crash. The first unlabelled request in flight now counts as its start; the new test fails without the change.

--- a/packages/core/src/mangowell_core/policy/admission.py
+++ b/packages/core/src/mangowell_core/policy/admission.py
@@ -99,13 +99,21 @@
         self._next_ticket = 0
 
     def find_started(self, fingerprint: str) -> float | None:
-        """Return when a request in flight with this fingerprint started."""
-        times = [
-            r.started_at
-            for r in self._running.values()
-            if r.work.fingerprint == fingerprint
-        ]
-        return min(times, default=None)
+        """Return when a request in flight with this fingerprint started.
+
+        A node may offer requests without a fingerprint while it knows of no
+        suspects. Any of them may be the one that is asked for, so the first
+        of them counts; None if there is none.
+        """
+        for shown in (fingerprint, ""):
+            times = [
+                running.started_at
+                for running in self._running.values()
+                if running.work.fingerprint == shown
+            ]
+            if times:
+                return min(times)
+        return None
 
     @property
     def alone(self) -> str:
--- a/tests/core/test_fingerprints.py
+++ b/tests/core/test_fingerprints.py
@@ -73,6 +73,18 @@
     assert "m" * 64 not in policy.board.suspects
 
 
+def test_request_that_began_before_the_suspicion_is_not_blamed_alone():
+    """A popular request may be in flight, unlabelled, when a report comes."""
+    for shown in (NEIGHBOUR, ""):
+        policy = make_ready()
+        policy.offer(make_work(1.0, fingerprint=shown), 1.0)
+        report = CrashReport("shop", "d1", NEIGHBOUR, 1, "z")
+        policy.crash_reported(report, 1.1)
+        policy.backend_crashed("shop", [NEIGHBOUR, POISON], 1.2)
+        assert {NEIGHBOUR, POISON} <= policy.board.suspects
+        assert not is_refused(policy, NEIGHBOUR, 1.3)
+
+
 def test_shared_crashes_in_two_domains_do_not_refuse_a_popular_request():
     """A popular read is in flight at every crash; counts are per domain."""
     policy = make_ready()
--- a/tests/core/test_outcome.py
+++ b/tests/core/test_outcome.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from mangowell_core.invariants import InvariantViolation
+from mangowell_core.policy.checks import PolicyChecker
 from mangowell_core.policy.outcome import OUTCOMES, Stage, classify_attempt, refuse
-from mangowell_core.policy.types import Cause, Outcome
+from mangowell_core.policy.types import Cause, Outcome, Refusal
 
 
 @pytest.mark.parametrize("stage", [Stage.SENT, Stage.ANSWERED])
@@ -38,3 +40,20 @@
     for (cause, _), (_, status, retry_s) in OUTCOMES.items():
         assert cause is Cause.NONE or 400 <= status <= 599
         assert retry_s >= 0.0
+
+
+def test_checker_reports_what_callers_must_not_be_told():
+    """I5 and I7 are also checked at run time, whatever the controllers decide."""
+    checker = PolicyChecker("cheap")
+    wrong = Refusal(Outcome.NOT_RUN, Cause.KEY_UNKNOWN, 409)
+    with pytest.raises(InvariantViolation, match="I5"):
+        checker.check_refusal(wrong)
+    checker.check_start(1, None, 5.0)
+    with pytest.raises(InvariantViolation, match="I5"):
+        checker.check_expired(1, refuse(Cause.OVERLOADED, "shed"))
+    checker.check_start(2, 2.1, 5.0)
+    with pytest.raises(InvariantViolation, match="I7"):
+        checker.check_start(3, 2.0, 5.0)
+    with pytest.raises(InvariantViolation, match="I7"):
+        checker.check_choice("a", {"a": 1.0})
+    PolicyChecker("off").check_refusal(wrong)
