--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -56,7 +56,8 @@
         """Watch a key of the source for ever."""
         url = f"{self.settings.source.url}/v1/values/{key}"
         digest = ""
-        async with aiohttp.ClientSession() as session:
+        headers = {"User-Agent": f"baseline/{self.settings.instance}"}
+        async with aiohttp.ClientSession(headers=headers) as session:
             while True:
                 params = {"after": digest, "wait_ms": str(int(WATCH_S * 1000))}
                 self.source_reads += 1
@@ -139,11 +140,10 @@
 
     def __init__(self, settings: NodeSettings):
         super().__init__(settings)
-        self._writers: dict[tuple[str, int], asyncio.StreamWriter] = {}
+        self._queues: dict[tuple[str, int], asyncio.Queue] = {}
         self._is_reader = int(settings.host.rsplit(".", 1)[1]) <= READERS
         self._readers: list[str] = []
-        self._sending = asyncio.Lock()
-        self._pushes: set[asyncio.Task] = set()
+        self._tasks: set[asyncio.Task] = set()
 
     async def jobs(self) -> list:
         """Return the coroutines of this node."""
@@ -159,9 +159,7 @@
         if new and self._is_reader and "instances" in self.texts:
             # A new list may bring new children, which lack the document too.
             keys = list(self.texts) if key == "instances" else [key]
-            task = asyncio.get_running_loop().create_task(self._push_values(keys))
-            self._pushes.add(task)
-            task.add_done_callback(self._pushes.discard)
+            self._start(self._push_values(keys))
         return new
 
     async def _push_values(self, keys: list[str]) -> None:
@@ -214,22 +212,35 @@
         if "instances" not in self.texts:
             return
         line = json.dumps({**head, "size": len(data)}).encode() + b"\n"
-        async with self._sending:
-            for child in self._children(root):
-                await self._send(child.host, child.control_port, line + data)
-
-    async def _send(self, host: str, port: int, frame: bytes) -> None:
-        try:
-            writer = self._writers.get((host, port))
-            if writer is None:
-                _, writer = await asyncio.open_connection(host, port)
-                self._writers[host, port] = writer
-            writer.write(frame)
-            await writer.drain()
-        except OSError:
-            self._writers.pop((host, port), None)
-            return
-        self.control_bytes += len(frame) + FRAME_OVERHEAD_BYTES
+        for child in self._children(root):
+            address = (child.host, child.control_port)
+            if address not in self._queues:
+                self._queues[address] = asyncio.Queue()
+                self._start(self._send(address))
+            self._queues[address].put_nowait(line + data)
+
+    def _start(self, job) -> None:
+        task = asyncio.get_running_loop().create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, address: tuple[str, int]) -> None:
+        """Send queued frames in order; a child may start later than this node."""
+        queue = self._queues[address]
+        writer = None
+        while True:
+            frame = await queue.get()
+            while True:
+                try:
+                    if writer is None:
+                        _, writer = await asyncio.open_connection(*address)
+                    writer.write(frame)
+                    await writer.drain()
+                    break
+                except OSError:
+                    writer = None
+                    await asyncio.sleep(RETRY_S)
+            self.control_bytes += len(frame) + FRAME_OVERHEAD_BYTES
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,14 +14,15 @@
 
 from mangowell_core.settings import DistributionSettings
 from mangowell_standins.documents import DocumentPlan, make_document
-from mangowell_standins.figures import mean_and_max, percentile, summarise
+from mangowell_standins.figures import mean_and_max, summarise
 from mangowell_standins.fleet import Fleet, FleetConfig, FleetError
 
 BURST_INTERVAL_S = 0.6
 READY_TIMEOUT_S = 60.0
 CONVERGENCE_BOUND_S = 14.0
-# Routes that bring the document to the size of the design scale.
+# Routes of the document in the sweep over fleet sizes, and at design scale.
 EXTRA_ROUTES = 200
+DESIGN_ROUTES = 1220
 BASELINES = {
     "watch": ("bench.baseline", "watch"),
     "whole": ("bench.baseline", "whole"),
@@ -42,6 +43,10 @@
         Single changes, `change_gap_s` apart.
     coalesce_nodes : int
         Size of the fleets of the `coalesce_ms` curve.
+    design_nodes : int
+        Size of the fleets that carry a document of the design scale.
+    routes : int
+        Extra routes of the document.
     """
 
     sizes: tuple[int, ...] = (8, 24, 48, 96, 144, 200)
@@ -52,6 +57,8 @@
     burst_s: float = 20.0
     coalesce_ms: tuple[int, ...] = (0, 200, 1000, 5000)
     coalesce_nodes: int = 24
+    design_nodes: int = 48
+    routes: int = EXTRA_ROUTES
 
 
 QUICK = FleetPlan(
@@ -61,6 +68,7 @@
     change_gap_s=1.5,
     burst_s=6.0,
     coalesce_nodes=8,
+    design_nodes=24,
 )
 
 
@@ -72,6 +80,7 @@
     control: dict[str, int]
     cpu: dict[str, float]
     reads: int
+    from_source: dict[str, int]
     rss: dict[str, float] = field(default_factory=dict)
 
 
@@ -86,7 +95,11 @@
         times = process.cpu_times()
         cpu[member.name] = times.user + times.system
         rss[member.name] = process.memory_info().rss / 1e6
-    return Probe(time.monotonic(), control, cpu, fleet.source.counts.total, rss)
+    counts = fleet.source.counts
+    from_source = dict.fromkeys(control, 0)
+    for (_, reader), size in counts.bytes_by_reader.items():
+        from_source[reader] = from_source.get(reader, 0) + size
+    return Probe(time.monotonic(), control, cpu, counts.total, from_source, rss)
 
 
 def compare_probes(first: Probe, last: Probe) -> dict:
@@ -97,9 +110,14 @@
         for name, count in first.control.items()
         if name in last.control
     ]
+    values = [
+        (last.from_source[name] - size) / seconds
+        for name, size in first.from_source.items()
+    ]
     cpu = [(last.cpu[name] - used) / seconds for name, used in first.cpu.items()]
     return {
         "control_bytes_per_node_s": mean_and_max(control, 0),
+        "values_from_source_per_node_s": mean_and_max(values, 0),
         "cpu_core_share": mean_and_max(cpu, 4),
         "rss_mb": mean_and_max(last.rss.values(), 1),
         "source_reads_per_s": round((last.reads - first.reads) / seconds, 2),
@@ -121,7 +139,7 @@
 
 async def measure_fleet(config: FleetConfig, plan: FleetPlan) -> dict:
     """Measure one fleet through all phases."""
-    document = DocumentPlan(extra_routes=EXTRA_ROUTES)
+    document = DocumentPlan(extra_routes=plan.routes)
     fleet = Fleet(config)
     version = 1
     try:
@@ -174,6 +192,7 @@
         "burst": {
             "convergence_s": summarise(burst_delays),
             "control_bytes_per_node_s": burst["control_bytes_per_node_s"],
+            "values_from_source_per_node_s": burst["values_from_source_per_node_s"],
             "cpu_core_share": burst["cpu_core_share"],
             "source_reads_per_s": burst["source_reads_per_s"],
         },
@@ -188,25 +207,19 @@
         return {"nodes": config.size, "error": str(exc)}
 
 
-async def measure_sizes(plan: FleetPlan) -> list[dict]:
-    """Measure all sizes, each with its baselines."""
-    results = []
-    for nodes in plan.sizes:
-        config = make_config(nodes, plan, 1)
-        entry = await try_fleet(config, plan)
-        # The baselines are light, so both run at the same time.
-        base = await asyncio.gather(
-            *(
-                try_fleet(
-                    replace(config, command=command, first_domain=1 + number),
-                    plan,
-                )
-                for number, command in zip((20, 40), BASELINES.values(), strict=True)
-            )
+async def measure_size(nodes: int, plan: FleetPlan) -> dict:
+    """Measure one size, with both baselines after it."""
+    config = make_config(nodes, plan, 1)
+    entry = await try_fleet(config, plan)
+    # The baselines are light, so both run at the same time.
+    base = await asyncio.gather(
+        *(
+            try_fleet(replace(config, command=command, first_domain=first), plan)
+            for first, command in zip((21, 41), BASELINES.values(), strict=True)
         )
-        entry["baseline"] = dict(zip(BASELINES, base, strict=True))
-        results.append(entry)
-    return results
+    )
+    entry["baseline"] = dict(zip(BASELINES, base, strict=True))
+    return entry
 
 
 def fit_slopes(results: list[dict]) -> dict[str, float]:
@@ -271,15 +284,14 @@
 
 async def measure_distribution(plan: FleetPlan) -> dict:
     """Return the parts of ``bench.json`` that this module measures."""
-    results = await measure_sizes(plan)
+    results = [await measure_size(nodes, plan) for nodes in plan.sizes]
     slopes = {"mangowell": fit_slopes(results)}
     for name in BASELINES:
         slopes[name] = fit_slopes([r["baseline"][name] for r in results])
-    curve = await measure_coalescing(plan)
-    spread = percentile([r.get("ready_s", 0.0) for r in results], 1.0)
+    design = replace(plan, routes=DESIGN_ROUTES)
     return {
         "distribution": results,
         "distribution_slopes": slopes,
-        "coalescing": curve,
-        "slowest_start_s": spread,
+        "distribution_design_document": await measure_size(plan.design_nodes, design),
+        "coalescing": await measure_coalescing(plan),
     }
--- a/packages/node/src/mangowell_node/source.py
+++ b/packages/node/src/mangowell_node/source.py
@@ -44,6 +44,7 @@
 
     __slots__ = (
         "_address",
+        "_agent",
         "_on_event",
         "_reach",
         "_session",
@@ -63,6 +64,8 @@
         self._url = settings.source.url.rstrip("/")
         parts = urlsplit(self._url)
         self._address = (parts.hostname or "", parts.port or 80)
+        # The platform counts reads by reader.
+        self._agent = f"mangowell-node/{settings.instance}"
         self._timeout_s = settings.source.timeout_ms / 1000
         self._telemetry = telemetry
         self._reach = reach
@@ -72,7 +75,7 @@
 
     async def start(self) -> None:
         """Open the client session."""
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(headers={"User-Agent": self._agent})
 
     def read(self, request: ReadSource) -> None:
         """Start a read or watch; a read of the same key is given up."""
--- a/packages/standins/src/mangowell_standins/config_service.py
+++ b/packages/standins/src/mangowell_standins/config_service.py
@@ -56,7 +56,10 @@
     by_kind : Counter
         By ``read`` or ``watch``; each call is counted once, on arrival.
     by_reader : Counter
-        By ``(site, reader)``, where the reader is the User-Agent.
+        By ``(site, reader)``, where the reader is the User-Agent without its
+        product name.
+    bytes_by_reader : Counter
+        Bytes of the values answered, by ``(site, reader)``.
     by_key : Counter
     by_status : Counter
         By HTTP status of the answer.
@@ -66,6 +69,7 @@
 
     by_kind: Counter = field(default_factory=Counter)
     by_reader: Counter = field(default_factory=Counter)
+    bytes_by_reader: Counter = field(default_factory=Counter)
     by_key: Counter = field(default_factory=Counter)
     by_status: Counter = field(default_factory=Counter)
     peak_load: int = 0
@@ -207,11 +211,15 @@
         return history[-1]
 
     async def _handle(self, site: str, request: web.BaseRequest) -> web.Response:
-        response = await self._respond(site, request)
+        reader = request.headers.get("User-Agent", "").rpartition("/")[2]
+        response = await self._respond(site, reader, request)
+        self.counts.bytes_by_reader[site, reader] += len(response.body or b"")
         self.counts.by_status[response.status] += 1
         return response
 
-    async def _respond(self, site: str, request: web.BaseRequest) -> web.Response:
+    async def _respond(
+        self, site: str, reader: str, request: web.BaseRequest
+    ) -> web.Response:
         prefix = "/v1/values/"
         if request.method != "GET" or not request.path.startswith(prefix):
             return web.Response(status=404)
@@ -224,7 +232,6 @@
         now = self._clock()
         self.counts.by_kind["watch" if wait_s > 0 else "read"] += 1
         self.counts.by_key[key] += 1
-        reader = request.headers.get("User-Agent", "")
         self.counts.by_reader[site, reader] += 1
         if not self.limit.admit(now):
             return web.Response(status=429, headers={"Retry-After": "1"})
--- a/packages/standins/src/mangowell_standins/documents.py
+++ b/packages/standins/src/mangowell_standins/documents.py
@@ -1,5 +1,6 @@
 """Documents and calls of a small deployment, in the manner of Ventilaris."""
 
+import hashlib
 from dataclasses import dataclass
 
 from mangowell_standins.callers import CallKind
@@ -81,8 +82,10 @@
     lines += _route("check", "stock", "/stock", "interactive", plan.retries)
     lines += _route("order", "orders", "/orders", "payment", 0, "POST", "no")
     for number in range(plan.extra_routes):
-        path = f"/extra/{number}"
-        lines += _route(f"extra-{number}", "catalogue", path, "browsing", 1)
+        # Names that do not compress much better than those of real routes.
+        word = hashlib.sha256(b"%d" % number).hexdigest()[:12]
+        path = f"/extra/{word}"
+        lines += _route(f"extra-{word}", "catalogue", path, "browsing", 1)
     if note:
         lines += _route(f"note-{note}", "catalogue", f"/note/{note}", "browsing", 0)
     if plan.broken:
--- a/tests/node/test_standins.py
+++ b/tests/node/test_standins.py
@@ -34,7 +34,7 @@
     service = ConfigService(reads_per_second=100)
     url = await service.listen()
     first = service.publish("documents/test", "one")
-    headers = {"User-Agent": "node-a"}
+    headers = {"User-Agent": "mangowell-node/node-a"}
     async with aiohttp.ClientSession(headers=headers) as session:
         assert (await read(session, url))[2] == b"one"
         watch = asyncio.create_task(
@@ -50,6 +50,7 @@
         assert status == 304
     assert service.counts.by_kind == {"read": 1, "watch": 2}
     assert service.counts.by_reader == {("platform", "node-a"): 3}
+    assert service.counts.bytes_by_reader == {("platform", "node-a"): 6}
     assert service.limit.waiting == 0
     await service.stop()
 
