--- a/packages/standins/src/mangowell_standins/backend_server.py
+++ b/packages/standins/src/mangowell_standins/backend_server.py
@@ -46,9 +46,8 @@
     late_share, truncated_share : float
         Share of answers that are delayed by `late_s`, or cut in the middle.
     late_s : float
-    keep_answers : bool
-        Answer a repeated idempotency key from memory. Off by default, so
-        that executions show what the nodes let through.
+    cancellable : bool
+        Whether a request ends when its connection closes.
     """
 
     slots: int = 12
@@ -60,7 +59,7 @@
     late_share: float = 0.0
     late_s: float = 2.0
     truncated_share: float = 0.0
-    keep_answers: bool = False
+    cancellable: bool = True
 
 
 def make_answer(request_id: str, size: int) -> bytes:
@@ -152,7 +151,9 @@
         self._draining = False
         self._silent.clear()
         self._http = web.Server(
-            self._handle, handler_cancellation=True, access_log=None
+            self._handle,
+            handler_cancellation=self.settings.cancellable,
+            access_log=None,
         )
         self._server = await asyncio.get_running_loop().create_server(
             self._http, self.host, self.port
--- a/packages/standins/src/mangowell_standins/callers.py
+++ b/packages/standins/src/mangowell_standins/callers.py
@@ -50,6 +50,9 @@
     work_ms : float
         Service time at the backend server; negative leaves it to the server.
     deadline_ms : int
+    repeats : bool
+        Whether the caller repeats a call after ``not-run``. If not, a refusal
+        is final and counts in `refused` but not in `lost`.
     """
 
     name: str
@@ -63,6 +66,7 @@
     size: int = 64
     work_ms: float = -1.0
     deadline_ms: int = DEFAULT_DEADLINE_MS
+    repeats: bool = True
 
 
 @dataclass(slots=True)
@@ -84,7 +88,7 @@
     not_run : int
         Answers ``not-run``, each of which the caller repeated.
     refused : int
-        Calls whose last answer was ``not-run``; a part of `lost`.
+        Calls that ended in ``not-run`` and whose caller does not repeat.
     broken : int
         Connections broken by the crash of the node on the other side.
     resent : int
@@ -145,9 +149,6 @@
         Time from a call's start after which it is not repeated.
     crashed : callable
         Tells whether the node at a ``host:port`` crashed since a time.
-    retries : bool
-        Whether ``not-run`` is repeated. Off for measurements in which a
-        refusal is final.
     rng : random.Random or None
     """
 
@@ -160,7 +161,6 @@
         max_in_flight: int = 500,
         give_up_s: float = 10.0,
         crashed: Callable[[str, float], bool] = lambda target, since: False,
-        retries: bool = True,
         rng: random.Random | None = None,
     ):
         self.counts = CallCounts()
@@ -173,7 +173,6 @@
         self._max_in_flight = max_in_flight
         self._give_up_s = give_up_s
         self._crashed = crashed
-        self._retries = retries
         self._rng = rng or random.Random(0)
         self._session: aiohttp.ClientSession | None = None
         self._calls: set[asyncio.Task] = set()
@@ -232,7 +231,7 @@
         Returns
         -------
         str
-            ``done``, ``unknown``, ``lost`` or ``cut``.
+            ``done``, ``unknown``, ``refused``, ``lost`` or ``cut``.
         """
         counts = self.counts
         counts.calls += 1
@@ -255,6 +254,8 @@
                 counts.done_once_ids.append(request_id)
         elif end == "unknown":
             counts.unknown += 1
+        elif end == "refused":
+            counts.refused += 1
         elif end == "cut":
             counts.cut += 1
         else:
@@ -310,10 +311,10 @@
             else:
                 last = "no node takes calls"
                 delay_now = delay
+            if refused and not kind.repeats:
+                return "refused", last
             pause = delay_now * self._rng.uniform(0.5, 1.0)
-            if not self._retries or time.monotonic() + pause >= give_up_at:
-                if refused:
-                    self.counts.refused += 1
+            if time.monotonic() + pause >= give_up_at:
                 if not refused and target and not kind.idempotent:
                     return "unknown", last
                 return "lost", last
--- a/packages/standins/src/mangowell_standins/fleet.py
+++ b/packages/standins/src/mangowell_standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -30,6 +31,7 @@
 from mangowell_standins.config_service import ConfigService
 from mangowell_standins.documents import ENVIRONMENT, SERVICES
 from mangowell_standins.instance_list import InstanceListPublisher
+from mangowell_standins.link_relay import LinkRelay
 from mangowell_standins.reach import PLATFORM, DomainReach, Partition, address_of
 
 STATUS_TIMEOUT_S = 2.0
@@ -74,6 +76,9 @@
     backends : bool
         Whether backend servers are started.
     services : tuple of str
+    relays : bool
+        Whether request links between nodes pass through a `LinkRelay`, which
+        can let them go silent.
     list_lag_s : float
         Lag of the instance list.
     reads_per_second : int
@@ -96,6 +101,7 @@
     backends: bool = True
     environment: str = ENVIRONMENT
     services: tuple[str, ...] = SERVICES
+    relays: bool = False
     list_lag_s: float = 1.0
     reads_per_second: int = 2000
     expected_nodes: int = 0
@@ -155,6 +161,7 @@
         self.instance = instance
         self.settings = settings
         self.backend: BackendServer | None = None
+        self.relay: LinkRelay | None = None
         self.node: Node | None = None
         self.process: subprocess.Popen | None = None
         self.crashed_at = float("-inf")
@@ -238,6 +245,8 @@
         for member in self.members.values():
             if self.config.backends:
                 await self._start_backend(member)
+            if member.relay is not None:
+                await member.relay.start()
         for member in self.members.values():
             self.instances.instances[member.name] = member.instance
         self.instances.publish_now()
@@ -254,12 +263,12 @@
     def _add_member(self, domain: int, index: int, url: str) -> None:
         cfg = self.config
         host = address_of(domain, index)
-        ports = find_free_ports(host, 5)
+        ports = find_free_ports(host, 6)
         # Each domain starts at another service, so that every service is in
         # every domain even if a domain has fewer nodes than services.
         service = cfg.services[(index - 1 + domain - 1) % len(cfg.services)]
         name = f"{service}-{domain}-{index}"
-        instance = Instance(name, service, f"domain-{domain}", host, *ports)
+        instance = Instance(name, service, f"domain-{domain}", host, *ports[:5])
         settings = NodeSettings(
             instance=name,
             service=service,
@@ -283,7 +292,12 @@
             security=cfg.security,
             log=LogSettings(level=cfg.log_level),
         )
-        self.members[name] = Member(domain, instance, settings)
+        member = Member(domain, instance, settings)
+        if cfg.relays:
+            # The list names the relay; the node binds its own port behind it.
+            member.relay = LinkRelay(host, ports[5], ports[1])
+            member.instance = replace(instance, link_port=ports[5])
+        self.members[name] = member
 
     def _set_seeds(self) -> None:
         """Give each node the first two nodes of each of three domains."""
@@ -371,12 +385,22 @@
         for member in members:
             if member.backend is not None:
                 await member.backend.stop()
+            if member.relay is not None:
+                await member.relay.stop()
         await self.source.stop()
         if self._session is not None:
             await self._session.close()
         if self._directory is not None:
             self._directory.cleanup()
 
+    def pause_node(self, member: Member) -> None:
+        """Pause a node process; only in fleets of processes."""
+        member.process.send_signal(signal.SIGSTOP)
+
+    def resume_node(self, member: Member) -> None:
+        """Let a paused node process run again."""
+        member.process.send_signal(signal.SIGCONT)
+
     async def cut(self, domain: int) -> None:
         """Cut a failure domain off from the others and the platform."""
         self.partition.cut(domain)
