--- a/packages/standins/src/mangowell_standins/fleet.py
+++ b/packages/standins/src/mangowell_standins/fleet.py
@@ -39,6 +39,7 @@
 # Exchanges that fail within this time of a crash are put down to it.
 CRASH_WINDOW_S = 5.0
 MAX_VIOLATIONS = 50
+LOG_TAIL_CHARS = 2000
 
 NODE_KEYS = (
     "instance",
@@ -554,6 +555,8 @@
             ]
             if not waiting:
                 return time.monotonic() - started
+            for member in waiting:
+                self._check_process(member)
             if time.monotonic() - started > timeout_s:
                 names = ", ".join(m.name for m in waiting[:8])
                 raise FleetError(
@@ -562,6 +565,13 @@
                 )
             await asyncio.sleep(0.05 if len(chosen) < 50 else 0.25)
 
+    def _check_process(self, member: Member) -> None:
+        process = member.process
+        if process is not None and process.poll() is not None:
+            log = Path(self._directory.name) / f"{member.name}.log"
+            tail = log.read_text(errors="replace")[-LOG_TAIL_CHARS:]
+            raise FleetError(f"{member.name} ended with {process.returncode}: {tail}")
+
     def executions(self, by_key: bool = False) -> Counter[str]:
         """Return executions over all backend servers.
 
