--- a/packages/standins/src/mangowell_standins/callers.py
+++ b/packages/standins/src/mangowell_standins/callers.py
@@ -178,10 +178,11 @@
         self._session: aiohttp.ClientSession | None = None
         self._calls: set[asyncio.Task] = set()
         self._loop: asyncio.Task | None = None
-        self._run_name = f"{self._rng.getrandbits(40):010x}"
+        self._run_name = ""
 
     async def start(self) -> None:
         """Start to call in the background."""
+        self._run_name = f"{self._rng.getrandbits(40):010x}"
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=5.0)
         self._session = aiohttp.ClientSession(connector=connector)
         self._loop = asyncio.get_running_loop().create_task(self._generate())
@@ -201,6 +202,11 @@
             await self._session.close()
         return self.counts
 
+    def reset_counts(self) -> CallCounts:
+        """Start counting anew; return the counts so far."""
+        counts, self.counts = self.counts, CallCounts()
+        return counts
+
     async def run(self, seconds: float) -> CallCounts:
         """Call for `seconds` and return the counts."""
         await self.start()
