--- a/packages/core/src/mangowell_core/policy/retries.py
+++ b/packages/core/src/mangowell_core/policy/retries.py
@@ -77,6 +77,11 @@
         limit = route.retries if route.idempotent else max(1, route.retries)
         if attempts > limit:
             return False
+        # Silence loses all requests of a link at once, more than the budget
+        # of a node with few calls. Detection takes 1.5 s, so that a deadline
+        # allows few moves and they cannot multiply over the hops.
+        if result.cause is Cause.CONNECTION_SILENT and attempts == 1:
+            return True
         return self.spend(plan.service)
 
     def may_hedge(self, plan: Plan, now: float) -> bool:
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -78,6 +78,18 @@
     assert policy.may_retry(plan, result, 1, 1.0) is expected
 
 
+def test_calls_of_a_silent_connection_move_without_a_token():
+    """A link that goes silent must not lose the calls beyond the budget."""
+    policy = make_ready(retry_ratio=0.1)
+    plan = make_plan(policy, 1.0)
+    while policy.may_retry(plan, LOST, 1, 1.0):
+        pass
+    silent = AttemptResult(Outcome.UNKNOWN, Cause.CONNECTION_SILENT)
+    assert all(policy.may_retry(plan, silent, 1, 1.0) for _ in range(50))
+    assert not policy.may_retry(plan, silent, 2, 1.0)
+    assert not policy.may_retry(make_plan(policy, 1.0, "/pay"), silent, 1, 1.0)
+
+
 def test_no_retry_without_time():
     """An attempt that cannot end in time only adds load."""
     policy = make_ready()
