Give up silent connections to the backend server within 2 s

A request on a connection that had gone silent waited until its deadline, and the health poller reported the backend server as down. The new test fails without the change.

--- a/packages/node/src/mangowell_node/backend.py
+++ b/packages/node/src/mangowell_node/backend.py
@@ -34,6 +34,10 @@
 HEALTH_INTERVAL_S = 0.5
 MIN_HEALTH_INTERVAL_S = 0.005  # once the poller's connection is lost
 HEALTH_TIMEOUT_S = 1.0
+# Together with the above within the 2 s in which silence is to be found.
+NEW_HEALTH_TIMEOUT_S = 0.3
+# After a pause of the backend server, old and new connections answer together.
+SILENCE_GRACE_S = 0.1
 READ_BUFFER = 65_536  # bytes; reading pauses at twice this size
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
 _NO_BODY_STATUSES = frozenset({204, 304})
@@ -50,11 +54,13 @@
         "_body",
         "_head",
         "_is_aborted",
+        "_may_repeat",
         "_pool",
         "_reusable",
         "_timer",
         "_waiter",
         "_with_body",
+        "heard_at",
         "idle_since",
         "is_pooled",
         "opened_at",
@@ -71,8 +77,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._reusable = True
         self._is_aborted = False
+        self._may_repeat = False
         self.used = False
         self.received = False
+        self.heard_at = 0.0
         self.idle_since = 0.0
         self.opened_at = 0.0
         self.is_pooled = True
@@ -120,6 +128,7 @@
         else:
             framing = b"\r\n"
         self.received = False
+        self._may_repeat = head.idempotent
         waiter = self._waiter = self._loop.create_future()
         self._timer = self._loop.call_later(deadline - now, self._expire)
         self.transport.write(
@@ -206,6 +215,18 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def give_up_silent(self, since: float) -> None:
+        """Close an idle connection, or a repeatable exchange without a byte.
+
+        An exchange that may not be repeated waits on: its answer may still
+        come, and giving up would only make its end unknown sooner.
+        """
+        if self._waiter is None and self._body is None:
+            self.abort()
+        elif self._may_repeat and self.heard_at < since:
+            reason = "connection to the backend server is silent"
+            self._fail(AttemptError.at(Cause.CONNECTION_SILENT, Stage.SENT, reason))
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -237,6 +258,7 @@
             return
         if data:
             self.received = True
+            self.heard_at = monotonic()
         try:
             messages, upgraded, tail = self._parser.feed_data(data)
         except (HttpProcessingError, ValueError, AssertionError) as exc:
@@ -400,6 +422,12 @@
         """Tell whether a connection that was open at a time is open still."""
         return any(c.is_open and c.opened_at < since for c in self._open)
 
+    def give_up_silent(self, since: float) -> None:
+        """Give up the connections opened before a time; see `BackendConnection`."""
+        for conn in list(self._open):
+            if conn.is_pooled and conn.opened_at < since:
+                conn.give_up_silent(since)
+
     def put(self, conn: BackendConnection) -> None:
         """Take back a connection after a complete answer."""
         if self._closed:
@@ -581,19 +609,12 @@
         The connection is kept out of the pool, so that there is always one
         whose loss tells a crash from a connection closed for its request.
         """
-        deadline = monotonic() + HEALTH_TIMEOUT_S
-        head = RequestHead(
-            "", "", "GET", "/health", b"Host: health\r\n", "", "", 0, False, 0, True
-        )
-        conn = None
+        held, self._conn = self._conn, None
         try:
-            conn, self._conn = self._conn, None
-            if conn is None or not conn.is_open:
-                conn = await self._pool.open(deadline)
-                conn.is_pooled = False
-            await conn.start(head, deadline)
-            answer = await self._pool.read_answer(conn, head, lambda error: None)
-            self._conn, conn = conn, None
+            if held is not None and held.is_open:
+                answer = await self._ask_held(held)
+            else:
+                answer = await self._ask_new(HEALTH_TIMEOUT_S)
             if answer.stream is not None:
                 answer.stream.close()
                 return "down", 0.0
@@ -602,9 +623,52 @@
             reply = _health_decoder.decode(answer.head.body)
         except (AttemptError, msgspec.DecodeError, ConnectionError):
             return "down", 0.0
-        finally:
-            if conn is not None:
-                conn.abort()
         if reply.status not in _HEALTH_STATES:
             return "down", 0.0
         return reply.status, min(1.0, max(0.0, reply.load))
+
+    async def _ask_new(self, timeout_s: float) -> Answer:
+        """Ask on a new connection, which is held from now on."""
+        deadline = monotonic() + timeout_s
+        conn = await self._pool.open(deadline)
+        conn.is_pooled = False
+        return await self._ask(conn, deadline)
+
+    async def _ask_held(self, conn: BackendConnection) -> Answer:
+        """Ask on the held connection, and on a new one if it stays silent.
+
+        If only the new one answers, the connections opened before it are
+        taken for silent as well.
+        """
+        asked_at = monotonic()
+        deadline = asked_at + 2 * HEALTH_TIMEOUT_S
+        held = asyncio.create_task(self._ask(conn, deadline))
+        try:
+            await asyncio.wait((held,), timeout=HEALTH_TIMEOUT_S)
+            if held.done():
+                return held.result()
+            answer = await self._ask_new(NEW_HEALTH_TIMEOUT_S)
+            await asyncio.wait((held,), timeout=SILENCE_GRACE_S)
+            if not held.done():
+                self._pool.give_up_silent(asked_at)
+            return answer
+        finally:
+            held.cancel()
+            await asyncio.gather(held, return_exceptions=True)
+
+    async def _ask(self, conn: BackendConnection, deadline: float) -> Answer:
+        head = RequestHead(
+            "", "", "GET", "/health", b"Host: health\r\n", "", "", 0, False, 0, True
+        )
+        try:
+            await conn.start(head, deadline)
+            answer = await self._pool.read_answer(conn, head, lambda error: None)
+        except BaseException:
+            conn.abort()
+            raise
+        # Of two connections that answered, the one asked last is held.
+        if self._conn is not None:
+            conn.abort()
+        else:
+            self._conn = conn
+        return answer
--- a/tests/node/test_backend.py
+++ b/tests/node/test_backend.py
@@ -10,6 +10,7 @@
 from mangowell_node.backend import BackendPool, HealthPoller
 from mangowell_node.exchange import AttemptError, RequestHead
 from mangowell_node.reach import Reach
+from mangowell_standins.backend_server import BackendServer
 from node.support_calls import ScriptedBackend, make_answer, run_stations, until
 
 
@@ -168,6 +169,47 @@
         assert await poller.poll() == (status, 0.1)
 
 
+async def test_requests_do_not_wait_on_silent_connections():
+    """Open connections may go silent for good while new ones work."""
+    server = BackendServer()
+    await server.start()
+    pool = BackendPool("127.0.0.1", server.port, Reach())
+    poller = HealthPoller(pool, lambda status, load: None)
+    try:
+        assert (await poller.poll())[0] == "ok"
+        await exchange(pool, make_head(target="/?work_ms=0"))
+        server.silence_connections()
+        waiting = asyncio.create_task(exchange(pool, make_head(), seconds=60.0))
+        await until(lambda: server.completed == 2)
+        assert (await poller.poll())[0] == "ok"
+        with pytest.raises(AttemptError) as caught:
+            await waiting
+        assert caught.value.refusal.cause is Cause.CONNECTION_SILENT
+        answer = await exchange(pool, make_head(target="/?work_ms=0"))
+        assert answer.head.status == 200
+    finally:
+        pool.close()
+        await server.stop()
+
+
+async def test_slow_requests_are_not_taken_for_silent_ones():
+    """A request may take longer than the health endpoint."""
+    server = BackendServer()
+    await server.start()
+    pool = BackendPool("127.0.0.1", server.port, Reach())
+    poller = HealthPoller(pool, lambda status, load: None)
+    try:
+        head = make_head(target="/?work_ms=1000")
+        waiting = asyncio.create_task(exchange(pool, head, seconds=60.0))
+        while not waiting.done():
+            assert (await poller.poll())[0] == "ok"
+            await asyncio.sleep(0.02)
+        assert waiting.result().head.status == 200
+    finally:
+        pool.close()
+        await server.stop()
+
+
 @pytest.mark.parametrize("health", ["", '", "x', "fine"])
 async def test_misleading_health_counts_as_down(health):
     async with run_pool(health=health) as (_, pool):
