Read the configuration service with gzip and count the bytes on the wire

Change: the client asks for gzip, decompresses under the size limit itself and tells the core the size on the wire; the stand-in and the baselines do the same. Conclusion: necessary and not enough: a burst needs a rate limit in bytes.

--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -12,6 +12,7 @@
 
 import argparse
 import asyncio
+import gzip
 import hashlib
 import json
 import signal
@@ -56,8 +57,13 @@
         """Watch a key of the source for ever."""
         url = f"{self.settings.source.url}/v1/values/{key}"
         digest = ""
-        headers = {"User-Agent": f"baseline/{self.settings.instance}"}
-        async with aiohttp.ClientSession(headers=headers) as session:
+        headers = {
+            "User-Agent": f"baseline/{self.settings.instance}",
+            "Accept-Encoding": "gzip",
+        }
+        async with aiohttp.ClientSession(
+            headers=headers, auto_decompress=False
+        ) as session:
             while True:
                 params = {"after": digest, "wait_ms": str(int(WATCH_S * 1000))}
                 self.source_reads += 1
@@ -65,6 +71,8 @@
                     async with session.get(url, params=params) as response:
                         body = await response.read()
                         self.control_bytes += len(body) + READ_OVERHEAD_BYTES
+                        if response.headers.get("Content-Encoding") == "gzip":
+                            body = gzip.decompress(body)
                         if response.status == 200:
                             digest = response.headers["ETag"].strip('"')
                             self.take(key, body)
--- a/packages/core/src/mangowell_core/distribution/io.py
+++ b/packages/core/src/mangowell_core/distribution/io.py
@@ -37,13 +37,15 @@
 class SourceValue:
     """A read or watch was answered with a value.
 
-    `digest` is the one that the configuration service gave.
+    `digest` is the one that the configuration service gave, `wire_bytes` the
+    size of the answer as it was sent, which may be compressed.
     """
 
     key: str
     body: bytes
     digest: str
     revision: int
+    wire_bytes: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/node/src/mangowell_node/source.py
+++ b/packages/node/src/mangowell_node/source.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import zlib
 from collections.abc import Callable
 from urllib.parse import urlsplit
 
@@ -22,6 +23,7 @@
 VALUE_LIMIT_BYTES = 1_000_000
 # Headers of request and answer, and TCP/IP headers.
 READ_OVERHEAD_BYTES = 500
+GZIP_WINDOW_BITS = 31
 
 SourceEvent = SourceValue | SourceUnchanged | SourceFailed
 
@@ -75,7 +77,12 @@
 
     async def start(self) -> None:
         """Open the client session."""
-        self._session = aiohttp.ClientSession(headers={"User-Agent": self._agent})
+        # Bodies are decompressed here, so that the bytes on the wire can be
+        # counted and a small body cannot expand without bound.
+        self._session = aiohttp.ClientSession(
+            headers={"User-Agent": self._agent, "Accept-Encoding": "gzip"},
+            auto_decompress=False,
+        )
 
     def read(self, request: ReadSource) -> None:
         """Start a read or watch; a read of the same key is given up."""
@@ -143,11 +150,30 @@
             raise SourceError("configuration service cut off")
 
 
-def _read_value(key: str, resp: aiohttp.ClientResponse, body: bytes) -> SourceValue:
+def _read_value(key: str, resp: aiohttp.ClientResponse, sent: bytes) -> SourceValue:
+    body = _decode(sent, resp.headers.get("Content-Encoding", "identity"))
     if len(body) > VALUE_LIMIT_BYTES:
         raise SourceError(f"value of {key} exceeds {VALUE_LIMIT_BYTES} bytes")
     digest = resp.headers.get("ETag", "").strip('"')
     revision = resp.headers.get("X-Revision", "")
     if not digest or not revision.isdecimal():
         raise SourceError(f"answer for {key} lacks ETag or X-Revision")
-    return SourceValue(key, body, digest, int(revision))
+    wire_bytes = len(sent) + READ_OVERHEAD_BYTES
+    return SourceValue(key, body, digest, int(revision), wire_bytes)
+
+
+def _decode(sent: bytes, coding: str) -> bytes:
+    match coding:
+        case "identity":
+            return sent
+        case "gzip":
+            decoder = zlib.decompressobj(GZIP_WINDOW_BITS)
+            try:
+                body = decoder.decompress(sent, VALUE_LIMIT_BYTES + 1)
+            except zlib.error as exc:
+                raise SourceError(f"malformed gzip body: {exc}") from exc
+            if not decoder.eof and len(body) <= VALUE_LIMIT_BYTES:
+                raise SourceError("truncated gzip body")
+            return body
+        case _:
+            raise SourceError(f"unknown content coding {coding!r}")
--- a/packages/standins/src/mangowell_standins/config_service.py
+++ b/packages/standins/src/mangowell_standins/config_service.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import gzip
 import hashlib
 import random
 import time
@@ -40,9 +41,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Value:
-    """One published value of a key."""
+    """One published value of a key; `packed` is its body under gzip."""
 
     body: bytes
+    packed: bytes
     digest: str
     revision: int
 
@@ -148,7 +150,8 @@
         """Make `body` the newest value of `key` and wake the watches."""
         data = body.encode() if isinstance(body, str) else body
         history = self._history.setdefault(key, [])
-        value = Value(data, hashlib.sha256(data).hexdigest(), len(history) + 1)
+        digest = hashlib.sha256(data).hexdigest()
+        value = Value(data, gzip.compress(data, mtime=0), digest, len(history) + 1)
         history.append(value)
         self.published_at[key, value.digest] = time.time()
         self._wake()
@@ -238,10 +241,11 @@
         self.counts.peak_load = max(self.counts.peak_load, self.limit.load(now))
         if self.fault is SourceFault.SLOW:
             await asyncio.sleep(self.slow_s * self._rng.uniform(0.5, 1.5))
-        return await self._await_value(key, after, now + wait_s)
+        packed = "gzip" in request.headers.get("Accept-Encoding", "")
+        return await self._await_value(key, after, now + wait_s, packed)
 
     async def _await_value(
-        self, key: str, after: str, wait_deadline: float
+        self, key: str, after: str, wait_deadline: float, packed: bool
     ) -> web.Response:
         while True:
             if self.fault is SourceFault.DOWN:
@@ -250,13 +254,14 @@
             if value is None:
                 return web.Response(status=404)
             if value.digest != after:
-                return web.Response(
-                    body=value.body,
-                    headers={
-                        "ETag": f'"{value.digest}"',
-                        "X-Revision": str(value.revision),
-                    },
-                )
+                headers = {
+                    "ETag": f'"{value.digest}"',
+                    "X-Revision": str(value.revision),
+                }
+                if packed:
+                    headers["Content-Encoding"] = "gzip"
+                body = value.packed if packed else value.body
+                return web.Response(body=body, headers=headers)
             left = wait_deadline - self._clock()
             if left <= 0:
                 return web.Response(
--- a/tests/node/test_source.py
+++ b/tests/node/test_source.py
@@ -1,6 +1,7 @@
 """Guards the client of the configuration service against bad answers."""
 
 import asyncio
+import gzip
 from dataclasses import replace
 
 import pytest
@@ -14,12 +15,17 @@
 )
 from mangowell_core.settings import NodeSettings, SourceSettings
 from mangowell_node.reach import Reach
-from mangowell_node.source import VALUE_LIMIT_BYTES, SourceClient
+from mangowell_node.source import (
+    READ_OVERHEAD_BYTES,
+    VALUE_LIMIT_BYTES,
+    SourceClient,
+)
 from mangowell_node.telemetry import Telemetry
 
 KEY = "documents/test"
 ANSWER_S = 10
 HEADERS = {"ETag": '"d1"', "X-Revision": "7"}
+GZIPPED = {**HEADERS, "Content-Encoding": "gzip"}
 SETTINGS = NodeSettings(
     instance="one",
     service="stock",
@@ -79,7 +85,21 @@
 
 async def test_value_is_read(read):
     event = await read(answer(body=b"text", headers=HEADERS))
-    assert event == SourceValue(KEY, b"text", "d1", 7)
+    assert event == SourceValue(KEY, b"text", "d1", 7, 4 + READ_OVERHEAD_BYTES)
+
+
+async def test_compressed_value_is_read(read):
+    """Whole documents must not cross the wire uncompressed at each change."""
+    body = b"[service stock]\n" * 1000
+    packed = gzip.compress(body)
+
+    async def respond(req):
+        assert req.headers["Accept-Encoding"] == "gzip"
+        headers = {**HEADERS, "Content-Encoding": "gzip"}
+        return web.Response(body=packed, headers=headers)
+
+    event = await read(respond)
+    assert (event.body, event.wire_bytes) == (body, len(packed) + READ_OVERHEAD_BYTES)
 
 
 async def test_watch_sends_digest_and_wait(read):
@@ -102,8 +122,22 @@
         answer(body=b"text"),
         answer(body=b"text", headers={"ETag": '"d"', "X-Revision": "-1"}),
         answer(body=bytes(VALUE_LIMIT_BYTES + 1), headers=HEADERS),
+        answer(body=b"text", headers=GZIPPED),
+        answer(body=gzip.compress(b"text")[:-1], headers=GZIPPED),
+        answer(body=gzip.compress(bytes(50 * VALUE_LIMIT_BYTES)), headers=GZIPPED),
+        answer(body=b"text", headers={**HEADERS, "Content-Encoding": "br"}),
+    ],
+    ids=[
+        "outage",
+        "rate",
+        "no-headers",
+        "negative-revision",
+        "oversized",
+        "malformed-gzip",
+        "truncated-gzip",
+        "oversized-gzip",
+        "unknown-coding",
     ],
-    ids=["outage", "rate", "no-headers", "negative-revision", "oversized"],
 )
 async def test_unusable_answer_fails(read, respond):
     assert isinstance(await read(respond), SourceFailed)
--- a/tests/node/test_standins.py
+++ b/tests/node/test_standins.py
@@ -34,7 +34,7 @@
     service = ConfigService(reads_per_second=100)
     url = await service.listen()
     first = service.publish("documents/test", "one")
-    headers = {"User-Agent": "mangowell-node/node-a"}
+    headers = {"User-Agent": "mangowell-node/node-a", "Accept-Encoding": "identity"}
     async with aiohttp.ClientSession(headers=headers) as session:
         assert (await read(session, url))[2] == b"one"
         watch = asyncio.create_task(
