Wait for two view lags where an instance may be hidden

Vanished instances are now asked for 121 min and plain keys are held back for 122 min after a start. The check of I6 compared times by another rounding than the ledger and reported a key that ran exactly 600 s later.

--- a/packages/core/src/mangowell_core/policy/checks.py
+++ b/packages/core/src/mangowell_core/policy/checks.py
@@ -78,7 +78,7 @@
             return
         name = (service, key)
         ran_at = self._keys.get(name)
-        if ran_at is not None and now - ran_at < RETENTION_S:
+        if ran_at is not None and now < ran_at + RETENTION_S:
             raise Violation(f"I6: key {key} of {service} runs twice")
         self._keys[name] = now
         self._keys.move_to_end(name)
--- a/packages/core/src/mangowell_core/policy/ownership.py
+++ b/packages/core/src/mangowell_core/policy/ownership.py
@@ -13,11 +13,15 @@
 VIEW_LAG_S = 3600.0  # longest partition: a node may run with a view this old
 LIST_LAG_S = 60.0  # between an instance's start or end and its showing in the list
 
+# A list may drop an instance that runs, and list it again before the instance
+# has seen that: its view lags. A node that saw the drop may not have seen the
+# return: its view lags too. Only after both lags has the instance stopped, or
+# the node seen it again.
+HIDDEN_S = 2 * VIEW_LAG_S + LIST_LAG_S
 # An instance runs no plain key for this long after its process started, or
 # after it was listed again. It cannot know who ran keys before: its list lacks
-# instances that have left, and one that a partition hides may go on running
-# keys for as long as the partition lasts.
-START_HOLD_S = RETENTION_S + VIEW_LAG_S + 2 * LIST_LAG_S
+# instances that have left, and those that are hidden from it.
+START_HOLD_S = HIDDEN_S + LIST_LAG_S
 # A new instance owns no key until the whole fleet lists it and it may run keys.
 ESTABLISH_S = START_HOLD_S + LIST_LAG_S
 # Until this age an instance asks its rivals: a node with the oldest view may
@@ -65,8 +69,8 @@
             return False
         if self.gone_at > now:
             return True
-        lag_s = LIST_LAG_S if self.was_leaving else VIEW_LAG_S
-        return now - self.gone_at < RETENTION_S + lag_s
+        kept_s = RETENTION_S + LIST_LAG_S if self.was_leaving else HIDDEN_S
+        return now - self.gone_at < kept_s
 
 
 class Ownership:
