--- a/packages/standins/src/mangowell_standins/callers.py
+++ b/packages/standins/src/mangowell_standins/callers.py
@@ -19,8 +19,9 @@
 
 from mangowell_standins.backend_server import check_answer
 
-# Sent with a call so that no call waits longer at the nodes.
-DEFAULT_DEADLINE_MS = 2000
+# Sent with a call so that no call waits longer at the nodes. A silent
+# connection is detected within 2 s, so that a call can be repeated in time.
+DEFAULT_DEADLINE_MS = 4000
 # A caller gives up on one attempt this long after its deadline.
 ATTEMPT_GRACE_S = 1.0
 KEY_TIMEOUT_S = 2.0
@@ -50,6 +51,9 @@
     work_ms : float
         Service time at the backend server; negative leaves it to the server.
     deadline_ms : int
+    repeats : bool
+        Whether the caller repeats a call after ``not-run``. If not, a refusal
+        is final and counts in `refused` but not in `lost`.
     """
 
     name: str
@@ -63,6 +67,7 @@
     size: int = 64
     work_ms: float = -1.0
     deadline_ms: int = DEFAULT_DEADLINE_MS
+    repeats: bool = True
 
 
 @dataclass(slots=True)
@@ -84,7 +89,7 @@
     not_run : int
         Answers ``not-run``, each of which the caller repeated.
     refused : int
-        Calls whose last answer was ``not-run``; a part of `lost`.
+        Calls that ended in ``not-run`` and whose caller does not repeat.
     broken : int
         Connections broken by the crash of the node on the other side.
     resent : int
@@ -145,9 +150,6 @@
         Time from a call's start after which it is not repeated.
     crashed : callable
         Tells whether the node at a ``host:port`` crashed since a time.
-    retries : bool
-        Whether ``not-run`` is repeated. Off for measurements in which a
-        refusal is final.
     rng : random.Random or None
     """
 
@@ -160,7 +162,6 @@
         max_in_flight: int = 500,
         give_up_s: float = 10.0,
         crashed: Callable[[str, float], bool] = lambda target, since: False,
-        retries: bool = True,
         rng: random.Random | None = None,
     ):
         self.counts = CallCounts()
@@ -173,15 +174,15 @@
         self._max_in_flight = max_in_flight
         self._give_up_s = give_up_s
         self._crashed = crashed
-        self._retries = retries
         self._rng = rng or random.Random(0)
         self._session: aiohttp.ClientSession | None = None
         self._calls: set[asyncio.Task] = set()
         self._loop: asyncio.Task | None = None
-        self._run_name = f"{self._rng.getrandbits(40):010x}"
+        self._run_name = ""
 
     async def start(self) -> None:
         """Start to call in the background."""
+        self._run_name = f"{self._rng.getrandbits(40):010x}"
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=5.0)
         self._session = aiohttp.ClientSession(connector=connector)
         self._loop = asyncio.get_running_loop().create_task(self._generate())
@@ -201,6 +202,11 @@
             await self._session.close()
         return self.counts
 
+    def reset_counts(self) -> CallCounts:
+        """Start counting anew; return the counts so far."""
+        counts, self.counts = self.counts, CallCounts()
+        return counts
+
     async def run(self, seconds: float) -> CallCounts:
         """Call for `seconds` and return the counts."""
         await self.start()
@@ -232,7 +238,7 @@
         Returns
         -------
         str
-            ``done``, ``unknown``, ``lost`` or ``cut``.
+            ``done``, ``unknown``, ``refused``, ``lost`` or ``cut``.
         """
         counts = self.counts
         counts.calls += 1
@@ -255,6 +261,8 @@
                 counts.done_once_ids.append(request_id)
         elif end == "unknown":
             counts.unknown += 1
+        elif end == "refused":
+            counts.refused += 1
         elif end == "cut":
             counts.cut += 1
         else:
@@ -310,10 +318,10 @@
             else:
                 last = "no node takes calls"
                 delay_now = delay
+            if refused and not kind.repeats:
+                return "refused", last
             pause = delay_now * self._rng.uniform(0.5, 1.0)
-            if not self._retries or time.monotonic() + pause >= give_up_at:
-                if refused:
-                    self.counts.refused += 1
+            if time.monotonic() + pause >= give_up_at:
                 if not refused and target and not kind.idempotent:
                     return "unknown", last
                 return "lost", last
