--- a/tests/core/test_fingerprints.py
+++ b/tests/core/test_fingerprints.py
@@ -248,7 +248,7 @@
 
 @pytest.mark.parametrize("same_domain", [True, False])
 def test_table_is_bounded_and_keeps_refusals(same_domain):
-    """A flood of crashes must not use up the memory or free a culprit."""
+    """A flood of crashes must not use up the memory or end a refusal."""
     policy = make_ready()
     policy.backend_crashed("shop", [POISON], 1.0)
     policy.backend_crashed("shop", [POISON], 2.0)
--- a/tests/core/test_idempotency.py
+++ b/tests/core/test_idempotency.py
@@ -240,7 +240,7 @@
     assert (refusal.outcome, refusal.cause) == (Outcome.UNKNOWN, Cause.KEY_OWNER_LOST)
 
 
-def test_heir_of_an_owner_that_left_waits_for_the_retention():
+def test_successor_of_an_owner_that_left_waits_for_the_retention():
     """The ledger of the owner before is gone, with whatever it ran."""
     policy = make_ready("b")
     state = make_instance("a", state=InstanceState.LEAVING)
@@ -263,7 +263,7 @@
     return found.instance.name
 
 
-def test_heir_of_a_vanished_owner_asks_as_long_as_a_partition_lasts():
+def test_successor_of_a_vanished_owner_asks_as_long_as_a_partition_lasts():
     """A domain that is cut off may go on running keys by its old view."""
     policy = make_ready("b")
     key = find_key("a")
