Share the faults between pairs and random sequences; lose silent answers for good

The test of silent watches did not guard what it says: answers under way when the source went silent still arrived, so a mutant that never gives a read up passed. They are lost now. The cause behind has a test of its own, because the random sequences have changed with the shared code and seeds mean other runs.

--- a/tests/core/test_distribution_random.py
+++ b/tests/core/test_distribution_random.py
@@ -1,11 +1,10 @@
-"""Random combinations of the faults of the design, with the invariants on.
+"""Faults of the design alone, in pairs, and in random sequences.
 
 The invariants I1, I2, I3 and I9 are asserted inside the program (level `full`).
-A failure prints its seed and a trace.
+A failure prints its seed and a trace. The bound counts from the end of the faults.
 """
 
-from itertools import count
-from random import Random
+from itertools import combinations_with_replacement
 
 import pytest
 from hypothesis import given, settings
@@ -15,19 +14,80 @@
 from mangowell_core.distribution.gate import find_version
 
 CONVERGENCE_BOUND_S = 14.0
+FAULT_S = 8.0
 STEPS = 14
 
 
+def pause(fleet, names, seconds=FAULT_S - 0.1):
+    for name in names:
+        if not fleet.nodes[name].paused:
+            fleet.pause(name, seconds)
+
+
+def partition(fleet, *source_cuts):
+    fleet.cuts.update(frozenset(("d0", other)) for other in ("d1", "d2"))
+    fleet.source_cuts.update(source_cuts)
+
+
+def lose_messages(fleet, drop=0.4, duplicate=0.2, delay_s=0.8):
+    fleet.drop, fleet.duplicate, fleet.delay_s = drop, duplicate, delay_s
+
+
+FAULTS = {
+    "reader": lambda f: f.crash(*f.readers("d0")[:1]),
+    "readers": lambda f: f.crash(*f.readers("d0"), *f.readers("d1")),
+    "domain": lambda f: f.crash(*[name for name in f.nodes if name.startswith("d0")]),
+    "fleet": lambda f: f.crash(*f.nodes),
+    "pause": lambda f: pause(f, f.readers("d0") + f.readers("d2")),
+    "partition": partition,
+    "cut-off": lambda f: partition(f, "d0"),
+    "source-down": lambda f: f.set_source("down"),
+    "source-stale": lambda f: f.set_source("stale"),
+    "source-flapping": lambda f: f.set_source("flapping"),
+    "source-silent": lambda f: setattr(f, "source", "silent"),
+    "loss": lose_messages,
+    "list": lambda f: f.publish_list(("d0n000", "d0n001", "d0n002")),
+    "invalid": lambda f: f.publish(make_document(2) + b"[broken\n"),
+}
+
+
+def end_faults(fleet):
+    fleet.end_losses()
+    fleet.cuts.clear()
+    fleet.source_cuts.clear()
+    # A pause is a fault too; the longest one lasts 12 s.
+    fleet.run(12.0 if any(n.paused for n in fleet.nodes.values()) else 0.0)
+    fleet.publish_list()
+    fleet.set_source("up")
+    fleet.start()
+
+
+@pytest.mark.parametrize(
+    ("first", "second"), list(combinations_with_replacement(FAULTS, 2))
+)
+def test_change_arrives_after_two_faults(first, second):
+    """A change is published while the faults last, whatever it reaches."""
+    fleet = Fleet(21, domains=3, per_domain=4)
+    fleet.start()
+    fleet.run(7)
+    for name in {first: None, second: None}:
+        FAULTS[name](fleet)
+    fleet.run(0.2)
+    fleet.publish(make_document(3))
+    fleet.run(FAULT_S)
+    end_faults(fleet)
+    bound = CONVERGENCE_BOUND_S
+    assert fleet.run(bound, lambda: fleet.converged(3)) < bound, fleet.explain()
+
+
 class Scenario:
-    """Applies random faults to a fleet and ends them."""
+    """Applies random faults to a fleet of random size and ends them."""
 
     def __init__(self, seed: int):
-        self.rng = Random(seed)
+        self.fleet = Fleet(seed)
+        self.rng = self.fleet.rng
         self.fleet = Fleet(seed, self.rng.randint(1, 4), self.rng.randint(1, 6))
-        self.version = 1
-        self.valid = {1}
-        self.names = count(100)
-        self.removed: set[str] = set()
+        self.version, self.valid, self.removed = 1, {1}, ()
 
     def publish_valid(self):
         self.version += self.rng.randint(1, 3)
@@ -47,89 +107,62 @@
 
     def publish_conflict(self):
         if self.version in self.valid:
-            self.fleet.publish(make_document(self.version, f"c{next(self.names)}"))
+            note = f"{self.rng.random()}"
+            self.fleet.publish(make_document(self.version, note))
 
     def change_list(self):
         domain = f"d{self.rng.randrange(4)}"
-        name = f"{domain}x{next(self.names)}"
+        name = f"{domain}x{len(self.fleet.instances)}"
         self.fleet.add_instance(domain, name, self.rng.choice(["web", "new"]))
-        self.fleet.publish_list(tuple(self.removed))
+        self.fleet.publish_list(self.removed)
         self.fleet.start(name)
 
     def shrink_list(self):
         domain = f"d{self.rng.randrange(4)}"
         names = [n for n in self.fleet.instances if n.startswith(domain)]
-        self.removed = set(self.rng.sample(names, len(names) * 2 // 3))
-        self.fleet.publish_list(tuple(self.removed))
-
-    def crash_herd(self):
-        names = sorted(self.fleet.nodes)
-        self.fleet.crash(*self.rng.sample(names, self.rng.randint(0, len(names))))
-
-    def restart(self):
-        self.fleet.start()
-
-    def pause(self):
-        running = [n for n, node in self.fleet.nodes.items() if not node.paused]
-        for name in self.rng.sample(running, min(2, len(running))):
-            self.fleet.pause(name, self.rng.uniform(0.5, 12))
-
-    def cut(self):
-        ends = [f"d{self.rng.randrange(4)}" for _ in range(2)]
-        self.fleet.cuts.add(frozenset(ends))
-
-    def cut_source(self):
-        self.fleet.source_cuts.add(f"d{self.rng.randrange(4)}")
-
-    def heal(self):
-        self.fleet.cuts.clear()
-        self.fleet.source_cuts.clear()
-
-    def change_source(self):
+        self.removed = tuple(self.rng.sample(names, len(names) * 2 // 3))
+        self.fleet.publish_list(self.removed)
+
+    def apply(self):
+        """Apply one random change or fault."""
+        fleet, rng = self.fleet, self.rng
+        names = sorted(fleet.nodes)
+        some = rng.sample(names, rng.randint(0, len(names)))
+        domains = [f"d{rng.randrange(4)}" for _ in range(2)]
         states = ["up", "down", "stale", "flapping", "silent", "up"]
-        self.fleet.set_source(self.rng.choice(states))
-
-    def disturb(self):
-        self.fleet.drop = self.rng.choice([0, 0.05, 0.4])
-        self.fleet.duplicate = self.rng.choice([0, 0.3])
-        self.fleet.delay_s = self.rng.choice([0.002, 0.05, 1.5])
+        losses = [rng.choice(c) for c in ([0, 0.05, 0.4], [0, 0.3], [0.002, 0.05, 1.5])]
+        actions = [
+            self.publish_valid,
+            self.publish_valid,
+            self.publish_invalid,
+            self.publish_conflict,
+            self.change_list,
+            self.shrink_list,
+            lambda: fleet.crash(*some),
+            fleet.start,
+            lambda: pause(fleet, some[:2], rng.uniform(0.5, 12)),
+            lambda: fleet.cuts.add(frozenset(domains)),
+            lambda: fleet.source_cuts.add(domains[0]),
+            lambda: (fleet.cuts.clear(), fleet.source_cuts.clear()),
+            lambda: fleet.set_source(rng.choice(states)),
+            lambda: lose_messages(fleet, *losses),
+        ]
+        rng.choice(actions)()
 
-    def run(self):
-        """Inject faults, end them, and return the expected version."""
+    def run(self) -> int:
+        """Inject faults, end them, and return the lowest version to settle at."""
         fleet = self.fleet
         fleet.start()
         fleet.run(self.rng.uniform(0, 6))
-        actions = [
-            self.publish_valid, self.publish_valid, self.publish_invalid,
-            self.publish_conflict, self.change_list, self.shrink_list,
-            self.crash_herd, self.restart, self.pause, self.cut, self.cut_source,
-            self.heal, self.change_source, self.disturb,
-        ]  # fmt: skip
         for _ in range(STEPS):
-            action = self.rng.choice(actions)
-            fleet.trace.append(f"{fleet.now:.3f} {action.__name__}")
-            action()
+            self.apply()
             fleet.run(self.rng.choice([0.0, 0.05, 0.5, 3.0, 8.0]))
-        fleet.end_losses()
-        self.heal()
-        # A pause is a fault too; the longest one lasts 12 s.
-        fleet.run(12.0 if any(n.paused for n in fleet.nodes.values()) else 0.0)
-        fleet.publish_list()
-        fleet.set_source("up")
-        self.restart()
-        return self.expect()
-
-    def expect(self) -> int:
-        running = [
-            n.snapshots[-1].document.version
-            for n in self.fleet.nodes.values()
-            if n.snapshots
-        ]
-        shown = find_version(DOCUMENT, self.fleet.values[DOCUMENT][-1])
-        if not running and shown not in self.valid:
+        end_faults(fleet)
+        shown = find_version(DOCUMENT, fleet.values[DOCUMENT][-1])
+        if max(fleet.versions()) == 0 and shown not in self.valid:
             self.publish_valid()
             shown = self.version
-        return max([*running, shown if shown in self.valid else 0])
+        return max(*fleet.versions(), shown if shown in self.valid else 0)
 
     def is_settled(self, lowest: int) -> bool:
         """Return whether all nodes run the same valid version.
@@ -137,16 +170,9 @@
         It may be above `lowest`: a text that a node had accepted or that was on
         its way when the faults ended.
         """
-        versions = {
-            node.snapshots[-1].document.version if node.snapshots else 0
-            for node in self.fleet.nodes.values()
-        }
-        version = max(versions)
-        return (
-            version >= lowest
-            and version in self.valid
-            and self.fleet.converged(version)
-        )
+        version = max(self.fleet.versions())
+        settled = version >= lowest and version in self.valid
+        return settled and self.fleet.converged(version)
 
 
 def check_seed(seed: int) -> None:
@@ -158,19 +184,17 @@
     except AssertionError as exc:
         pytest.fail(f"seed {seed}: {exc}\n{fleet.explain()}")
     if took > CONVERGENCE_BOUND_S:
-        pytest.fail(
-            f"seed {seed}: not settled at {version} or above\n{fleet.explain()}"
-        )
+        pytest.fail(f"seed {seed}: not settled at {version}\n{fleet.explain()}")
 
 
-@pytest.mark.parametrize("seed", [*range(40), 10027, 10463, 557121])
-def test_fleet_converges_after_any_faults(seed):
-    """Two faults that coincide must not leave a node behind."""
+@pytest.mark.parametrize("seed", range(40))
+def test_fleet_settles_after_random_faults(seed):
+    """Faults that coincide must not leave a node behind."""
     check_seed(seed)
 
 
 @settings(max_examples=25, deadline=None)
 @given(st.integers(1000, 10**9))
-def test_fleet_converges_after_unseen_faults(seed):
+def test_fleet_settles_after_unseen_faults(seed):
     """The same with seeds that nobody has tuned the code to."""
     check_seed(seed)
--- a/tests/core/test_readers.py
+++ b/tests/core/test_readers.py
@@ -1,5 +1,7 @@
 """Guards who reads the source, how often, and what replaces a failed reader."""
 
+from dataclasses import replace
+
 import pytest
 from tests.core.fleet import Fleet, make_document
 
@@ -100,11 +102,12 @@
 def test_silent_watches_are_given_up(fleet):
     """Connections can go silent for all readers while new ones work."""
     fleet.run(3)
-    open_reads = [(n, dict(n.reads)) for n in fleet.nodes.values()]
     fleet.source = "silent"
+    for node in fleet.nodes.values():
+        # The answers under way belong to the old objects and get lost.
+        node.reads = {key: replace(read) for key, read in node.reads.items()}
     fleet.publish(make_document(2))
     fleet.source = "up"
-    assert sum(len(reads) for _, reads in open_reads) == READERS * 2
     assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < BOUND_S
 
 
