Complete the join when the source has answered, whatever it gave

Cause: a random run (1 of 3,000) ended with two nodes that had version 1 from each other's predecessors, while the source gave another text with that version. A conflicting text is no evidence, so neither counted as having read the source, and neither answered the other as running. Now any answer for both keys counts, because nobody knows more than the source.

--- a/packages/core/src/mangowell_core/distribution/join.py
+++ b/packages/core/src/mangowell_core/distribution/join.py
@@ -135,7 +135,7 @@
             self._read_at = self._read_again(now)
         complete = all(key in board.held for key in self._ctx.keys)
         if complete and not self._has_target(now):
-            read = all(key in board.given for key in self._ctx.keys)
+            read = self._readers.has_read_since(self._since)
             expired = now >= self._since + JOIN_DEADLINE_S
             if read or self._fresh_reader or (expired and self._replies):
                 self._complete(now, "source" if read else "peers")
@@ -180,11 +180,7 @@
         )
 
     def _run_pause(self, now: float) -> None:
-        confirmed = self._replies > 0 or all(
-            key in self._ctx.board.configuration.given
-            and self._ctx.board.configuration.given[key].confirmed_at > self._since
-            for key in self._ctx.keys
-        )
+        confirmed = self._replies > 0 or self._readers.has_read_since(self._since)
         reason = ""
         if confirmed and not self._has_target(now):
             reason = "confirmed"
--- a/packages/core/src/mangowell_core/distribution/readers.py
+++ b/packages/core/src/mangowell_core/distribution/readers.py
@@ -230,6 +230,14 @@
             if read.key not in given and read.state is ReadState.IDLE:
                 self._open(read, now, plain=True)
 
+    def has_read_since(self, since: float) -> bool:
+        """Return whether the source has answered for all keys.
+
+        What it gave may be invalid or conflict with what this node runs; nobody
+        knows more than the source.
+        """
+        return all(read.confirmed_at > since for read in self._reads.values())
+
     def verify(self, now: float) -> None:
         """Read all keys again at once instead of waiting for open watches."""
         for read in self._reads.values():
--- a/tests/core/test_join.py
+++ b/tests/core/test_join.py
@@ -3,6 +3,7 @@
 import pytest
 from tests.core.fleet import Fleet, make_document
 
+from mangowell_core.blackboard import NodeState
 from mangowell_core.distribution import DistributionCore
 from mangowell_core.distribution.io import Stopping
 from mangowell_core.distribution.join import parse_seed
@@ -54,6 +55,20 @@
     assert fleet.run(14, lambda: fleet.converged(1)) < 14
 
 
+def test_source_with_a_conflicting_version_does_not_block_the_join(single):
+    """Found by a random run: two joining nodes waited for each other for ever.
+
+    They had version 1 from a peer that then failed, and the source gave another
+    text with that version.
+    """
+    node = single.nodes["d0n000"]
+    node.core.board.configuration.state = NodeState.JOINING
+    node.core.board.configuration.given.clear()
+    node.core._join._since = single.now
+    single.publish(make_document(1, "other"))
+    assert single.run(14, lambda: single.converged(1)) < 14
+
+
 def test_node_that_the_list_does_not_show_is_kept_up_to_date(fleet):
     """The list lags behind the processes."""
     fleet.add_instance("d0", "d0new")
