Strengthen tests that mutants passed; report versions first seen at the source

Mutants without the push to domains that lack the source, without the wait for the text of the highest version, with no grace for versions that only peers hold, or without readers called in by a contradiction had passed. /status now takes delay_ms and learned_from from the text that runs, not from one that waits.

--- a/packages/core/src/mangowell_core/distribution/core.py
+++ b/packages/core/src/mangowell_core/distribution/core.py
@@ -189,8 +189,13 @@
         """Return the fields of ``/status`` that the core knows."""
         board = self.board.configuration
         snapshot = board.snapshot
-        text = board.held.get(self._context.document_key)
         running = snapshot is not None
+        # A newer text may be held and wait for the first instance of a service.
+        history = board.history.get(self._context.document_key, ())
+        text = next(
+            (t for t in history if running and t.digest == snapshot.document.digest),
+            None,
+        )
         since = self._context.incarnation / 1000 + board.snapshot_at - self._started_at
         read_at = board.snapshot_at if text is None else text.read_at
         return {
--- a/packages/core/src/mangowell_core/distribution/corroboration.py
+++ b/packages/core/src/mangowell_core/distribution/corroboration.py
@@ -157,7 +157,7 @@
         for held, age_ms in zip(heartbeat.held, heartbeat.held_ages_ms, strict=True):
             self._record_sighting(claim, held, now - age_ms / 1000)
             self._changed.add(held.key)
-            self._report_seen(held, heartbeat.reader)
+            self.report_seen(held, heartbeat.reader)
         self._update_lag(claim, now)
         return True
 
@@ -212,12 +212,13 @@
         holders.heard_at = now
         self._changed.add(held.key)
         peers = holders.peers
-        self._report_seen(held, describe_peer(peer))
+        self.report_seen(held, describe_peer(peer))
         peers[peer] = now
         if len(peers) > SIGHTINGS_KEPT:
             del peers[min(peers, key=peers.__getitem__)]
 
-    def _report_seen(self, held: KeyVersion, peer: str) -> None:
+    def report_seen(self, held: KeyVersion, peer: str) -> None:
+        """Report a version above the running one when it is first heard of."""
         running = self._ctx.board.configuration.held.get(held.key)
         lowest = 0 if running is None else running.version
         if held.version <= lowest or held in self._reported:
--- a/packages/core/src/mangowell_core/distribution/gate.py
+++ b/packages/core/src/mangowell_core/distribution/gate.py
@@ -95,6 +95,7 @@
             held.key, held.version, held.digest, body, None, learned_from, read_at
         )
         if relation is Relation.HIGHER:
+            self._corroboration.report_seen(held, learned_from)
             pending = self._pending.get(held.key, {})
             if held.digest in pending:
                 self.run(now)
--- a/tests/core/test_corroboration.py
+++ b/tests/core/test_corroboration.py
@@ -5,7 +5,14 @@
 from mangowell_core.digest import content_digest, make_delta
 from mangowell_core.distribution.corroboration import Verdict
 from mangowell_core.distribution.io import Peer, PeerMessage
-from mangowell_core.messages import Announce, DigestQuery, Heartbeat, KeyVersion, Piece
+from mangowell_core.messages import (
+    Announce,
+    DigestQuery,
+    Fetch,
+    Heartbeat,
+    KeyVersion,
+    Piece,
+)
 
 FORGED = make_document(999, "forged")
 HELD = KeyVersion(DOCUMENT, 999, content_digest(FORGED))
@@ -16,10 +23,13 @@
     base = make_document(1)
     delta = make_delta(base, FORGED)
     sender = fleet.instances[liar]
+    board = fleet.nodes["d1n000"].core.board.configuration
+    listed = board.held["instances"].to_key_version()
     peer = Peer(liar, sender.host, sender.control_port)
     for _ in range(seconds):
         sequence = round(fleet.now * 1000)
-        heartbeat = Heartbeat("d0", liar, 10**9, sequence, "up", [HELD], 0, [0])
+        held = [HELD, listed]
+        heartbeat = Heartbeat("d0", liar, 10**9, sequence, "up", held, 0, [0, 0])
         message = Announce(liar, HELD, heartbeat, content_digest(base), delta)
         for name, node in fleet.nodes.items():
             if name.startswith("d0") and name != liar:
@@ -40,17 +50,25 @@
 
 
 def test_peer_that_says_it_holds_a_version_is_not_believed(fleet):
-    """A node that is no reader has no evidence of its own."""
+    """A node that is no reader has no evidence of its own, but serves its text."""
     liar = next(n for n in fleet.nodes if n not in fleet.readers("d0"))
     peer = fleet.nodes[liar].peer
     fleet.crash(liar)
     base = content_digest(make_document(1))
     delta = make_delta(make_document(1), FORGED)
     piece = Piece(DOCUMENT, 999, HELD.digest, base, 0, len(delta), delta)
+    send = fleet._send
+
+    def serve_forged(sender, target, message):
+        if isinstance(message, Fetch) and message.digest == HELD.digest:
+            fleet.push(sender, PeerMessage(peer, piece))
+        else:
+            send(sender, target, message)
+
+    fleet._send = serve_forged
     for _ in range(60):
         for node in fleet.nodes.values():
-            for message in (DigestQuery([HELD], [], [0]), piece):
-                fleet.push(node, PeerMessage(peer, message))
+            fleet.push(node, PeerMessage(peer, DigestQuery([HELD], [], [0])))
         fleet.run(0.5)
         assert fleet.versions() == {1}
 
--- a/tests/core/test_join.py
+++ b/tests/core/test_join.py
@@ -7,6 +7,7 @@
 from mangowell_core.distribution import DistributionCore
 from mangowell_core.distribution.io import Stopping
 from mangowell_core.distribution.join import parse_seed
+from mangowell_core.messages import Piece
 
 
 def state_of(fleet, name):
@@ -34,6 +35,27 @@
     assert [s.document.version for s in node.snapshots] == [2]
 
 
+def test_new_node_waits_for_the_text_of_the_highest_version(fleet):
+    """It knows of version 2, has only version 1, and must not serve that."""
+    fleet.publish(make_document(2))
+    fleet.run(1)
+    fleet.set_source("stale")
+    fleet.shown = dict.fromkeys(fleet.shown, 0)
+    start, send = fleet.now, fleet._send
+
+    def send_late(sender, peer, message):
+        if not isinstance(message, Piece) or fleet.now > start + 3:
+            send(sender, peer, message)
+
+    fleet._send = send_late
+    fleet.crash("d0n003")
+    fleet.start("d0n003")
+    fleet.run(2.9)
+    assert fleet.versions("d0n003") == {1}
+    assert not fleet.nodes["d0n003"].core.serving()
+    assert fleet.run(14, lambda: fleet.converged(2)) < 14
+
+
 def test_new_node_joins_while_the_source_is_down(fleet):
     fleet.publish(make_document(2))
     fleet.run(1)
--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -127,6 +127,17 @@
     assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < 5
 
 
+def test_change_is_pushed_to_domains_without_the_source(fleet):
+    """Such a domain must not depend on its own queries alone."""
+    fleet.source_cuts.add("d0")
+    fleet.set_source("up")
+    fleet.run(5)
+    for node in fleet.nodes.values():
+        node.core._spread._cross_at = float("inf")
+    fleet.publish(make_document(2))
+    assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < 2
+
+
 HELD = KeyVersion(DOCUMENT, 9, "a" * 64)
 MALFORMED = [
     HeartbeatRelay(beat(source="sideways")),
