--- a/packages/core/src/mangowell_core/distribution/corroboration.py
+++ b/packages/core/src/mangowell_core/distribution/corroboration.py
@@ -30,8 +30,12 @@
 # source takes 0.2 s plus a round trip and the way down the tree.
 LONE_CLAIM_GRACE_S = 0.5
 # Readers do not check what only other nodes hold, but their watches end within
-# 10 s, and the confirmation needs up to a second to arrive.
-HOLDER_GRACE_S = 11.0
+# 8 s, and the confirmation needs up to a second to arrive.
+HOLDER_GRACE_S = 9.0
+# A reader confirms what the source shows at least that often. An older
+# confirmation is of a version that the source has replaced since, maybe by an
+# invalid one that cannot be claimed, so it contradicts nothing any more.
+CONTRADICTION_TTL_S = 9.5
 # The time on the way is not part of an age, so a confirmation seems later than it
 # was. A reader that checks a claim does so at least 0.2 s after it.
 SKEW_S = 0.1
@@ -153,7 +157,7 @@
         for held, age_ms in zip(heartbeat.held, heartbeat.held_ages_ms, strict=True):
             self._record_sighting(claim, held, now - age_ms / 1000)
             self._changed.add(held.key)
-            self._report_seen(held, heartbeat.reader)
+            self.report_seen(held, heartbeat.reader)
         self._update_lag(claim, now)
         return True
 
@@ -208,12 +212,13 @@
         holders.heard_at = now
         self._changed.add(held.key)
         peers = holders.peers
-        self._report_seen(held, describe_peer(peer))
+        self.report_seen(held, describe_peer(peer))
         peers[peer] = now
         if len(peers) > SIGHTINGS_KEPT:
             del peers[min(peers, key=peers.__getitem__)]
 
-    def _report_seen(self, held: KeyVersion, peer: str) -> None:
+    def report_seen(self, held: KeyVersion, peer: str) -> None:
+        """Report a version above the running one when it is first heard of."""
         running = self._ctx.board.configuration.held.get(held.key)
         lowest = 0 if running is None else running.version
         if held.version <= lowest or held in self._reported:
@@ -301,7 +306,7 @@
         if (
             own is not None
             and own.version < held.version
-            and own.confirmed_at > first_at + SKEW_S
+            and own.confirmed_at > max(first_at + SKEW_S, now - CONTRADICTION_TTL_S)
         ):
             return Verdict.HOLD
         verdict = Verdict.ACCEPT
@@ -319,7 +324,8 @@
             sightings = claim.sightings.get(held.key)
             if not sightings or sightings[0].version >= held.version:
                 continue
-            if sightings[0].confirmed_at > first_at + SKEW_S:
+            earliest = max(first_at + SKEW_S, now - CONTRADICTION_TTL_S)
+            if sightings[0].confirmed_at > earliest:
                 return Verdict.HOLD
             if now < grace_until and self._is_present(claim, now):
                 verdict = Verdict.WAIT if supporters else Verdict.HOLD
--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -3,6 +3,7 @@
 import pytest
 from tests.core.fleet import DOCUMENT, Fleet, make_document
 
+from mangowell_core.digest import make_delta
 from mangowell_core.distribution.io import Peer, PeerMessage, SendPeer
 from mangowell_core.distribution.ranking import Tree, rank_instances
 from mangowell_core.messages import (
@@ -16,6 +17,8 @@
 )
 
 BOUND_S = 14.0
+# Later, substitutes read the source themselves.
+TAKEOVER_S = 2.9
 STRANGER = Peer("stranger", "10.0.0.9", 9)
 
 
@@ -53,18 +56,21 @@
 
 
 def make_domain(seed):
-    """Return a domain of 40 that has trees and no digest exchange to repair them."""
+    """Return a domain of 40 in which only announcements bring a version.
+
+    Digests and heartbeats, which would repair a broken tree, are lost.
+    """
     fleet = Fleet(seed, domains=1, per_domain=40)
     fleet.start()
     fleet.run(8, lambda: fleet.converged(1))
     fleet.run(2)
     send = fleet._send
 
-    def send_no_digest(sender, peer, message):
-        if not isinstance(message, DigestQuery | DigestReply):
+    def send_without_repair(sender, peer, message):
+        if not isinstance(message, DigestQuery | DigestReply | HeartbeatRelay):
             send(sender, peer, message)
 
-    fleet._send = send_no_digest
+    fleet._send = send_without_repair
     return fleet, sorted(set(fleet.nodes) - set(fleet.readers("d0")))
 
 
@@ -73,7 +79,7 @@
     fleet, others = make_domain(11)
     fleet.crash(*others[::2])
     fleet.publish(make_document(2))
-    assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < 4
+    assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < TAKEOVER_S
     assert "CHILD_SKIPPED" in fleet.codes()
 
 
@@ -83,7 +89,7 @@
     for name in others[::3]:
         fleet.pause(name, 60)
     fleet.publish(make_document(2))
-    fleet.run(4)
+    fleet.run(TAKEOVER_S)
     assert fleet.versions() == {2}
 
 
@@ -121,6 +127,17 @@
     assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < 5
 
 
+def test_change_is_pushed_to_domains_without_the_source(fleet):
+    """Such a domain must not depend on its own queries alone."""
+    fleet.source_cuts.add("d0")
+    fleet.set_source("up")
+    fleet.run(5)
+    for node in fleet.nodes.values():
+        node.core._spread._cross_at = float("inf")
+    fleet.publish(make_document(2))
+    assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < 2
+
+
 HELD = KeyVersion(DOCUMENT, 9, "a" * 64)
 MALFORMED = [
     HeartbeatRelay(beat(source="sideways")),
@@ -152,10 +169,15 @@
     assert fleet.converged(1)
 
 
-def test_delta_with_another_digest_is_dropped_and_not_passed_on(fleet):
+@pytest.mark.parametrize(
+    "delta",
+    [b"junk", make_delta(make_document(1), make_document(8))],
+    ids=["junk", "other-text"],
+)
+def test_delta_with_another_digest_is_dropped_and_not_passed_on(fleet, delta):
     node = fleet.nodes["d0n000"]
     text = node.core.board.configuration.held[DOCUMENT]
-    message = Announce("stranger", HELD, beat([HELD], [0]), text.digest, b"junk")
+    message = Announce("stranger", HELD, beat([HELD], [0]), text.digest, delta)
     effects = node.core.handle(PeerMessage(STRANGER, message), fleet.now)
     sent = [e.message for e in effects if isinstance(e, SendPeer)]
     assert not any(isinstance(found, Announce) for found in sent)
