Keep calls off links that may have gone silent together

When all links of a fleet went silent, a call that moved off one met the next silent link and reached its deadline.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -34,6 +34,7 @@
 QUIET_S = 1.0
 # Bound of the fault model: crashes by one request in one failure domain.
 MAX_POISON_CRASHES = 3
+MAX_FAILURES = 100  # lost and cut calls shown in a trace
 # Faults of one group use the same switch, so only one is active at a time.
 GROUPS = {name: "source" for name in FAULTS if name.startswith("source-")}
 
@@ -160,8 +161,8 @@
         self._run.fleet.publish(make_document(self._version, note=note))
         self._tell(f"publish version {self._version}")
 
-    def _tell(self, text: str) -> None:
-        at = time.monotonic() - self._started
+    def _tell(self, text: str, at: float | None = None) -> None:
+        at = (time.monotonic() if at is None else at) - self._started
         self.report.trace.append(f"{at:7.2f} s  {text}")
 
     def _judge(self) -> None:
@@ -185,6 +186,10 @@
         )
         report.problems += [problem for holds, problem in checks if not holds]
         report.problems += self._watch.violations + fleet.violations
+        for began, ended, reason in counts.failures[:MAX_FAILURES]:
+            text = f"call of {ended - began:.2f} s ends {reason}"
+            self._tell(text, ended)
+        report.trace.sort(key=lambda line: float(line.split(" s ", 1)[0]))
         if counts.lost or counts.cut:
             report.problems += [f"{n} x {c}" for c, n in counts.causes.items()]
 
--- a/packages/node/src/mangowell_node/link.py
+++ b/packages/node/src/mangowell_node/link.py
@@ -247,6 +247,10 @@
         self._received_at = 0.0
         self._checked_at = 0.0
         self._pinged_at = 0.0
+        self.heard_at = 0.0
+        # A ping has gone without an answer for PING_INTERVAL_S.
+        self.is_doubtful = False
+        self.on_silent: Callable[[_Link], None] | None = None
         self._check: asyncio.TimerHandle | None = None
         self._paused = False
         self._drain_waiters: list[asyncio.Future] = []
@@ -266,7 +270,7 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        self._received_at = monotonic()
+        self._received_at = self.heard_at = monotonic()
         if self._buffer:
             self._buffer += data
             if len(self._buffer) < self._needed:
@@ -339,6 +343,8 @@
         if self.transport is not None:
             self.transport.abort()
         self._fail_streams()
+        if reason == "silent" and self.on_silent is not None:
+            self.on_silent(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.close("closed by the peer" if exc is None else str(exc))
@@ -355,7 +361,8 @@
         self._check = None
         # Streams with short deadlines may all have ended on a silent link, so
         # the check goes on until the peer has answered a ping.
-        if not self._has_streams() and self._received_at >= self._pinged_at:
+        self.is_doubtful = self._received_at < self._pinged_at
+        if not (self._has_streams() or self.is_doubtful):
             return
         now = monotonic()
         # After a pause of this process, what has arrived is not read yet.
@@ -437,7 +444,10 @@
     @property
     def is_usable(self) -> bool:
         """Whether new streams may be opened."""
-        return not (self.closed or self.leaving) and self._last_stream < MAX_STREAM
+        return (
+            not (self.closed or self.leaving or self.is_doubtful)
+            and self._last_stream < MAX_STREAM
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -635,6 +645,8 @@
         self._reach = reach
         self._emit = emit
         self._links: dict[tuple[str, int], ClientLink] = {}
+        # Not usable for new streams, but some may be open still.
+        self._replaced: set[ClientLink] = set()
         self._opening: dict[tuple[str, int], asyncio.Task] = {}
 
     async def call(
@@ -691,6 +703,10 @@
             raise AttemptError.at(
                 Cause.CONNECT_FAILED, Stage.UNSENT, f"link: {exc}"
             ) from exc
+        link.on_silent = self._close_unheard
+        replaced = self._links.get(address)
+        if replaced is not None:
+            self._replaced.add(replaced)
         self._links[address] = link
         self._emit(Event(EventCode.LINK_OPENED, {"peer": f"{address[0]}:{address[1]}"}))
         return link
@@ -706,6 +722,26 @@
                 del self._links[address]
                 self._report(address, link)
 
+        for link in list(self._replaced):
+            if not link.closed and not self._reach.allows(*link.address):
+                link.close("unreachable")
+            elif link.is_idle and not link.is_doubtful:
+                link.close("replaced")
+            if link.closed:
+                self._replaced.discard(link)
+                self._report(link.address, link)
+
+    def _close_unheard(self, silent: _Link) -> None:
+        """Close idle links that may have gone silent at the same time.
+
+        A call that is moved from the silent link would else wait as long on
+        the next one. What has been heard of in that time is not silent.
+        """
+        since = monotonic() - SILENT_AFTER_S
+        for link in list(self._links.values()):
+            if link.is_idle and link.heard_at < since:
+                link.close("may be silent")
+
     def _report(self, address: tuple[str, int], link: ClientLink) -> None:
         silent = link.close_reason == "silent"
         code = EventCode.LINK_SILENT if silent else EventCode.LINK_CLOSED
@@ -716,9 +752,10 @@
         """Close every link."""
         for task in self._opening.values():
             task.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._replaced):
             link.close("stopping")
         self._links.clear()
+        self._replaced.clear()
 
 
 Handler = Callable[[RequestHead, Body | None, float], Awaitable[Answer]]
--- a/packages/standins/src/mangowell_standins/fleet.py
+++ b/packages/standins/src/mangowell_standins/fleet.py
@@ -257,7 +257,8 @@
         """Keep what no task handled, such as an `InvariantViolation` of a node."""
         exc = context.get("exception")
         where = "".join(traceback.format_exception(exc)[-3:]) if exc else ""
-        text = f"{context['message']}: {exc!r} {where}".strip()
+        task = context.get("task") or context.get("future") or ""
+        text = f"{context['message']}: {exc!r} {where}{task}".strip()
         if len(self.violations) < MAX_VIOLATIONS:
             self.violations.append(text)
 
