Pass the sender of a fencing query on and send clearances of suspects

Cause: the policy's rule of one promise to one instance had no effect, because the request path dropped the sender; a suspect that completed stayed one at other nodes until it completed there. Change: both are wired, with a test each that fails without.

--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -280,7 +280,7 @@
             case Leaving(instance):
                 self._policy.peer_leaving(instance, now)
             case FenceQuery():
-                reply = self._policy.fence(message, now)
+                reply = self._policy.fence(message, now, sender.instance)
                 asker = self._instances.get(sender.instance)
                 if asker is not None:
                     self._send_control(asker, reply)
--- a/packages/node/src/mangowell_node/egress.py
+++ b/packages/node/src/mangowell_node/egress.py
@@ -124,7 +124,8 @@
         head = self._head
         if not head.streaming:
             head.fingerprint = head.fingerprint or find_fingerprint(head)
-            self._policy.backend_completed(head.fingerprint, now)
+            for report in self._policy.backend_completed(head.fingerprint, now):
+                self._egress.send_to_members(report)
 
 
 class Egress:
--- /dev/null
+++ b/tests/node/test_call_control.py
@@ -0,0 +1,39 @@
+"""Guards that control messages about requests reach the policy and other nodes."""
+
+from mangowell_core.distribution.io import Peer
+from mangowell_core.messages import CrashReport, FenceQuery, FenceReply
+from mangowell_core.policy import make_fingerprint
+from node.support_calls import ScriptedBackend, make_answer, run_stations, until
+
+
+async def answer_ok(request):
+    return make_answer(b"ok")
+
+
+async def start_backends(count):
+    return [await ScriptedBackend(answer_ok).start() for _ in range(count)]
+
+
+async def test_promise_is_given_to_one_instance_only():
+    """Two owners in differing views must not both get the promise for a key."""
+    async with run_stations(*await start_backends(3)) as stations:
+        station = stations[0]
+        for asker in ("n1", "n2", "n1"):
+            query = FenceQuery("orders", "key", 1)
+            station.calls.handle_control(Peer(asker, "127.0.0.1", 1), query)
+        replies = [(n, m.promised) for n, m in station.sent if type(m) is FenceReply]
+        assert replies == [("n1", True), ("n2", False), ("n1", True)]
+
+
+async def test_completed_suspect_is_cleared_at_other_nodes():
+    """A request blamed for another's crash must not stay suspect elsewhere."""
+    suspect = make_fingerprint("GET", "/item", "", b"")
+    async with run_stations(*await start_backends(3)) as stations:
+        for station in stations:
+            await until(lambda s=station: s.calls._egress.health == "ok")
+            report = CrashReport("orders", "d1", suspect, 1, "n9")
+            station.calls.handle_control(Peer("n9", "127.0.0.1", 1), report)
+            assert suspect in station.policy.board.suspects
+        assert (await stations[0].call(target="/item")).status == 200
+        for station in stations:
+            await until(lambda s=station: suspect not in s.policy.board.suspects)
