--- a/packages/node/src/mangowell_node/backend.py
+++ b/packages/node/src/mangowell_node/backend.py
@@ -32,7 +32,12 @@
 # Below the 5 s after which common HTTP servers close an idle connection.
 MAX_IDLE_S = 4.0
 HEALTH_INTERVAL_S = 0.5
+MIN_HEALTH_INTERVAL_S = 0.005  # once the poller's connection is lost
 HEALTH_TIMEOUT_S = 1.0
+# Together with the above within the 2 s in which silence is to be found.
+NEW_HEALTH_TIMEOUT_S = 0.3
+# After a pause of the backend server, old and new connections answer together.
+SILENCE_GRACE_S = 0.1
 READ_BUFFER = 65_536  # bytes; reading pauses at twice this size
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
 _NO_BODY_STATUSES = frozenset({204, 304})
@@ -48,12 +53,17 @@
     __slots__ = (
         "_body",
         "_head",
+        "_is_aborted",
+        "_may_repeat",
         "_pool",
         "_reusable",
         "_timer",
         "_waiter",
         "_with_body",
+        "heard_at",
         "idle_since",
+        "is_pooled",
+        "opened_at",
         "received",
         "used",
     )
@@ -66,9 +76,14 @@
         self._body: StreamReader | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._reusable = True
+        self._is_aborted = False
+        self._may_repeat = False
         self.used = False
         self.received = False
+        self.heard_at = 0.0
         self.idle_since = 0.0
+        self.opened_at = 0.0
+        self.is_pooled = True
         self._make_parser(True)
 
     def _make_parser(self, with_body: bool) -> None:
@@ -113,6 +128,7 @@
         else:
             framing = b"\r\n"
         self.received = False
+        self._may_repeat = head.idempotent
         waiter = self._waiter = self._loop.create_future()
         self._timer = self._loop.call_later(deadline - now, self._expire)
         self.transport.write(
@@ -176,7 +192,8 @@
             and body.is_eof()
             and body.exception() is None
         ):
-            self._pool.put(self)
+            if self.is_pooled:
+                self._pool.put(self)
         else:
             self.abort()
 
@@ -194,9 +211,22 @@
         self._stop_timer()
         self._waiter = None
         self._head = None
+        self._is_aborted = True
         if self.transport is not None:
             self.transport.abort()
 
+    def give_up_silent(self, since: float) -> None:
+        """Close an idle connection, or a repeatable exchange without a byte.
+
+        An exchange that may not be repeated waits on: its answer may still
+        come, and giving up would only make its end unknown sooner.
+        """
+        if self._waiter is None and self._body is None:
+            self.abort()
+        elif self._may_repeat and self.heard_at < since:
+            reason = "connection to the backend server is silent"
+            self._fail(AttemptError.at(Cause.CONNECTION_SILENT, Stage.SENT, reason))
+
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -214,6 +244,7 @@
         if body is not None and not body.is_eof() and body.exception() is None:
             body.set_exception(error)
         self._stop_timer()
+        self._is_aborted = True
         if self.transport is not None:
             self.transport.abort()
 
@@ -227,6 +258,7 @@
             return
         if data:
             self.received = True
+            self.heard_at = monotonic()
         try:
             messages, upgraded, tail = self._parser.feed_data(data)
         except (HttpProcessingError, ValueError, AssertionError) as exc:
@@ -265,6 +297,8 @@
         """End the exchange; a body that is not complete is an error."""
         super().connection_lost(exc)
         self._pool.forget(self)
+        if not self._is_aborted:
+            self._pool.note_loss(self)
         if self._body is None:
             error = AttemptError.at(
                 Cause.CONNECTION_LOST, Stage.SENT, "backend server closed"
@@ -358,6 +392,7 @@
     def __init__(self, host: str, port: int, reach: Reach, limit: int = 120) -> None:
         self.loop = asyncio.get_running_loop()
         self.limit = limit
+        self.on_loss: Callable[[BackendConnection], None] | None = None
         self._host = host
         self._port = port
         self._reach = reach
@@ -365,6 +400,7 @@
         self._open: set[BackendConnection] = set()
         self._opening = 0
         self._waiters: deque[asyncio.Future] = deque()
+        self._losses: deque[float] = deque(maxlen=32)
         self._closed = False
 
     @property
@@ -372,6 +408,26 @@
         """Connections that are open now."""
         return frozenset(self._open)
 
+    def note_loss(self, conn: BackendConnection) -> None:
+        """Record that the backend server has closed a connection."""
+        self._losses.append(monotonic())
+        if self.on_loss is not None:
+            self.on_loss(conn)
+
+    def count_losses(self, since: float) -> int:
+        """Return how many connections the backend server closed since a time."""
+        return sum(lost_at >= since for lost_at in self._losses)
+
+    def has_survivor(self, since: float) -> bool:
+        """Tell whether a connection that was open at a time is open still."""
+        return any(c.is_open and c.opened_at < since for c in self._open)
+
+    def give_up_silent(self, since: float) -> None:
+        """Give up the connections opened before a time; see `BackendConnection`."""
+        for conn in list(self._open):
+            if conn.is_pooled and conn.opened_at < since:
+                conn.give_up_silent(since)
+
     def put(self, conn: BackendConnection) -> None:
         """Take back a connection after a complete answer."""
         if self._closed:
@@ -449,6 +505,7 @@
         finally:
             self._opening -= 1
         self._open.add(conn)
+        conn.opened_at = monotonic()
         return conn
 
     async def read_answer(
@@ -514,9 +571,12 @@
         self._pool = pool
         self._on_health = on_health
         self._task: asyncio.Task | None = None
+        self._conn: BackendConnection | None = None
+        self._lost = asyncio.Event()
 
     def start(self) -> None:
         """Start polling."""
+        self._pool.on_loss = self._note_loss
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
@@ -528,20 +588,33 @@
     async def _run(self) -> None:
         while True:
             self._on_health(*await self.poll())
-            await asyncio.sleep(HEALTH_INTERVAL_S)
+            self._lost.clear()
+            await asyncio.sleep(MIN_HEALTH_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HEALTH_INTERVAL_S - MIN_HEALTH_INTERVAL_S):
+                    await self._lost.wait()
+
+    def _note_loss(self, conn: BackendConnection) -> None:
+        if conn is self._conn:
+            self._lost.set()
+
+    @property
+    def has_witness(self) -> bool:
+        """Whether a connection to the backend server is held open."""
+        return self._conn is not None and self._conn.is_open
 
     async def poll(self) -> tuple[str, float]:
-        """Ask once; return status and load."""
-        deadline = monotonic() + HEALTH_TIMEOUT_S
-        head = RequestHead(
-            "", "", "GET", "/health", b"Host: health\r\n", "", "", 0, False, 0, True
-        )
-        conn = None
+        """Ask once; return status and load.
+
+        The connection is kept out of the pool, so that there is always one
+        whose loss tells a crash from a connection closed for its request.
+        """
+        held, self._conn = self._conn, None
         try:
-            conn = self._pool.take_idle() or await self._pool.open(deadline)
-            await conn.start(head, deadline)
-            answer = await self._pool.read_answer(conn, head, lambda error: None)
-            conn = None
+            if held is not None and held.is_open:
+                answer = await self._ask_held(held)
+            else:
+                answer = await self._ask_new(HEALTH_TIMEOUT_S)
             if answer.stream is not None:
                 answer.stream.close()
                 return "down", 0.0
@@ -550,9 +623,52 @@
             reply = _health_decoder.decode(answer.head.body)
         except (AttemptError, msgspec.DecodeError, ConnectionError):
             return "down", 0.0
-        finally:
-            if conn is not None:
-                conn.abort()
         if reply.status not in _HEALTH_STATES:
             return "down", 0.0
         return reply.status, min(1.0, max(0.0, reply.load))
+
+    async def _ask_new(self, timeout_s: float) -> Answer:
+        """Ask on a new connection, which is held from now on."""
+        deadline = monotonic() + timeout_s
+        conn = await self._pool.open(deadline)
+        conn.is_pooled = False
+        return await self._ask(conn, deadline)
+
+    async def _ask_held(self, conn: BackendConnection) -> Answer:
+        """Ask on the held connection, and on a new one if it stays silent.
+
+        If only the new one answers, the connections opened before it are
+        taken for silent as well.
+        """
+        asked_at = monotonic()
+        deadline = asked_at + 2 * HEALTH_TIMEOUT_S
+        held = asyncio.create_task(self._ask(conn, deadline))
+        try:
+            await asyncio.wait((held,), timeout=HEALTH_TIMEOUT_S)
+            if held.done():
+                return held.result()
+            answer = await self._ask_new(NEW_HEALTH_TIMEOUT_S)
+            await asyncio.wait((held,), timeout=SILENCE_GRACE_S)
+            if not held.done():
+                self._pool.give_up_silent(asked_at)
+            return answer
+        finally:
+            held.cancel()
+            await asyncio.gather(held, return_exceptions=True)
+
+    async def _ask(self, conn: BackendConnection, deadline: float) -> Answer:
+        head = RequestHead(
+            "", "", "GET", "/health", b"Host: health\r\n", "", "", 0, False, 0, True
+        )
+        try:
+            await conn.start(head, deadline)
+            answer = await self._pool.read_answer(conn, head, lambda error: None)
+        except BaseException:
+            conn.abort()
+            raise
+        # Of two connections that answered, the one asked last is held.
+        if self._conn is not None:
+            conn.abort()
+        else:
+            self._conn = conn
+        return answer
--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from time import monotonic
 from urllib.parse import parse_qs
 
@@ -49,6 +50,7 @@
 from mangowell_node.telemetry import Telemetry
 
 HOUSEKEEPING_INTERVAL_S = 0.1
+EVENTS_PER_INTERVAL = 5  # refused and retried calls that get an event of their own
 # Time in which callers with open connections are told another address.
 DRAIN_LINGER_S = 0.5
 INTERNAL_PREFIX = "/.mangowell/"
@@ -134,6 +136,8 @@
         self._draining = False
         self._active = 0
         self._count = 0
+        self._event_room = EVENTS_PER_INTERVAL
+        self._omitted = 0
         # Ids stay distinct over restarts of the process.
         self._prefix = f"{settings.instance}-{time.time_ns() // 1_000_000:x}-"
         self._ingress: IngressServer | None = None
@@ -182,7 +186,8 @@
             self._send_control,
         )
         self._apply_service()
-        self._poller = HealthPoller(self._pool, self._take_health)
+        self._poller = poller = HealthPoller(self._pool, self._take_health)
+        self._egress.has_witness = lambda: poller.has_witness
         key = derive_link_key(settings.security.curve_secret)
         self._links = LinkPool(settings.instance, key, self._reach, emit)
         self._link_server = LinkServer(key, self._run_remote, self._policy.load, emit)
@@ -313,9 +318,25 @@
     async def _keep_house(self) -> None:
         while True:
             self._links.check(monotonic())
+            self._event_room = EVENTS_PER_INTERVAL
             self._drain_events()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
 
+    def _emit_limited(self, code: EventCode, fields: dict) -> None:
+        """Emit an event that comes with many calls at once in an overload.
+
+        Beyond the limit only their number is kept, so that they neither take
+        the node's time nor push other events out of the ring.
+        """
+        if self._event_room <= 0:
+            self._omitted += 1
+            return
+        self._event_room -= 1
+        if self._omitted:
+            fields["omitted"] = self._omitted
+            self._omitted = 0
+        self._telemetry.emit(Event(code, fields))
+
     def _drain_events(self) -> None:
         for event in self._policy.events():
             self._telemetry.emit(event)
@@ -359,6 +380,9 @@
             refusal = refuse(Cause.NOT_READY, self._paused)
             return self._refuse(request, None, refusal, now)
         headers = call.headers
+        if call.method == "CONNECT" or not call.target.startswith("/"):
+            refusal = Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 400, 0.0, "no path")
+            return self._refuse(request, None, refusal, now)
         path, _, query = call.target.partition("?")
         if path.startswith(INTERNAL_PREFIX):
             return await self._serve_internal(call, request, path, query, now)
@@ -434,12 +458,18 @@
         excluded: set[str] = set()
         attempts = 0
         error: AttemptError | None = None
+        answer: Answer | None = None
+        has_run = False  # whether an attempt can have reached a backend server
         while True:
             now = monotonic()
             choice = policy.pick(plan, excluded, now)
             if type(choice) is Refusal:
+                if answer is not None:
+                    return self._answer(plan, answer, started, attempts)
                 # What the attempts before have met says more than this does.
                 refusal = choice if error is None else error.refusal
+                if has_run:
+                    refusal = _weaken(refusal)
                 return self._refuse(head.request, plan, refusal, started, attempts)
             attempts += 1
             hedge_at = policy.hedge_deadline(plan, now) if body is None else None
@@ -450,6 +480,7 @@
                     answer = await self._hedge(plan, choice, head, excluded, hedge_at)
             except AttemptError as exc:
                 error = exc
+                answer = None
                 refusal = exc.refusal
                 result = AttemptResult(
                     refusal.outcome,
@@ -463,6 +494,7 @@
                     return self._answer(plan, answer, started, attempts)
                 error = None
             excluded.add(choice.instance.name)
+            has_run = has_run or result.outcome is not Outcome.NOT_RUN
             allowed = plan.route.idempotent or result.outcome is Outcome.NOT_RUN
             if body is not None and body.started:
                 allowed = False
@@ -473,19 +505,16 @@
             if not (allowed and policy.may_retry(plan, result, attempts, now)):
                 if error is None:
                     return self._answer(plan, answer, started, attempts)
-                return self._refuse(
-                    head.request, plan, error.refusal, started, attempts
-                )
-            self._telemetry.emit(
-                Event(
-                    EventCode.CALL_RETRIED,
-                    {
-                        "request": head.request,
-                        "backend": choice.instance.name,
-                        "reason": result.cause.value,
-                        "attempt": attempts,
-                    },
-                )
+                refusal = _weaken(error.refusal) if has_run else error.refusal
+                return self._refuse(head.request, plan, refusal, started, attempts)
+            self._emit_limited(
+                EventCode.CALL_RETRIED,
+                {
+                    "request": head.request,
+                    "backend": choice.instance.name,
+                    "reason": result.cause.value,
+                    "attempt": attempts,
+                },
             )
 
     async def _attempt(
@@ -566,8 +595,7 @@
                 for task in done:
                     if task.exception() is None and task.result().head.status < 500:
                         winner = task
-            # Without a good answer, the first attempt's end counts.
-            winner = winner or tasks[0]
+            winner = winner or max(tasks, key=_rank_failure)
             return winner.result()
         finally:
             for task in tasks:
@@ -665,7 +693,10 @@
                 outcome.value,
                 monotonic() - started,
             )
-        self._telemetry.emit(Event(code, fields))
+        if code is EventCode.CALL_REFUSED:
+            self._emit_limited(code, fields)
+        else:
+            self._telemetry.emit(Event(code, fields))
         return Reply(
             refusal.status,
             _REASONS.get(refusal.status, "Error"),
@@ -702,6 +733,24 @@
     )
 
 
+def _weaken(refusal: Refusal) -> Refusal:
+    """Turn ``not-run`` into ``unknown``, as an earlier attempt may have run."""
+    if refusal.outcome is not Outcome.NOT_RUN:
+        return refusal
+    return replace(refusal, outcome=Outcome.UNKNOWN)
+
+
+def _rank_failure(task: asyncio.Task) -> int:
+    """Rank failed attempts by what they say of the request."""
+    error = task.exception()
+    if error is None:
+        return 2
+    is_not_run = type(error) is AttemptError and (
+        error.refusal.outcome is Outcome.NOT_RUN
+    )
+    return 0 if is_not_run else 1
+
+
 def _read_remaining(value: str | None) -> int | None:
     if value is None:
         return None
--- a/packages/node/src/mangowell_node/link.py
+++ b/packages/node/src/mangowell_node/link.py
@@ -17,6 +17,7 @@
 from enum import IntEnum
 from time import monotonic
 
+import logbook
 import msgspec
 
 from mangowell_core.events import Event, EventCode
@@ -77,6 +78,7 @@
 _ANSWER = int(FrameType.ANSWER)
 _NO_PAYLOAD = b""
 
+_log = logbook.Logger(__name__)
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(RequestHead)
 _answer_decoder = msgspec.msgpack.Decoder(AnswerHead)
@@ -245,6 +247,10 @@
         self._received_at = 0.0
         self._checked_at = 0.0
         self._pinged_at = 0.0
+        self.heard_at = 0.0
+        # A ping has gone without an answer for PING_INTERVAL_S.
+        self.is_doubtful = False
+        self.on_silent: Callable[[_Link], None] | None = None
         self._check: asyncio.TimerHandle | None = None
         self._paused = False
         self._drain_waiters: list[asyncio.Future] = []
@@ -264,7 +270,7 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        self._received_at = monotonic()
+        self._received_at = self.heard_at = monotonic()
         if self._buffer:
             self._buffer += data
             if len(self._buffer) < self._needed:
@@ -337,6 +343,8 @@
         if self.transport is not None:
             self.transport.abort()
         self._fail_streams()
+        if reason == "silent" and self.on_silent is not None:
+            self.on_silent(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.close("closed by the peer" if exc is None else str(exc))
@@ -353,7 +361,8 @@
         self._check = None
         # Streams with short deadlines may all have ended on a silent link, so
         # the check goes on until the peer has answered a ping.
-        if not self._has_streams() and self._received_at >= self._pinged_at:
+        self.is_doubtful = self._received_at < self._pinged_at
+        if not (self._has_streams() or self.is_doubtful):
             return
         now = monotonic()
         # After a pause of this process, what has arrived is not read yet.
@@ -435,7 +444,10 @@
     @property
     def is_usable(self) -> bool:
         """Whether new streams may be opened."""
-        return not (self.closed or self.leaving) and self._last_stream < MAX_STREAM
+        return (
+            not (self.closed or self.leaving or self.is_doubtful)
+            and self._last_stream < MAX_STREAM
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -633,6 +645,8 @@
         self._reach = reach
         self._emit = emit
         self._links: dict[tuple[str, int], ClientLink] = {}
+        # Not usable for new streams, but some may be open still.
+        self._replaced: set[ClientLink] = set()
         self._opening: dict[tuple[str, int], asyncio.Task] = {}
 
     async def call(
@@ -657,7 +671,7 @@
         if task is None:
             task = asyncio.ensure_future(self._connect(address))
             self._opening[address] = task
-            task.add_done_callback(lambda task: self._opening.pop(address, None))
+            task.add_done_callback(lambda task: self._end_opening(address, task))
         # Other requests wait for the same link, so no one of them may cancel it.
         timeout = max(0, deadline - monotonic())
         done, _ = await asyncio.wait([task], timeout=timeout)
@@ -667,6 +681,12 @@
             )
         return task.result()
 
+    def _end_opening(self, address: tuple[str, int], task: asyncio.Task) -> None:
+        self._opening.pop(address, None)
+        if not task.cancelled():
+            # Every request that waited may have given up.
+            task.exception()
+
     async def _connect(self, address: tuple[str, int]) -> ClientLink:
         loop = asyncio.get_running_loop()
         link = None
@@ -683,6 +703,10 @@
             raise AttemptError.at(
                 Cause.CONNECT_FAILED, Stage.UNSENT, f"link: {exc}"
             ) from exc
+        link.on_silent = self._close_unheard
+        replaced = self._links.get(address)
+        if replaced is not None:
+            self._replaced.add(replaced)
         self._links[address] = link
         self._emit(Event(EventCode.LINK_OPENED, {"peer": f"{address[0]}:{address[1]}"}))
         return link
@@ -698,6 +722,26 @@
                 del self._links[address]
                 self._report(address, link)
 
+        for link in list(self._replaced):
+            if not link.closed and not self._reach.allows(*link.address):
+                link.close("unreachable")
+            elif link.is_idle and not link.is_doubtful:
+                link.close("replaced")
+            if link.closed:
+                self._replaced.discard(link)
+                self._report(link.address, link)
+
+    def _close_unheard(self, silent: _Link) -> None:
+        """Close idle links that may have gone silent at the same time.
+
+        A call that is moved from the silent link would else wait as long on
+        the next one. What has been heard of in that time is not silent.
+        """
+        since = monotonic() - SILENT_AFTER_S
+        for link in list(self._links.values()):
+            if link.is_idle and link.heard_at < since:
+                link.close("may be silent")
+
     def _report(self, address: tuple[str, int], link: ClientLink) -> None:
         silent = link.close_reason == "silent"
         code = EventCode.LINK_SILENT if silent else EventCode.LINK_CLOSED
@@ -708,9 +752,10 @@
         """Close every link."""
         for task in self._opening.values():
             task.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._replaced):
             link.close("stopping")
         self._links.clear()
+        self._replaced.clear()
 
 
 Handler = Callable[[RequestHead, Body | None, float], Awaitable[Answer]]
@@ -796,6 +841,7 @@
             raise
         except Exception as exc:
             # A fault of this node; whether the request ran is not known.
+            _log.exception("request from {} failed", self.peer)
             error = AttemptError.at(Cause.BAD_ANSWER, Stage.SENT, f"{exc!r}")
             answer = Answer(make_failed_head(error.refusal, -1.0))
         try:
--- a/tests/core/test_fingerprints.py
+++ b/tests/core/test_fingerprints.py
@@ -12,6 +12,7 @@
 
 from mangowell_core.messages import CrashReport, decode_message, encode_message
 from mangowell_core.policy import make_fingerprint, with_fingerprint
+from mangowell_core.policy.admission import ALONE_RUN_S, ALONE_WAIT_S
 from mangowell_core.policy.fingerprints import (
     ENFORCE_S,
     MAX_ENTRIES,
@@ -72,6 +73,18 @@
     assert "m" * 64 not in policy.board.suspects
 
 
+def test_request_that_began_before_the_suspicion_is_not_blamed_alone():
+    """A popular request may be in flight, unlabelled, when a report comes."""
+    for shown in (NEIGHBOUR, ""):
+        policy = make_ready()
+        policy.offer(make_work(1.0, fingerprint=shown), 1.0)
+        report = CrashReport("shop", "d1", NEIGHBOUR, 1, "z")
+        policy.crash_reported(report, 1.1)
+        policy.backend_crashed("shop", [NEIGHBOUR, POISON], 1.2)
+        assert {NEIGHBOUR, POISON} <= policy.board.suspects
+        assert not is_refused(policy, NEIGHBOUR, 1.3)
+
+
 def test_shared_crashes_in_two_domains_do_not_refuse_a_popular_request():
     """A popular read is in flight at every crash; counts are per domain."""
     policy = make_ready()
@@ -111,6 +124,32 @@
     assert policy.release(suspect.ticket, CRASHED, 1.2) == [Dispatch(other.ticket)]
 
 
+def test_suspect_holds_others_back_for_a_short_time_only():
+    """A long request must not idle all other slots of its instance."""
+    policy = make_ready()
+    long = policy.offer(make_work(1.0, time_s=60), 1.0)
+    policy.crash_reported(CrashReport("shop", "d1", POISON, 1, "z"), 1.0)
+    late = 1.0 + ENFORCE_S
+    suspect = policy.offer(make_work(late, time_s=60, fingerprint=POISON), late)
+    other = policy.offer(make_work(late, time_s=60), late)
+    assert policy.next_deadline() == late + ALONE_WAIT_S
+    now = late + ALONE_WAIT_S
+    assert policy.expire(now) == [Dispatch(suspect.ticket), Dispatch(other.ticket)]
+    # It began as a suspect, so its neighbours are not blamed for its crash.
+    reports = policy.backend_crashed("shop", [POISON, NEIGHBOUR], now + 0.1)
+    assert [report.fingerprint for report in reports] == [POISON]
+    for item in (long, suspect, other):
+        policy.release(item.ticket, CRASHED, now + 0.2)
+    suspect = make_work(now + 0.3, time_s=60, fingerprint="s" * 64)
+    policy.crash_reported(CrashReport("shop", "d1", "s" * 64, 1, "z"), now - 60)
+    alone = policy.offer(suspect, now + 0.3)
+    assert isinstance(alone, Admitted)
+    other = policy.offer(make_work(now + 0.3, time_s=60), now + 0.3)
+    assert policy.next_deadline() == now + 0.3 + ALONE_RUN_S
+    found = policy.expire(now + 0.3 + ALONE_RUN_S)
+    assert found == [Dispatch(other.ticket)]
+
+
 def test_request_that_becomes_a_suspect_while_waiting_runs_alone():
     """A report may arrive after the request was queued."""
     policy = make_ready()
@@ -209,7 +248,7 @@
 
 @pytest.mark.parametrize("same_domain", [True, False])
 def test_table_is_bounded_and_keeps_refusals(same_domain):
-    """A flood of crashes must not use up the memory or free a culprit."""
+    """A flood of crashes must not use up the memory or end a refusal."""
     policy = make_ready()
     policy.backend_crashed("shop", [POISON], 1.0)
     policy.backend_crashed("shop", [POISON], 2.0)
