--- a/packages/node/src/mangowell_node/link.py
+++ b/packages/node/src/mangowell_node/link.py
@@ -732,14 +732,16 @@
                 self._report(link.address, link)
 
     def _close_unheard(self, silent: _Link) -> None:
-        """Close idle links that may have gone silent at the same time.
+        """Keep new streams off links that may have gone silent at the same time.
 
         A call that is moved from the silent link would else wait as long on
         the next one. What has been heard of in that time is not silent.
         """
-        since = monotonic() - SILENT_AFTER_S
+        now = monotonic()
         for link in list(self._links.values()):
-            if link.is_idle and link.heard_at < since:
+            if not link.is_idle:
+                link.is_doubtful |= link.heard_at < now - PING_INTERVAL_S
+            elif link.heard_at < now - SILENT_AFTER_S:
                 link.close("may be silent")
 
     def _report(self, address: tuple[str, int], link: ClientLink) -> None:
