--- a/packages/standins/src/mangowell_standins/config_service.py
+++ b/packages/standins/src/mangowell_standins/config_service.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import gzip
 import hashlib
 import random
 import time
@@ -40,9 +41,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Value:
-    """One published value of a key."""
+    """One published value of a key; `packed` is its body under gzip."""
 
     body: bytes
+    packed: bytes
     digest: str
     revision: int
 
@@ -56,7 +58,10 @@
     by_kind : Counter
         By ``read`` or ``watch``; each call is counted once, on arrival.
     by_reader : Counter
-        By ``(site, reader)``, where the reader is the User-Agent.
+        By ``(site, reader)``, where the reader is the User-Agent without its
+        product name.
+    bytes_by_reader : Counter
+        Bytes of the values answered, by ``(site, reader)``.
     by_key : Counter
     by_status : Counter
         By HTTP status of the answer.
@@ -66,6 +71,7 @@
 
     by_kind: Counter = field(default_factory=Counter)
     by_reader: Counter = field(default_factory=Counter)
+    bytes_by_reader: Counter = field(default_factory=Counter)
     by_key: Counter = field(default_factory=Counter)
     by_status: Counter = field(default_factory=Counter)
     peak_load: int = 0
@@ -144,7 +150,8 @@
         """Make `body` the newest value of `key` and wake the watches."""
         data = body.encode() if isinstance(body, str) else body
         history = self._history.setdefault(key, [])
-        value = Value(data, hashlib.sha256(data).hexdigest(), len(history) + 1)
+        digest = hashlib.sha256(data).hexdigest()
+        value = Value(data, gzip.compress(data, mtime=0), digest, len(history) + 1)
         history.append(value)
         self.published_at[key, value.digest] = time.time()
         self._wake()
@@ -207,11 +214,15 @@
         return history[-1]
 
     async def _handle(self, site: str, request: web.BaseRequest) -> web.Response:
-        response = await self._respond(site, request)
+        reader = request.headers.get("User-Agent", "").rpartition("/")[2]
+        response = await self._respond(site, reader, request)
+        self.counts.bytes_by_reader[site, reader] += len(response.body or b"")
         self.counts.by_status[response.status] += 1
         return response
 
-    async def _respond(self, site: str, request: web.BaseRequest) -> web.Response:
+    async def _respond(
+        self, site: str, reader: str, request: web.BaseRequest
+    ) -> web.Response:
         prefix = "/v1/values/"
         if request.method != "GET" or not request.path.startswith(prefix):
             return web.Response(status=404)
@@ -224,17 +235,17 @@
         now = self._clock()
         self.counts.by_kind["watch" if wait_s > 0 else "read"] += 1
         self.counts.by_key[key] += 1
-        reader = request.headers.get("User-Agent", "")
         self.counts.by_reader[site, reader] += 1
         if not self.limit.admit(now):
             return web.Response(status=429, headers={"Retry-After": "1"})
         self.counts.peak_load = max(self.counts.peak_load, self.limit.load(now))
         if self.fault is SourceFault.SLOW:
             await asyncio.sleep(self.slow_s * self._rng.uniform(0.5, 1.5))
-        return await self._await_value(key, after, now + wait_s)
+        packed = "gzip" in request.headers.get("Accept-Encoding", "")
+        return await self._await_value(key, after, now + wait_s, packed)
 
     async def _await_value(
-        self, key: str, after: str, wait_deadline: float
+        self, key: str, after: str, wait_deadline: float, packed: bool
     ) -> web.Response:
         while True:
             if self.fault is SourceFault.DOWN:
@@ -243,13 +254,14 @@
             if value is None:
                 return web.Response(status=404)
             if value.digest != after:
-                return web.Response(
-                    body=value.body,
-                    headers={
-                        "ETag": f'"{value.digest}"',
-                        "X-Revision": str(value.revision),
-                    },
-                )
+                headers = {
+                    "ETag": f'"{value.digest}"',
+                    "X-Revision": str(value.revision),
+                }
+                if packed:
+                    headers["Content-Encoding"] = "gzip"
+                body = value.packed if packed else value.body
+                return web.Response(body=body, headers=headers)
             left = wait_deadline - self._clock()
             if left <= 0:
                 return web.Response(
--- a/tests/core/test_readers.py
+++ b/tests/core/test_readers.py
@@ -1,9 +1,12 @@
 """Guards who reads the source, how often, and what replaces a failed reader."""
 
+from dataclasses import replace
+
 import pytest
 from tests.core.fleet import Fleet, make_document
 
 from mangowell_core.distribution.gate import Relation
+from mangowell_core.distribution.io import Tick
 
 BOUND_S = 14.0
 READERS = 6  # two in each of three domains
@@ -42,14 +45,16 @@
 
 @pytest.mark.parametrize("failed", [1, 2], ids=["one reader", "both readers"])
 def test_failed_readers_are_replaced(fleet, failed):
+    """Section 8: the next rank within 3 s, ranks 2 and 3 within 4 s."""
     lost = fleet.readers("d0")[:failed]
     fleet.crash(*lost)
+    assert fleet.run(5, lambda: len(fleet.readers("d0")) == 2) <= 2.0 + failed
     assert publish(fleet, 2) < BOUND_S
     fleet.run(5)
     assert len(fleet.readers("d0")) == 2
     fleet.start(*lost)
     fleet.run(10)
-    assert set(fleet.readers("d0")) == set(lost) | set(fleet.readers("d0"))
+    assert set(lost) <= set(fleet.readers("d0"))
     assert len(fleet.readers("d0")) == 2
 
 
@@ -58,9 +63,8 @@
     for name in all_readers(fleet):
         fleet.pause(name, 30)
     fleet.publish(make_document(2))
-    running = [n for n in fleet.nodes.values() if not n.paused]
     fleet.run(BOUND_S)
-    assert {n.core.status(fleet.now)["version"] for n in running} == {2}
+    assert fleet.versions() == {2}
 
 
 def test_source_outage_makes_nobody_else_read(fleet):
@@ -71,20 +75,39 @@
     fleet.reads = 0
     fleet.run(60)
     assert all_readers(fleet) == before
-    assert fleet.reads < 60 * READERS * 2 / 3
+    # Full jitter up to 10 s: one read in 5 s on average, never less than one in 10.
+    assert 60 * READERS * 2 / 10 <= fleet.reads <= 60 * READERS * 2 / 3
     fleet.publish(make_document(2))
     fleet.set_source("up")
     assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < BOUND_S
 
 
+@pytest.mark.parametrize("state", ["up", "down", "stale", "flapping", "silent"])
+def test_idle_nodes_are_rarely_called(fleet, state):
+    """A deadline left in the past would use a whole processor."""
+    fleet.publish(make_document(2))
+    fleet.run(1)
+    fleet.set_source(state)
+    ticks, handle = [], fleet.handle
+
+    def count_ticks(node, event):
+        ticks.extend([event] if isinstance(event, Tick) else [])
+        handle(node, event)
+
+    fleet.handle = count_ticks
+    fleet.run(30)
+    assert len(ticks) / 30 / len(fleet.nodes) < 10
+
+
 def test_silent_watches_are_given_up(fleet):
     """Connections can go silent for all readers while new ones work."""
     fleet.run(3)
-    open_reads = [(n, dict(n.reads)) for n in fleet.nodes.values()]
     fleet.source = "silent"
+    for node in fleet.nodes.values():
+        # The answers under way belong to the old objects and get lost.
+        node.reads = {key: replace(read) for key, read in node.reads.items()}
     fleet.publish(make_document(2))
     fleet.source = "up"
-    assert sum(len(reads) for _, reads in open_reads) == READERS * 2
     assert fleet.run(BOUND_S, lambda: fleet.converged(2)) < BOUND_S
 
 
@@ -96,8 +119,12 @@
     assert fleet.converged(2)
     assert "SOURCE_STALE" in fleet.codes()
     fleet.reads = 0
-    fleet.run(30)
-    assert fleet.reads <= 30 * READERS * 2 * 1.2
+    for _ in range(300):
+        # Answers the open watches, as a source with a new value does.
+        fleet.set_source("flapping")
+        fleet.run(0.1)
+    # One answer a second for each key, and the initial burst of 5.
+    assert fleet.reads <= (30 + 5) * READERS * 2
     fleet.set_source("up")
     assert publish(fleet, 3) < BOUND_S
 
