--- a/packages/node/src/mangowell_node/backend.py
+++ b/packages/node/src/mangowell_node/backend.py
@@ -492,16 +492,19 @@
                 Cause.CONNECT_FAILED, Stage.UNSENT, "backend server unreachable"
             )
         self._opening += 1
+        conn = BackendConnection(self)
         try:
             timeout = min(CONNECT_TIMEOUT_S, max(0, deadline - monotonic()))
             async with asyncio.timeout(timeout):
-                _, conn = await self.loop.create_connection(
-                    lambda: BackendConnection(self), self._host, self._port
-                )
+                await self.loop.create_connection(lambda: conn, self._host, self._port)
         except (OSError, TimeoutError) as exc:
             raise AttemptError.at(
                 Cause.CONNECT_FAILED, Stage.UNSENT, f"backend server: {exc}"
             ) from exc
+        except asyncio.CancelledError:
+            # The connection may have been made just before.
+            conn.abort()
+            raise
         finally:
             self._opening -= 1
         self._open.add(conn)
--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -212,12 +212,10 @@
         if graceful and not self._draining:
             self._start_drain(now)
             linger_end = min(deadline, now + DRAIN_LINGER_S)
-            while monotonic() < deadline:
-                idle = not (self._active or self._policy.in_flight())
-                if idle and monotonic() >= linger_end:
-                    break
-                await asyncio.sleep(0.01)
+            await self._wait_idle(linger_end, deadline)
             await self._link_server.stop(deadline)
+            # Requests with keys run on when the link that brought them closes.
+            await self._wait_idle(now, deadline)
         if self._housekeeper is not None:
             self._housekeeper.cancel()
         await self._poller.stop()
@@ -228,6 +226,13 @@
         self._pool.close()
         self._drain_events()
 
+    async def _wait_idle(self, earliest: float, deadline: float) -> None:
+        """Wait until no call is in flight, between two points in time."""
+        while (now := monotonic()) < deadline:
+            if now >= earliest and not (self._active or self._policy.in_flight()):
+                return
+            await asyncio.sleep(0.01)
+
     def _start_drain(self, now: float) -> None:
         self._draining = self._ingress.draining = True
         self._policy.start_drain(now)
--- a/packages/node/src/mangowell_node/link.py
+++ b/packages/node/src/mangowell_node/link.py
@@ -263,6 +263,9 @@
     # Bytes
 
     def connection_made(self, transport: asyncio.Transport) -> None:
+        if self.closed:
+            transport.abort()
+            return
         self.transport = transport
         self.address = transport.get_extra_info("peername")[:2]
         self._handshake_timer = self.loop.call_later(
@@ -454,6 +457,12 @@
         """Whether no stream is open."""
         return not self._streams
 
+    def abandon(self, reason: str) -> None:
+        """Close a link that nobody waits for any more."""
+        self.close(reason)
+        if self.ready.done() and not self.ready.cancelled():
+            self.ready.exception()
+
     def _on_hello(self, stream: int, payload: bytes) -> None:
         magic, nonce = payload[: len(MAGIC)], payload[len(MAGIC) :]
         if magic != MAGIC or len(nonce) != NONCE_BYTES:
@@ -689,17 +698,16 @@
 
     async def _connect(self, address: tuple[str, int]) -> ClientLink:
         loop = asyncio.get_running_loop()
-        link = None
+        link = ClientLink(self._key, self._name)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, link = await loop.create_connection(
-                    lambda: ClientLink(self._key, self._name), *address
-                )
+                await loop.create_connection(lambda: link, *address)
                 await link.ready
+        except asyncio.CancelledError:
+            link.abandon("stopping")
+            raise
         except (OSError, TimeoutError) as exc:
-            if link is not None:
-                link.close("handshake takes too long")
-                link.ready.cancelled() or link.ready.exception()
+            link.abandon("handshake takes too long")
             raise AttemptError.at(
                 Cause.CONNECT_FAILED, Stage.UNSENT, f"link: {exc}"
             ) from exc
