Check a planned stop at run time, emit stop_completed, share claims by heartbeat

Cause: invariant I8 had no check inside the program and event 422 was never sent. In a burst of changes each version went down both trees as an announcement of 550 to 820 bytes, with acknowledgements. Change: Node.stop raises InvariantViolation when it cuts a call before its deadline. A reader that hears another reader of its domain claim a version adds its claim by a heartbeat. Five values of the design scale may be read at once.

--- a/packages/cli/src/mangowell_cli/internal/fleet.py
+++ b/packages/cli/src/mangowell_cli/internal/fleet.py
@@ -45,6 +45,7 @@
     reader: bool = False
     source: str | None = None
     control_bytes: Any = None
+    source_reads: int | None = None
     in_flight: int = 0
     draining: bool = False
 
--- a/packages/core/src/mangowell_core/distribution/readers.py
+++ b/packages/core/src/mangowell_core/distribution/readers.py
@@ -1,6 +1,6 @@
 """Reader selection, reads of the configuration service, and heartbeats."""
 
-from mangowell_core.blackboard import NodeState, Sighting, SourceState
+from mangowell_core.blackboard import NodeState, Sighting, SourceState, Text
 from mangowell_core.digest import MAX_TEXT_BYTES, content_digest
 from mangowell_core.distribution.context import (
     NEVER,
@@ -418,6 +418,17 @@
                 return False
         return True
 
+    def is_claimed(self, text: Text, now: float) -> bool:
+        """Return whether another reader of this domain claims the version."""
+        held = text.to_key_version()
+        domain = self._ctx.settings.failure_domain
+        return any(
+            claim.heartbeat.failure_domain == domain
+            and now - claim.heard_at < RETURN_FRESH_S
+            and held in claim.heartbeat.held
+            for claim in self._ctx.board.configuration.claims.values()
+        )
+
     def is_behind(self, key: str) -> bool:
         """Return whether the source has not yet given what this node runs."""
         board = self._ctx.board.configuration
--- a/packages/core/src/mangowell_core/distribution/reads.py
+++ b/packages/core/src/mangowell_core/distribution/reads.py
@@ -12,9 +12,10 @@
 ANSWERS_PER_S = 1.0
 # The source sends whole values. At the design scale a document is 15 to 23 KB
 # under gzip, so 9,500 changes a day are up to 2.5 KB/s for a reader, of the
-# 10 KB/s that it may spend. The burst lets two or three changes through at once.
+# 10 KB/s that it may spend. The burst lets five changes through at once,
+# which keeps the 99th percentile of the wait at that mean rate below 0.2 s.
 VALUE_BYTES_PER_S = 2_500.0
-VALUE_BURST_BYTES = 48_000.0
+VALUE_BURST_BYTES = 80_000.0
 # A change must be in force within 14 s; detecting a failed reader and passing
 # the change on take up to 6 s of it.
 MAX_PACE_DELAY_S = 8.0
--- a/packages/core/src/mangowell_core/distribution/spread.py
+++ b/packages/core/src/mangowell_core/distribution/spread.py
@@ -235,13 +235,22 @@
             if self._announced.get(key) == text.digest:
                 continue
             eager = self._readers.is_eager(now)
-            if not eager and self._readers.is_behind(key):
+            first = eager and text.learned_from == SOURCE_NAME
+            shared = not first and self._readers.is_claimed(text, now)
+            waits = not shared or self._readers.is_behind(key)
+            if not eager and waits:
                 self._delayed.setdefault(key, now + LAZY_DELAY_S)
                 if now < self._delayed[key]:
                     continue
             self._delayed.pop(key, None)
             self._announced[key] = text.digest
-            self._push(text, eager, now)
+            if shared:
+                # The other tree carries the version already. A heartbeat adds
+                # the second claim for a quarter of an announcement's bytes.
+                heartbeat = self._readers.make_heartbeat(now)
+                self._send_heartbeat(HeartbeatRelay(heartbeat), now)
+            else:
+                self._push(text, eager, now)
 
     def _push(self, text: Text, eager: bool, now: float) -> None:
         held = text.to_key_version()
--- a/packages/node/src/mangowell_node/node.py
+++ b/packages/node/src/mangowell_node/node.py
@@ -6,6 +6,8 @@
 
 from mangowell_core.distribution import DistributionCore
 from mangowell_core.distribution.io import Peer, PeerMessage, Stopping
+from mangowell_core.events import Event, EventCode
+from mangowell_core.invariants import InvariantViolation
 from mangowell_core.messages import (
     CrashReport,
     FenceQuery,
@@ -105,11 +107,23 @@
         """Stop gracefully.
 
         Calls in flight are finished for at most `grace_s` seconds.
+
+        Raises
+        ------
+        InvariantViolation
+            If a call in flight was cut before that time (I8).
         """
+        loop = asyncio.get_running_loop()
         self._draining = True
         self._driver.feed(Stopping())
-        await self._calls.stop(asyncio.get_running_loop().time() + grace_s)
+        deadline = loop.time() + grace_s
+        await self._calls.stop(deadline)
+        in_flight = self._policy.in_flight()
+        self._telemetry.emit(Event(EventCode.STOP_COMPLETED, {"in_flight": in_flight}))
         await self._close()
+        checked = self._settings.invariants != "off"
+        if checked and in_flight and loop.time() < deadline:
+            raise InvariantViolation(f"I8: {in_flight} calls cut by a planned stop")
 
     async def abort(self) -> None:
         """Stop at once, as a crash would; calls in flight are cut."""
