Split the link protocol into frames, connection, client and server

Change: a package of four modules; names that modules share lose their underscore; nothing else changes. Measured: the tests of links, calls, refusals and drain pass.

--- /dev/null
+++ b/packages/node/src/mangowell_node/link/__init__.py
@@ -0,0 +1,33 @@
+"""Multiplexed connections between nodes on the request path.
+
+A frame is a 9-byte header (payload length, type, stream id) and a payload. The
+node that opens a link starts its streams, one per request; ids rise from 1 and
+are never used again on that connection, so a late frame of a cancelled request
+cannot be taken for part of another one.
+"""
+
+from mangowell_node.link.client import ClientLink, LinkPool
+from mangowell_node.link.frames import (
+    MAX_FRAME,
+    SILENT_AFTER_S,
+    WINDOW_BYTES,
+    FrameType,
+    LinkAuthenticationError,
+    LinkError,
+    derive_link_key,
+)
+from mangowell_node.link.server import LinkServer, ServerLink
+
+__all__ = [
+    "MAX_FRAME",
+    "SILENT_AFTER_S",
+    "WINDOW_BYTES",
+    "ClientLink",
+    "FrameType",
+    "LinkAuthenticationError",
+    "LinkError",
+    "LinkPool",
+    "LinkServer",
+    "ServerLink",
+    "derive_link_key",
+]
