Make the base of links abstract

Cause: two methods of the base raised NotImplementedError at run time only. Change: abstract methods, so that a link without them cannot be built.

--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import struct
+from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
 from time import monotonic
@@ -166,7 +167,7 @@
             self._link.send(FrameType.END, self._stream)
 
 
-class Link(asyncio.Protocol):
+class Link(asyncio.Protocol, ABC):
     """Framing, keep-alive and handshake state that both ends share."""
 
     def __init__(self, key: bytes) -> None:
@@ -332,8 +333,10 @@
             self._handshake_timer.cancel()
             self._handshake_timer = None
 
+    @abstractmethod
     def _has_streams(self) -> bool:
-        raise NotImplementedError
+        """Return whether requests are open."""
 
+    @abstractmethod
     def _fail_streams(self) -> None:
-        raise NotImplementedError
+        """End every open request after the link has closed."""
