Draw plots beside the measurement; run large baselines in turn

Cause: a measurement rewrote the plots of the pages, and the two baselines of 200 nodes ran as 400 processes at once. Change: plots go to build/img; python -m bench.plots draws those of the pages; baselines above 24 nodes run one after the other. Conclusion: make bench leaves the checkout as it was.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -225,7 +225,8 @@
         entry, *base = await asyncio.gather(try_fleet(config, plan), *runs)
     else:
         entry = await try_fleet(config, plan)
-        base = await asyncio.gather(*runs)
+        # One after the other: two baselines of 200 nodes are 400 processes.
+        base = [await run for run in runs]
     entry["baseline"] = dict(zip(BASELINES, base, strict=True))
     return entry
 
--- a/bench/plots.py
+++ b/bench/plots.py
@@ -10,25 +10,27 @@
 matplotlib.rcParams["svg.hashsalt"] = "mangowell"
 from matplotlib import pyplot  # noqa: E402
 
-IMAGES = Path("docs/img")
+# The plots of the pages are drawn by ``python -m bench.plots`` alone, so that a
+# measurement leaves the checkout as it was.
+PAGE_IMAGES = Path("docs/img")
+IMAGES = Path("build/img")
 SOURCE = Path("build/bench.json")
 
 
-def draw(result: dict) -> list[Path]:
-    """Write all plots; return their paths."""
-    IMAGES.mkdir(parents=True, exist_ok=True)
-    return [_draw_nodes(result), _draw_coalescing(result)]
+def draw(result: dict, folder: Path = IMAGES) -> list[Path]:
+    """Write all plots into `folder`; return their paths."""
+    folder.mkdir(parents=True, exist_ok=True)
+    return [_draw_nodes(result, folder), _draw_coalescing(result, folder)]
 
 
-def _save(figure, name: str) -> Path:
-    path = IMAGES / name
+def _save(figure, path: Path) -> Path:
     figure.tight_layout()
     figure.savefig(path, metadata={"Date": None})
     pyplot.close(figure)
     return path
 
 
-def _draw_nodes(result: dict) -> Path:
+def _draw_nodes(result: dict, folder: Path) -> Path:
     entries = [e for e in result["distribution"] if "error" not in e]
     figure, axes = pyplot.subplots(1, 2, figsize=(9, 3.5))
     series = {"mangowell": entries}
@@ -45,10 +47,10 @@
     axes[0].set(xlabel="nodes", ylabel="convergence p99 (ms)", ylim=(0, None))
     axes[1].set(xlabel="nodes", ylabel="busiest node in a burst (KB/s)", ylim=(0, None))
     axes[0].legend()
-    return _save(figure, "convergence-nodes.svg")
+    return _save(figure, folder / "convergence-nodes.svg")
 
 
-def _draw_coalescing(result: dict) -> Path:
+def _draw_coalescing(result: dict, folder: Path) -> Path:
     points = [p for p in result["coalescing"] if "error" not in p]
     figure, axis = pyplot.subplots(figsize=(5.5, 3.5))
     means = [p["control_bytes_per_node_s"]["mean"] / 1000 for p in points]
@@ -62,12 +64,12 @@
         ylabel="convergence p50 (s)",
         ylim=(0, None),
     )
-    return _save(figure, "convergence-bytes.svg")
+    return _save(figure, folder / "convergence-bytes.svg")
 
 
 def main() -> None:
-    """Draw the plots of the last measurement."""
-    for path in draw(json.loads(SOURCE.read_text())):
+    """Draw the plots of the last measurement for the pages."""
+    for path in draw(json.loads(SOURCE.read_text()), PAGE_IMAGES):
         print(path)
 
 
