Refill the retry budget over time

Cause: the bucket of a service earned tokens with calls only. A node with 1 call a second earns one in 10 s, so its bucket was empty when a second fault came. While calls keep failing, time adds nothing, so retries stay a share of the calls.

--- a/packages/core/src/mangowell_core/policy/request.py
+++ b/packages/core/src/mangowell_core/policy/request.py
@@ -207,7 +207,7 @@
             return refuse(Cause.DEADLINE, "the deadline has passed")
         document = snapshot.document
         service = document.services[route.service]
-        self._retries.earn(service)
+        self._retries.earn(service, now)
         key = "" if route.idempotent else idempotency_key or ""
         return Plan(
             request,
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -14,6 +14,11 @@
 )
 
 from mangowell_core.model import Route
+from mangowell_core.policy.retries import (
+    REFILL_CAP,
+    REFILL_PER_S,
+    REFILL_QUIET_S,
+)
 from mangowell_core.policy.types import AttemptResult, Cause, Outcome
 
 HOPS = 10
@@ -90,6 +95,38 @@
     assert not policy.may_retry(make_plan(policy, 1.0, "/pay"), silent, 1, 1.0)
 
 
+def test_budget_refills_with_time_after_a_quiet_time():
+    """A node with few calls must not lose calls when two faults meet."""
+    policy = make_ready(retry_ratio=0.1)
+    now = 1.0
+    spend_all(policy, now)
+    assert spend_all(policy, now + REFILL_QUIET_S) == 0
+    later = now + 2 * REFILL_QUIET_S + 3.0 / REFILL_PER_S
+    assert spend_all(policy, later) == 3
+    assert spend_all(policy, later + 3600.0) == REFILL_CAP
+
+
+def test_budget_does_not_refill_with_time_while_calls_fail():
+    """Time must add no retries to a fault that lasts, however few the calls."""
+    policy = make_ready(retry_ratio=0.1)
+    retried = spend_all(policy, 0.0)
+    interval_s = 0.9 * REFILL_QUIET_S
+    start = retried
+    for i in range(1, 501):
+        now = i * interval_s
+        retried += policy.may_retry(make_plan(policy, now), LOST, 1, now)
+    assert retried - start <= 0.1 * 500 + 1
+
+
+def spend_all(policy, now):
+    """Retry until the budget is empty; return the retries."""
+    plan = make_plan(policy, now)
+    spent = 0
+    while policy.may_retry(plan, LOST, 1, now):
+        spent += 1
+    return spent
+
+
 def test_no_retry_without_time():
     """An attempt that cannot end in time only adds load."""
     policy = make_ready()
