Keep the concurrency limit while the server is far from it

Cause: the limit followed the latency of a class however few requests ran. When servers further down became slow, it fell with nothing waiting. Besides, a new probe was due as soon as the window after a probe closed later than 30 s after its start, so a server with fewer than 50 calls in 30 s stayed at a quarter of its slots (1 of 4). Change: latency lowers the limit only if requests filled half of it and more than a probe allows. The time between probes counts from the end of a probe, and a window in which all calls ran at low concurrency postpones the next one. Not measured with a chain of real nodes.

--- a/packages/core/src/mangowell_core/policy/limiter.py
+++ b/packages/core/src/mangowell_core/policy/limiter.py
@@ -8,10 +8,11 @@
 
 The reference latency comes from requests that ended while few others ran. A
 server that is always busy is brought there every `PROBE_INTERVAL_S` by a
-limit of a quarter of its slots for one window. An average over all requests
-would follow an overload and call it normal. Latencies are compared within a
-traffic class only, so a change in the mix of classes does not look like one of
-the server.
+limit of a quarter of its slots for one window. Below that concurrency, and
+below half of the limit, latency changes the reference but not the limit. An
+average over all requests would follow an overload and call it normal.
+Latencies are compared within a traffic class only, so a change in the mix of
+classes does not look like one of the server.
 """
 
 from math import sqrt
@@ -28,6 +29,9 @@
 # At half the limit, a server with a quarter of its documented slots still
 # queued while it was measured, and the limit stayed at 10.5 instead of 4.
 PROBE_SHARE = 0.25
+# A server that queues internally fills the limit. With fewer requests running,
+# latency rises for other reasons, such as slow servers further down a chain.
+USED_SHARE = 0.5
 FAILURE_FACTOR = 0.7
 FAILURE_INTERVAL_S = 0.5  # one decrease for failures of the same moment
 RESTART_SHARE = 0.25  # of the slots, after a crash of the backend server
@@ -123,18 +127,25 @@
     def _close_window(self, now: float) -> None:
         ratio = self._ratios / self._calls
         was_probing, peak = self._is_probing, self._peak
+        # All calls counted for the reference, so that a probe would add nothing.
+        # A server with fewer than 50 calls in 30 s would be probed for ever.
+        was_low = self._low_calls >= WINDOW_CALLS
         self._calls, self._ratios, self._peak = 0, 0.0, 0
         self._low_calls = 0
         self._is_probing = False
         if not was_probing:
-            gradient = min(1.0, max(GRADIENT_MIN, TOLERANCE / max(ratio, 1e-9)))
+            is_used = peak >= self._limit * USED_SHARE
+            gradient = 1.0
+            if is_used and peak > self._slots * PROBE_SHARE:
+                gradient = min(1.0, max(GRADIENT_MIN, TOLERANCE / max(ratio, 1e-9)))
             # Room to grow; without use of the limit there is no evidence for it.
-            room = sqrt(self._limit) if peak >= self._limit * 0.5 else 0.0
+            room = sqrt(self._limit) if is_used else 0.0
             target = self._limit * gradient + (room if gradient >= 1.0 else 0.0)
             self._limit += SMOOTHING * (target - self._limit)
             self._limit = min(float(self._slots), max(1.0, self._limit))
-        if now >= self._next_probe:
+        if was_low:
             self._next_probe = now + PROBE_INTERVAL_S
+        elif now >= self._next_probe:
             self._is_probing = True
         self._publish()
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -201,6 +201,31 @@
     assert run_server(true_slots=16, slots=16, calls=6000) >= 12
 
 
+@pytest.mark.parametrize("workers", [1, 2, 3])
+@pytest.mark.parametrize(("rise", "calls_apart"), [(100.0, 1000), (2.0, 100)])
+def test_latency_far_below_the_limit_does_not_lower_it(rise, calls_apart, workers):
+    """Servers further down that become slow must not cost a free server its slots.
+
+    In a chain of 10 backend servers the limit fell from 12 to 1.
+    """
+    slots, calls = 12, 2000
+    rng, policy, now, time_s = Random(1), make_policy(), 0.0, TIME_S
+    policy.apply(make_snapshot(make_instance("a"), slots=slots), now)
+    active, limits = [], []
+    for i in range(calls):
+        if i and i % calls_apart == 0:
+            time_s *= rise
+        while len(active) < min(workers, policy.board.limit):
+            ticket = policy.offer(make_work(now, time_s=1e9), now).ticket
+            active.append((now + rng.expovariate(1 / time_s), ticket))
+        active.sort(reverse=True)
+        now, ticket = active.pop()
+        policy.release(ticket, OK, now)
+        limits.append(policy.board.limit)
+    assert min(limits) >= 3, "below what a probe allows"
+    assert max(limits[-200:]) == slots
+
+
 def run_server(true_slots, slots, calls):
     """Run a saturated server; return the mean limit of the second half."""
     rng = Random(5)
