End keyed requests when the node stops

Cause: a request with a key runs in a task of its own, which outlives the connection that brought it. Nothing ended the task when the node stopped, so one that waited for a slot stayed pending for ever. Change: the egress side keeps these tasks and cancels them, the crash check and its timer after the last connection is closed.

--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -222,6 +222,7 @@
         await self._ingress.stop(max(0.0, deadline - monotonic()))
         if not graceful:
             await self._link_server.stop(now)
+        await self._egress.stop()
         self._links.close()
         self._pool.close()
         self._drain_events()
--- a/packages/node/src/mangowell_node/egress.py
+++ b/packages/node/src/mangowell_node/egress.py
@@ -164,7 +164,7 @@
         self._crash_check: asyncio.Task | None = None
         self._fences: dict[int, tuple[str, asyncio.Queue]] = {}
         self._fence_number = 0
-        self._detached: set[asyncio.Task] = set()
+        self._keyed: set[asyncio.Task] = set()
         self.members: tuple[Instance, ...] = ()
         self.health = "starting"
         self.has_witness: Callable[[], bool] = lambda: True
@@ -189,19 +189,35 @@
             return await slot.run(self._exchange(head, body, deadline, slot.end))
         run = _KeyedRun()
         task = self._loop.create_task(self._run_keyed(run, head, body, deadline))
+        self._keyed.add(task)
+        task.add_done_callback(self._keyed.discard)
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
             # Once it is written, the request runs on, so that the ledger learns
             # the answer and a repeated call with the key is given it.
             if run.is_sent:
-                self._detached.add(task)
-                task.add_done_callback(self._detached.discard)
                 task.add_done_callback(drop_answer)
             else:
                 task.cancel()
             raise
 
+    async def stop(self) -> None:
+        """End what still runs or waits; call it once nothing new arrives.
+
+        A request with a key outlives the connection that brought it, and would
+        wait for a slot that is never given.
+        """
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        tasks = set(self._keyed)
+        if self._crash_check is not None:
+            tasks.add(self._crash_check)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _find_class(self, head: RequestHead) -> TrafficClass:
         key = (head.traffic_class, head.priority, head.deferrable)
         found = self._classes.get(key)
--- a/tests/node/test_keys.py
+++ b/tests/node/test_keys.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import pytest
+
 from mangowell_core.model import Service
 from node.support_calls import (
     ASKING_S,
@@ -133,6 +135,31 @@
         assert count_runs(backends) == 1
 
 
+@pytest.mark.parametrize("is_local", [True, False])
+async def test_stop_at_once_ends_keyed_requests(is_local):
+    """One that waits for a slot would stay pending after its node has stopped."""
+
+    async def handler(request):
+        await asyncio.Event().wait()
+
+    backends = await start_backends(2, handler)
+    service = Service("orders", slots=1, connections=16, retry_ratio=1.0)
+    async with run_stations(*backends, service=service) as stations:
+        owner = stations[0]
+        ingress = owner if is_local else stations[1]
+        keys = [owner_key(stations, owner, prefix) for prefix in "abc"]
+        calls = [asyncio.create_task(pay(ingress, key)) for key in keys]
+        await until(lambda: owner.policy.in_flight() == 3 and count_runs(backends))
+        await owner.calls.stop(0.0)
+        names = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]
+        assert "Egress._run_keyed" not in names
+        assert owner.policy.in_flight() == 0
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        assert count_runs(backends) == 1
+
+
 async def test_refused_connection_leaves_the_key_unused():
     backends = await start_backends(1)
     async with run_stations(*backends) as (station,):
