Let a silent connection cost neither a retry nor an instance

Cause: an idempotent call whose connection went silent moved without a token, but the silent attempt counted against the route's 2 retries and its instance was excluded. With two crashed backend servers of three the call ended in unknown connect-failed although the third could run it on a new connection. Change: the first silent attempt counts as no retry. When no other instance is left, the instances behind silent connections may be picked again. The new test of a call whose only instance is behind a silent link ends in unknown without the change.

--- a/packages/core/src/mangowell_core/policy/request.py
+++ b/packages/core/src/mangowell_core/policy/request.py
@@ -300,11 +300,22 @@
             self._fingerprints.clear(plan.fingerprint, now)
 
     def may_retry(
-        self, plan: Plan, result: AttemptResult, attempts: int, now: float
+        self,
+        plan: Plan,
+        result: AttemptResult,
+        attempts: int,
+        now: float,
+        has_moved: bool = False,
     ) -> bool:
-        """Decide on another attempt after `attempts` attempts."""
+        """Decide on another attempt after `attempts` attempts.
+
+        Parameters
+        ----------
+        has_moved : bool
+            Whether the first of them ended in a silent connection.
+        """
         check_attempts(attempts)
-        return self._retries.may_retry(plan, result, attempts, now)
+        return self._retries.may_retry(plan, result, attempts, now, has_moved)
 
     def is_retried(self, plan: Plan, attempts: int) -> bool:
         """Tell whether to mark the response of a failed call as retried.
--- a/packages/core/src/mangowell_core/policy/retries.py
+++ b/packages/core/src/mangowell_core/policy/retries.py
@@ -95,7 +95,12 @@
         return bucket is not None and bucket.tokens < 1.0
 
     def may_retry(
-        self, plan: Plan, result: AttemptResult, attempts: int, now: float
+        self,
+        plan: Plan,
+        result: AttemptResult,
+        attempts: int,
+        now: float,
+        has_moved: bool = False,
     ) -> bool:
         """Decide on another attempt, and take its token if it is allowed."""
         route = plan.route
@@ -112,7 +117,9 @@
         # A non-idempotent route has no retries of its own. An attempt that
         # certainly did not run may be made once more without breaking I6.
         limit = route.retries if route.idempotent else max(1, route.retries)
-        if attempts > limit:
+        # The silence of a connection says nothing about the instances, so
+        # the attempt that it cost leaves all retries for their faults.
+        if attempts > limit + has_moved:
             return False
         # Silence loses all requests of a link at once, more than the budget
         # of a node with few calls. Detection takes 1.5 s, so that a deadline
--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -462,6 +462,9 @@
     ) -> Reply:
         policy = self._policy
         excluded: set[str] = set()
+        # Reached again, on a new connection, when no other instance is left.
+        silent: set[str] = set()
+        has_moved = False
         attempts = 0
         error: AttemptError | None = None
         answer: Answer | None = None
@@ -469,6 +472,10 @@
         while True:
             now = monotonic()
             choice = policy.pick(plan, excluded, now)
+            if type(choice) is Refusal and silent and plan.route.idempotent:
+                excluded -= silent
+                silent.clear()
+                choice = policy.pick(plan, excluded, now)
             if type(choice) is Refusal:
                 if answer is not None:
                     return self._answer(plan, answer, started, attempts)
@@ -500,6 +507,9 @@
                     return self._answer(plan, answer, started, attempts)
                 error = None
             excluded.add(choice.instance.name)
+            if result.cause is Cause.CONNECTION_SILENT:
+                silent.add(choice.instance.name)
+                has_moved = has_moved or attempts == 1
             has_run = has_run or result.outcome is not Outcome.NOT_RUN
             allowed = plan.route.idempotent or result.outcome is Outcome.NOT_RUN
             if body is not None and body.started:
@@ -508,7 +518,10 @@
             if head.fingerprint and not plan.fingerprint:
                 plan = with_fingerprint(plan, head.fingerprint)
             allowed = allowed and policy.suspect(plan, now) is None
-            if not (allowed and policy.may_retry(plan, result, attempts, now)):
+            allowed = allowed and policy.may_retry(
+                plan, result, attempts, now, has_moved
+            )
+            if not allowed:
                 if error is None:
                     return self._answer(plan, answer, started, attempts)
                 refusal = _weaken(error.refusal) if has_run else error.refusal
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -95,6 +95,18 @@
     assert not policy.may_retry(make_plan(policy, 1.0, "/pay"), silent, 1, 1.0)
 
 
+def test_silent_connection_leaves_all_retries():
+    """Two crashed instances after a silent link must not lose the call."""
+    policy = make_ready(retry_ratio=0.1)
+    for i in range(500):
+        plan = make_plan(policy, 1.0 + i)
+    now = 500.0
+    silent = AttemptResult(Outcome.UNKNOWN, Cause.CONNECTION_SILENT)
+    assert policy.may_retry(plan, silent, 1, now)
+    allowed = [policy.may_retry(plan, LOST, n, now, True) for n in (2, 3, 4, 5)]
+    assert allowed == [True, True, True, False]
+
+
 def test_budget_refills_with_time_after_a_quiet_time():
     """A node with few calls must not lose calls when two faults meet."""
     policy = make_ready(retry_ratio=0.1)
--- a/tests/node/test_calls.py
+++ b/tests/node/test_calls.py
@@ -460,3 +460,17 @@
         answers = await asyncio.gather(*(call(port, target="/big") for _ in range(8)))
         assert {answer.outcome for answer in answers} == {"done"}
         assert sum(b.executions for b in backends) == 9
+
+
+async def test_silent_link_does_not_exclude_the_only_instance():
+    """The process behind a silent connection may be the last that can run a call."""
+    backends = await start_backends(2)
+    async with run_stations(*backends) as (ingress, other):
+        apply_members([ingress], [other])
+        await ingress.call()
+        for link in list(other.calls._link_server.links):
+            link.transport.pause_reading()
+        port = ingress.settings.call_port
+        answers = await asyncio.gather(*(call(port, target="/big") for _ in range(8)))
+        assert {answer.outcome for answer in answers} == {"done"}
+        assert [b.executions for b in backends] == [0, 9]
