--- a/packages/core/src/mangowell_core/policy/request.py
+++ b/packages/core/src/mangowell_core/policy/request.py
@@ -207,7 +207,7 @@
             return refuse(Cause.DEADLINE, "the deadline has passed")
         document = snapshot.document
         service = document.services[route.service]
-        self._retries.earn(service)
+        self._retries.earn(service, now)
         key = "" if route.idempotent else idempotency_key or ""
         return Plan(
             request,
@@ -300,11 +300,22 @@
             self._fingerprints.clear(plan.fingerprint, now)
 
     def may_retry(
-        self, plan: Plan, result: AttemptResult, attempts: int, now: float
+        self,
+        plan: Plan,
+        result: AttemptResult,
+        attempts: int,
+        now: float,
+        has_moved: bool = False,
     ) -> bool:
-        """Decide on another attempt after `attempts` attempts."""
+        """Decide on another attempt after `attempts` attempts.
+
+        Parameters
+        ----------
+        has_moved : bool
+            Whether the first of them ended in a silent connection.
+        """
         check_attempts(attempts)
-        return self._retries.may_retry(plan, result, attempts, now)
+        return self._retries.may_retry(plan, result, attempts, now, has_moved)
 
     def is_retried(self, plan: Plan, attempts: int) -> bool:
         """Tell whether to mark the response of a failed call as retried.
