Use an instance again that restarts under its old name

Cause: a node that was stopped and started under its old name stayed marked as leaving at its peers until a newer instance list came, at least 600 s; after a rolling restart no instance of a service would be chosen. Ruled out: the list as the only witness, because it need not change at all. Change: a mark that the list does not confirm ends after 35 s, longer than a planned stop; a refusal or a poll of the draining backend server renews it.

--- a/packages/core/src/mangowell_core/policy/drain.py
+++ b/packages/core/src/mangowell_core/policy/drain.py
@@ -6,6 +6,9 @@
 
 LEAVING_GRACE_S = 3.0  # invariant I7: no new work after this time
 LEAVING_KEPT_S = 600.0  # a lagging list may show a departed instance this long
+# A planned stop takes at most 30 s. An instance that its list shows as live after
+# that runs again under its old name, or refuses and is marked once more.
+MARK_KEPT_S = 35.0
 
 
 class DrainState(Enum):
@@ -45,13 +48,13 @@
         Name of the own instance.
     """
 
-    __slots__ = ("_board", "_marked_at", "_own", "_since")
+    __slots__ = ("_board", "_marked_until", "_own", "_since")
 
     def __init__(self, board, own: str):
         self._board = board
         self._own = own
         self._since = float("inf")
-        self._marked_at: dict[str, int] = {}  # list revision at the mark
+        self._marked_until: dict[str, float] = {}  # marks that the list lacks
 
     def step(self, event: str, now: float) -> bool:
         """Apply an event of the state table; return whether the state changed."""
@@ -69,19 +72,33 @@
         """Record that an instance leaves; return whether this is news."""
         board = self._board
         if instance in board.leaving:
+            if instance in self._marked_until:
+                self._marked_until[instance] = now + MARK_KEPT_S
             return False
         board.leaving[instance] = now
-        snapshot = board.snapshot
-        self._marked_at[instance] = snapshot.instances_revision if snapshot else 0
+        self._marked_until[instance] = now + MARK_KEPT_S
         return True
 
+    def release_marks(self, now: float) -> None:
+        """Drop marks that the list has not confirmed in time."""
+        if not self._marked_until:
+            return
+        serving = self._board.own_state is DrainState.SERVING
+        for name in [n for n, until in self._marked_until.items() if until <= now]:
+            if name != self._own or serving:
+                self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        self._board.leaving.pop(name, None)
+        self._marked_until.pop(name, None)
+
     def apply(self, snapshot: Snapshot, now: float) -> list[str]:
         """Take the states of a new list; return the instances newly leaving.
 
         The list lags, so it may still show an instance as live that said
-        itself that it leaves. Such a mark ends only when a newer list shows
-        the name as live after `LEAVING_KEPT_S`, which means that a new
-        process runs under the old name.
+        itself that it leaves. Such a mark ends after `MARK_KEPT_S`. One that
+        the list confirms ends when the list shows the name as live again, or
+        `LEAVING_KEPT_S` after the name has gone.
         """
         board = self._board
         news = []
@@ -93,29 +110,21 @@
                     if self.mark(item.name, now):
                         news.append(item.name)
                     # The list knows by now: a later live state is a new process.
-                    self._marked_at[item.name] = -1
-                elif item.name in board.leaving and self._has_returned(
-                    item.name, snapshot.instances_revision, now
-                ):
-                    del board.leaving[item.name]
-                    self._marked_at.pop(item.name, None)
+                    self._marked_until.pop(item.name, None)
+                elif item.name in board.leaving and self._has_returned(item.name):
+                    self._forget(item.name)
         for name in list(board.leaving):
             if name in known or name == self._own:
                 continue
-            self._marked_at[name] = -1
+            self._marked_until.pop(name, None)
             if now - board.leaving[name] > LEAVING_KEPT_S:
-                del board.leaving[name]
-                self._marked_at.pop(name, None)
+                self._forget(name)
         return news
 
-    def _has_returned(self, name: str, revision: int, now: float) -> bool:
+    def _has_returned(self, name: str) -> bool:
         if name == self._own and self._board.own_state is not DrainState.SERVING:
             return False
-        marked_at = self._marked_at.get(name, -1)
-        if marked_at < 0:
-            return True
-        old = now - self._board.leaving[name] > LEAVING_KEPT_S
-        return old and revision > marked_at
+        return name not in self._marked_until
 
     @property
     def grace_end(self) -> float:
--- a/packages/core/src/mangowell_core/policy/request.py
+++ b/packages/core/src/mangowell_core/policy/request.py
@@ -231,6 +231,8 @@
         """
         if now >= plan.deadline:
             return refuse(Cause.DEADLINE, "the deadline has passed")
+        if self.board.leaving:
+            self._drain.release_marks(now)
         if plan.idempotency_key:
             found = self._pick_owner(plan, excluded, now)
         elif plan.fingerprint and plan.fingerprint in self.board.suspects:
--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -356,12 +356,14 @@
             fields = {"backend": instance, "reason": status}
             if status == "leaving":
                 self._telemetry.emit(Event(EventCode.BACKEND_LEAVING, fields))
-                self._policy.peer_leaving(instance, now)
                 self._announce_leaving()
             elif status == "ok":
                 self._telemetry.emit(Event(EventCode.BACKEND_UP, fields))
             elif before == "ok":
                 self._telemetry.emit(Event(EventCode.BACKEND_DOWN, fields))
+        if status == "leaving":
+            # Renewed at each poll, because a mark ends by itself.
+            self._policy.peer_leaving(instance, now)
         self._policy.backend_seen(instance, status == "ok", load, now)
 
     # Calls
--- a/tests/core/test_drain.py
+++ b/tests/core/test_drain.py
@@ -9,7 +9,8 @@
 )
 
 from mangowell_core.events import EventCode
-from mangowell_core.policy.drain import DrainState
+from mangowell_core.model import InstanceState
+from mangowell_core.policy.drain import MARK_KEPT_S, DrainState
 from mangowell_core.policy.types import Admitted, Cause, Dispatch, Outcome, Refusal
 
 
@@ -75,3 +76,32 @@
     assert codes.count(EventCode.BACKEND_LEAVING) == 1
     plan = policy.match("r", "GET", "/x", "t", None, "", 2.2)
     assert policy.pick(plan, (), 2.2).cause is Cause.NO_INSTANCE
+
+
+def find_choice(policy, now):
+    plan = policy.match("r", "GET", "/x", "t", None, "", now)
+    found = policy.pick(plan, (), now)
+    return "" if isinstance(found, Refusal) else found.instance.name
+
+
+def test_restart_under_the_old_name_is_used_again_without_a_new_list():
+    """After a rolling restart every instance would stay marked as leaving."""
+    policy = make_policy("ingress")
+    policy.apply(make_snapshot(make_instance("a")), 0.0)
+    policy.peer_leaving("a", 10.0)
+    assert find_choice(policy, 11.0) == ""
+    policy.peer_leaving("a", 30.0)
+    assert find_choice(policy, 10.0 + MARK_KEPT_S) == ""
+    assert find_choice(policy, 30.0 + MARK_KEPT_S) == "a"
+
+
+def test_mark_that_the_list_confirms_stays():
+    """A slow shutdown must not get new work when the first mark ends."""
+    policy = make_policy("ingress")
+    leaving = make_instance("a", state=InstanceState.LEAVING)
+    policy.apply(make_snapshot(make_instance("a")), 0.0)
+    policy.peer_leaving("a", 10.0)
+    policy.apply(make_snapshot(leaving, revision=2), 11.0)
+    assert find_choice(policy, 1000.0) == ""
+    policy.apply(make_snapshot(make_instance("a"), revision=3), 1001.0)
+    assert find_choice(policy, 1002.0) == "a"
