--- a/packages/core/src/mangowell_core/messages.py
+++ b/packages/core/src/mangowell_core/messages.py
@@ -163,9 +163,13 @@
 
 
 class Leaving(msgspec.Struct, frozen=True, array_like=True, tag="leaving"):
-    """The sender's instance takes no new work."""
+    """The sender's instance takes no new work, or takes it again.
+
+    `is_back` is sent by a new process of the instance once it serves.
+    """
 
     instance: str
+    is_back: bool = False
 
 
 class FenceQuery(msgspec.Struct, frozen=True, array_like=True, tag="fence"):
--- a/packages/core/src/mangowell_core/policy/drain.py
+++ b/packages/core/src/mangowell_core/policy/drain.py
@@ -79,6 +79,11 @@
         self._marked_until[instance] = now + MARK_KEPT_S
         return True
 
+    def unmark(self, instance: str) -> None:
+        """Drop a mark that the list has not confirmed."""
+        if instance in self._marked_until and instance != self._own:
+            self._forget(instance)
+
     def release_marks(self, now: float) -> None:
         """Drop marks that the list has not confirmed in time."""
         if not self._marked_until:
--- a/packages/core/src/mangowell_core/policy/request.py
+++ b/packages/core/src/mangowell_core/policy/request.py
@@ -154,6 +154,10 @@
         if self._drain.mark(instance, now):
             self._tell_leaving(instance, "peer")
 
+    def peer_returned(self, instance: str) -> None:
+        """Take a peer's word that a new process of its instance serves."""
+        self._drain.unmark(instance)
+
     def start_drain(self, now: float) -> None:
         """Begin to leave: no new work starts after 3 s."""
         if self._drain.step("drain", now):
--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -53,6 +53,8 @@
 EVENTS_PER_INTERVAL = 5  # refused and retried calls that get an event of their own
 # Time in which callers with open connections are told another address.
 DRAIN_LINGER_S = 0.5
+# Fewer than the open control sockets of a node. A mark ends by itself elsewhere.
+RETURN_PEERS = 64
 INTERNAL_PREFIX = "/.mangowell/"
 
 _REASONS = {
@@ -132,6 +134,7 @@
         self._alternates: tuple[Instance, ...] = ()
         self._snapshot: Snapshot | None = None
         self._paused = ""
+        self._has_served = False
         self._check_pause: Callable[[], None] = _skip
         self._draining = False
         self._active = 0
@@ -283,6 +286,8 @@
         match message:
             case CrashReport():
                 self._policy.crash_reported(message, now)
+            case Leaving(instance, True):
+                self._policy.peer_returned(instance)
             case Leaving(instance):
                 self._policy.peer_leaving(instance, now)
             case FenceQuery():
@@ -301,6 +306,23 @@
     def resume_calls(self) -> None:
         """Accept calls again."""
         self._paused = ""
+        if not self._has_served:
+            self._has_served = True
+            self._announce_return()
+
+    def _announce_return(self) -> None:
+        """Tell nodes that may hold the mark of an earlier process of this name."""
+        own = self._settings
+        members = {i.name: i for i in self._egress.members} if self._egress else {}
+        near = {
+            instance.name: instance
+            for instance in self._instances.values()
+            if instance.failure_domain == own.failure_domain
+        }
+        message = Leaving(own.instance, is_back=True)
+        for name, instance in list((members | near).items())[:RETURN_PEERS]:
+            if name != own.instance:
+                self._send_control(instance, message)
 
     def set_pause_check(self, check: Callable[[], None]) -> None:
         """Set what is called before each call, to notice a pause of the process.
--- a/tests/core/test_drain.py
+++ b/tests/core/test_drain.py
@@ -105,3 +105,12 @@
     assert find_choice(policy, 1000.0) == ""
     policy.apply(make_snapshot(make_instance("a"), revision=3), 1001.0)
     assert find_choice(policy, 1002.0) == "a"
+
+
+def test_new_process_of_a_marked_instance_is_used_at_once():
+    """A quick restart must not cost an instance for the whole time of a mark."""
+    policy = make_policy("ingress")
+    policy.apply(make_snapshot(make_instance("a")), 0.0)
+    policy.peer_leaving("a", 10.0)
+    policy.peer_returned("a")
+    assert find_choice(policy, 11.0) == "a"
