Share the command line of three measurements

Cause: bench.crashes, bench.policy and bench.idempotency had the same main. Change: bench/command.py has it once. Conclusion: one place to change.

--- a/bench/crashes.py
+++ b/bench/crashes.py
@@ -6,11 +6,10 @@
 twice, and later in other domains.
 """
 
-import argparse
-import json
 from collections import Counter
 from random import Random
 
+from bench.command import run_command
 from mangowell_core.model import (
     Document,
     Instance,
@@ -227,12 +226,7 @@
 
 def main():
     """Run from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--quick", action="store_true")
-    parser.add_argument("--json", action="store_true")
-    options = parser.parse_args()
-    result = run(options.quick)
-    print(json.dumps(result)) if options.json else print_table(result)
+    run_command(__doc__, run, print_table)
 
 
 if __name__ == "__main__":
--- a/bench/idempotency.py
+++ b/bench/idempotency.py
@@ -6,10 +6,9 @@
 losses after one event into a share of all calls.
 """
 
-import argparse
-import json
 from random import Random
 
+from bench.command import run_command
 from mangowell_core.distribution.ranking import rank_instances
 from mangowell_core.messages import FenceQuery
 from mangowell_core.model import (
@@ -373,12 +372,7 @@
 
 def main():
     """Run from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--quick", action="store_true")
-    parser.add_argument("--json", action="store_true")
-    options = parser.parse_args()
-    result = run(options.quick)
-    print(json.dumps(result)) if options.json else print_table(result)
+    run_command(__doc__, run, print_table)
 
 
 if __name__ == "__main__":
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -4,15 +4,14 @@
 server: `SLOTS` slots, exponential service times from a seed, no slow-down.
 """
 
-import argparse
 import heapq
-import json
 from collections import deque
 from itertools import count
 from random import Random
 from statistics import median
 from time import process_time
 
+from bench.command import run_command
 from mangowell_core.model import (
     Document,
     Instance,
@@ -365,12 +364,7 @@
 
 def main():
     """Run from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--quick", action="store_true")
-    parser.add_argument("--json", action="store_true")
-    options = parser.parse_args()
-    result = run(options.quick)
-    print(json.dumps(result)) if options.json else print_table(result)
+    run_command(__doc__, run, print_table)
 
 
 if __name__ == "__main__":
