--- a/packages/core/src/mangowell_core/events.py
+++ b/packages/core/src/mangowell_core/events.py
@@ -11,7 +11,8 @@
     """Number of an event.
 
     1xx: source, 2xx: distribution, 3xx: membership, 4xx: joining and
-    stopping, 5xx: calls, 6xx: backend servers, 7xx: peers and security.
+    stopping, 5xx: calls, 6xx: backend servers, 7xx: peers and security,
+    8xx: the process itself.
     """
 
     SOURCE_UP = 101
@@ -30,6 +31,7 @@
     INSTANCES_APPLIED = 301
     INSTANCES_DOUBTED = 302
     INSTANCES_CONFIRMED = 303
+    INSTANCE_REMOVED = 304
     JOIN_STARTED = 401
     JOIN_COMPLETED = 402
     JOIN_ALONE = 403
@@ -55,6 +57,8 @@
     LINK_CLOSED = 703
     PEER_MESSAGE_DROPPED = 711
     PEER_REFUSED = 712
+    EVENTS_OMITTED = 801
+    INTERNAL_FAULT = 802
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/packages/core/src/mangowell_core/mesh/__init__.py
@@ -0,0 +1,38 @@
+"""Decisions of a node on a platform that describes its services by itself.
+
+The platform publishes routes with their own priority, objective and attempts,
+and a list of the workers. Everything here is free of I/O; times are monotonic
+seconds and passed in.
+"""
+
+from mangowell_core.mesh.admission import Admission, Verdict
+from mangowell_core.mesh.directory import Directory
+from mangowell_core.mesh.model import (
+    CallerLimits,
+    Endpoint,
+    MeshDocument,
+    MeshRoute,
+    MeshService,
+    MeshState,
+)
+from mangowell_core.mesh.placement import Placement
+from mangowell_core.mesh.retry_budget import RetryBudget
+from mangowell_core.mesh.routes import RouteTable
+from mangowell_core.mesh.settings import MeshSettings, parse_mesh_settings
+
+__all__ = [
+    "Admission",
+    "CallerLimits",
+    "Directory",
+    "Endpoint",
+    "MeshDocument",
+    "MeshRoute",
+    "MeshService",
+    "MeshSettings",
+    "MeshState",
+    "Placement",
+    "RetryBudget",
+    "RouteTable",
+    "Verdict",
+    "parse_mesh_settings",
+]
--- /dev/null
+++ b/packages/core/src/mangowell_core/mesh/routes.py
@@ -0,0 +1,68 @@
+"""Choice of the route of a request, and of the service behind it."""
+
+from mangowell_core.mesh.model import MeshDocument, MeshRoute
+
+
+class RouteTable:
+    """Routes of one document, by host and longest prefix.
+
+    Parameters
+    ----------
+    document : MeshDocument
+    """
+
+    __slots__ = ("_hosts",)
+
+    def __init__(self, document: MeshDocument):
+        self._hosts: dict[str, dict[str, MeshRoute]] = {}
+        for route in document.routes:
+            self._hosts.setdefault(route.host, {})[route.prefix] = route
+
+    def match(self, host: str, path: str) -> MeshRoute | None:
+        """Return the route with the longest prefix that begins `path`."""
+        prefixes = self._hosts.get(host.partition(":")[0].lower())
+        if prefixes is None:
+            return None
+        end = path.rfind("/") + 1
+        while end > 0:
+            route = prefixes.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+
+class PartChooser:
+    """Distributes the requests of a route over the services of its split.
+
+    Smooth weighted round robin: over any run of requests each service gets its
+    share to within one request, which random draws reach only over thousands.
+    """
+
+    __slots__ = ("_credits",)
+
+    def __init__(self):
+        self._credits: dict[str, dict[str, float]] = {}
+
+    def choose(self, route: MeshRoute) -> str:
+        """Return the service of the next request of `route`."""
+        parts = route.parts
+        if len(parts) == 1:
+            return parts[0][0]
+        credits = self._credits.get(route.name)
+        if credits is None or credits.keys() != {name for name, _ in parts}:
+            credits = self._credits[route.name] = dict.fromkeys(
+                (name for name, _ in parts), 0.0
+            )
+        total = 0.0
+        for name, weight in parts:
+            credits[name] += weight
+            total += weight
+        chosen = max(parts, key=lambda part: credits[part[0]])[0]
+        credits[chosen] -= total
+        return chosen
+
+    def keep(self, names: set[str]) -> None:
+        """Drop the state of routes that are gone."""
+        for name in self._credits.keys() - names:
+            del self._credits[name]
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -19,7 +19,7 @@
 
 # Fields that concern one connection only (RFC 9110, section 7.6.1), and those
 # that a node writes itself.
-_HOP_BY_HOP = frozenset(
+HOP_BY_HOP = frozenset(
     {
         b"connection",
         b"keep-alive",
@@ -33,8 +33,8 @@
         b"content-length",
     }
 )
-REQUEST_DROPPED = _HOP_BY_HOP | {b"expect", b"mangowell-deadline-ms"}
-ANSWER_DROPPED = _HOP_BY_HOP | {b"mangowell-outcome", b"mangowell-alternate"}
+REQUEST_DROPPED = HOP_BY_HOP | {b"expect", b"mangowell-deadline-ms"}
+ANSWER_DROPPED = HOP_BY_HOP | {b"mangowell-outcome", b"mangowell-alternate"}
 
 
 class MessageFormatError(Exception):
@@ -103,6 +103,15 @@
         The body follows in chunks.
     length : int
         Bytes of a streamed body, or -1 if unknown.
+    caller_service : str
+        Service of the instance where the request began.
+    instance : str
+        Id of the worker that the ingress node has chosen.
+    route : str
+    objective_s : float
+        Time from now within which an answer has its full worth, in seconds.
+    is_call : bool
+        Made by a worker while it runs another request.
     """
 
     request: str
@@ -121,6 +130,11 @@
     body: bytes = b""
     streaming: bool = False
     length: int = -1
+    caller_service: str = ""
+    instance: str = ""
+    route: str = ""
+    objective_s: float = 0.0
+    is_call: bool = False
 
 
 class AnswerHead(msgspec.Struct, array_like=True):
@@ -147,6 +161,14 @@
         A lower hop has spent retries on this request.
     proposed_status : int
         HTTP status for the caller if `status` is 0.
+    is_not_run : bool
+        The backend server says that it did not run the request.
+    work_s : float
+        Time that the backend server took, in seconds; negative if unknown.
+    pending : int
+        Requests that run or wait at the egress node; negative if unknown.
+    slots : int
+        Requests that run at once there; 0 if unknown.
     """
 
     status: int
@@ -161,6 +183,10 @@
     backend_load: float = -1.0
     retried: bool = False
     proposed_status: int = 0
+    is_not_run: bool = False
+    work_s: float = -1.0
+    pending: int = -1
+    slots: int = 0
 
 
 class Answer:
--- a/packages/node/src/mangowell_node/ingress.py
+++ b/packages/node/src/mangowell_node/ingress.py
@@ -31,6 +31,7 @@
 READ_BUFFER = 65_536  # bytes; reading from a caller pauses at twice this size
 MAX_LINE = 16_384  # bytes
 MAX_PIPELINED = 16  # requests that wait on one connection
+MAX_SIDE_BY_SIDE = 16  # requests of one connection that are served at once
 IDLE_CLOSE_S = 75.0
 SWEEP_INTERVAL_S = 5.0
 LINGER_S = 2.0  # reads the rest of a refused upload, so that the answer arrives
@@ -113,15 +114,21 @@
         `target` is path and query as sent.
     headers : CIMultiDictProxy
     raw_headers : tuple of (bytes, bytes)
+    peer : str
+        Host of the caller.
+    arrived : float
+        Monotonic seconds.
     """
 
     __slots__ = (
         "_connection",
         "_content",
+        "arrived",
         "headers",
         "is_http_1_0",
         "keep_alive",
         "method",
+        "peer",
         "raw_headers",
         "target",
     )
@@ -141,6 +148,8 @@
         self.target: str = target
         self.headers: CIMultiDictProxy[str] = message.headers
         self.raw_headers = message.raw_headers
+        self.peer = connection.peer
+        self.arrived = monotonic()
         self.keep_alive = not message.should_close and not message.upgrade
         self.is_http_1_0 = message.version < (1, 1)
 
@@ -180,17 +189,34 @@
 Serve = Callable[[IncomingCall], Awaitable[Reply]]
 
 
+class _Exchange:
+    """One request of a connection, and the task that finds its reply."""
+
+    __slots__ = ("call", "content", "task")
+
+    def __init__(self, call: IncomingCall, content: StreamReader, task: asyncio.Task):
+        self.call = call
+        self.content = content
+        self.task = task
+
+
 class CallerConnection(BaseProtocol):
-    """Connection of a caller; answers its requests one after another."""
+    """Connection of a caller.
+
+    Pipelined requests are served side by side; their replies are written in
+    the order of the requests.
+    """
 
     __slots__ = (
-        "_content",
         "_error",
+        "_exchanges",
         "_is_closing",
         "_messages",
+        "_parsed",
         "_server",
-        "_task",
+        "_writer",
         "idle_since",
+        "peer",
     )
 
     def __init__(self, server: "IngressServer", loop: asyncio.AbstractEventLoop):
@@ -207,35 +233,38 @@
         super().__init__(loop, parser)
         self._server = server
         self._messages: deque[tuple[RawRequestMessage, StreamReader]] = deque()
-        self._content: StreamReader | None = None
-        self._task: asyncio.Task | None = None
+        self._exchanges: deque[_Exchange] = deque()
+        self._writer: asyncio.Task | None = None
+        self._parsed = 0
         self._error = ""
         self._is_closing = False
         self.idle_since = monotonic()
+        self.peer = ""
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being answered."""
-        return self._task is None
+        return self._writer is None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection."""
         super().connection_made(transport)
+        self.peer = transport.get_extra_info("peername")[0]
         self._server.connections.add(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the request that is being answered."""
+        """Cancel the requests that are being answered."""
         super().connection_lost(exc)
         self._server.connections.discard(self)
-        content = self._content
-        if content is not None and not content.is_eof():
-            content.set_exception(MessageFormatError("caller disconnected"))
-        if self._task is not None:
-            self._task.cancel()
+        for exchange in self._exchanges:
+            _fail_content(exchange.content, "caller disconnected")
+            exchange.task.cancel()
+        if self._writer is not None:
+            self._writer.cancel()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the caller."""
-        if self._is_closing:
+        if self._is_closing and not self._exchanges:
             return
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
@@ -244,14 +273,14 @@
             return
         if messages:
             self._messages.extend(messages)
+            self._parsed += len(messages)
             if upgraded:
                 # What follows is no HTTP/1.1; the request itself is answered.
                 self._is_closing = True
             # At this number the parser holds back what it has not parsed yet.
             if len(self._messages) >= MAX_PIPELINED and not self._buffer_paused:
                 self._pause_reading_for_buffer()
-            if self._task is None:
-                self._start()
+            self._start()
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume only if paused; the parser calls this after each request."""
@@ -262,51 +291,72 @@
         """Answer malformed bytes once earlier requests are answered."""
         self._is_closing = True
         self._error = message
-        content = self._content
-        if content is not None and not content.is_eof():
-            content.set_exception(MessageFormatError(message))
-        if self._task is None:
+        for exchange in self._exchanges:
+            _fail_content(exchange.content, message)
+        if self._writer is None:
             self._write_error(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, message)
             self._close()
 
     def _start(self) -> None:
-        message, self._content = self._messages.popleft()
-        self._parser.message_consumed()
-        call = IncomingCall(self, message, self._content)
-        self._task = self._loop.create_task(self._answer(call))
+        while self._messages and len(self._exchanges) < MAX_SIDE_BY_SIDE:
+            message, content = self._messages.popleft()
+            self._parser.message_consumed()
+            call = IncomingCall(self, message, content)
+            task = self._loop.create_task(self._server.serve(call))
+            self._exchanges.append(_Exchange(call, content, task))
+        if self._writer is None and self._exchanges:
+            self._writer = self._loop.create_task(self._write_all())
+
+    async def _write_all(self) -> None:
+        keep_alive = True
+        while self._exchanges and keep_alive:
+            exchange = self._exchanges[0]
+            keep_alive = await self._answer(exchange)
+            if self._exchanges:
+                self._exchanges.popleft()
+            if keep_alive:
+                self._start()
+                self._resume_parsing()
+        self._writer = None
+        for exchange in self._exchanges:
+            # Requests behind a reply that closes the connection count as unread.
+            exchange.task.cancel()
+        self._exchanges.clear()
+        if self.transport is None:
+            return
+        if self._error and keep_alive:
+            message = self._error
+            self._write_error(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, message)
+            self._close()
+        elif self._is_closing or not keep_alive:
+            self._close()
+        else:
+            self.idle_since = monotonic()
 
-    async def _answer(self, call: IncomingCall) -> None:
+    def _resume_parsing(self) -> None:
+        if self._buffer_paused and len(self._messages) <= MAX_PIPELINED // 2:
+            parsed = self._parsed
+            self.data_received(b"")
+            if self._parsed == parsed:
+                # The parser holds no further request back.
+                self._resume_reading_for_buffer()
+
+    async def _answer(self, exchange: _Exchange) -> bool:
+        """Write the reply of one request; tell whether more may follow."""
         try:
-            reply = await self._server.serve(call)
-            keep_alive = await self._write(call, reply)
+            reply = await exchange.task
+            keep_alive = await self._write(exchange, reply)
         except Exception:
             _log.exception("request failed")
             message = "internal error"
             status = HTTPStatus.INTERNAL_SERVER_ERROR
             self._write_error(status, Outcome.UNKNOWN, message)
             keep_alive = False
-        content = self._content
+        content = exchange.content
         if not content.is_eof():
             keep_alive = False
             await self._linger(content)
-        self._content = None
-        self._task = None
-        if self.transport is None:
-            return
-        if self._messages and keep_alive:
-            self._start()
-            if self._buffer_paused and len(self._messages) <= MAX_PIPELINED // 2:
-                self.data_received(b"")
-                if len(self._messages) < MAX_PIPELINED:
-                    self._resume_reading_for_buffer()
-        elif self._error:
-            message = self._error
-            self._write_error(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, message)
-            self._close()
-        elif self._is_closing or not keep_alive:
-            self._close()
-        else:
-            self.idle_since = monotonic()
+        return keep_alive
 
     async def _linger(self, content: StreamReader) -> None:
         """Read what the caller still sends, so that it can read the answer."""
@@ -323,7 +373,7 @@
     def close_if_idle(self) -> None:
         """Close unless a request is being answered; it then closes after it."""
         self._is_closing = True
-        if self._task is None:
+        if self._writer is None:
             self._close()
 
     def abort(self) -> None:
@@ -354,17 +404,21 @@
             )
         )
 
-    async def _write(self, call: IncomingCall, reply: Reply) -> bool:
+    async def _write(self, exchange: _Exchange, reply: Reply) -> bool:
         """Write a reply; tell whether the connection may be used again."""
+        call = exchange.call
         transport = self.transport
         stream = reply.stream
         if transport is None:
             if stream is not None:
                 stream.close()
             return False
-        keep_alive = call.keep_alive and not (
-            self._server.draining or self._is_closing or not self._content.is_eof()
-        )
+        # While draining, what has been read already is answered as well.
+        is_last = len(self._exchanges) == 1 and not self._messages
+        is_ending = self._server.draining or self._is_closing
+        keep_alive = call.keep_alive and exchange.content.is_eof()
+        if is_last and is_ending and not self._error:
+            keep_alive = False
         body = reply.body
         framing = b""
         chunked = False
@@ -439,6 +493,11 @@
             raise ConnectionResetError("body shorter than announced")
 
 
+def _fail_content(content: StreamReader, reason: str) -> None:
+    if not content.is_eof():
+        content.set_exception(MessageFormatError(reason))
+
+
 async def _collect(stream: Body) -> bytes:
     chunks = []
     size = 0
@@ -463,6 +522,7 @@
 
     def __init__(self, serve: Serve) -> None:
         self.serve = serve
+        self.idle_timeout_s = IDLE_CLOSE_S
         self.connections: set[CallerConnection] = set()
         self.draining = False
         self._server: asyncio.Server | None = None
@@ -478,13 +538,19 @@
 
     def _sweep(self) -> None:
         """Close connections that have carried no request for long."""
-        limit = monotonic() - IDLE_CLOSE_S
+        limit = monotonic() - self.idle_timeout_s
         for connection in list(self.connections):
             if connection.is_idle and connection.idle_since < limit:
                 connection.close_if_idle()
         loop = asyncio.get_running_loop()
         self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
+    def close_idle(self) -> None:
+        """Close every connection on which no request is being answered."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close_if_idle()
+
     async def stop(self, timeout: float) -> None:
         """Close the listener and every connection.
 
--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -126,6 +126,7 @@
             FrameType.PING: self._on_ping,
             FrameType.PONG: self._on_pong,
             FrameType.GOAWAY: self._on_goaway,
+            FrameType.NOTICE: self._on_notice,
         }
         if not self.ready.done():
             self.ready.set_result(None)
@@ -293,6 +294,7 @@
         self._key = key
         self._reach = reach
         self._emit = emit
+        self.on_notice: Callable[[Link, bytes], None] | None = None
         self._links: dict[tuple[str, int], ClientLink] = {}
         # Not usable for new streams, but some may be open still.
         self._replaced: set[ClientLink] = set()
@@ -314,6 +316,28 @@
             link = await self._open(host, port, deadline)
         return await link.call(head, body, deadline)
 
+    @property
+    def links(self) -> list[ClientLink]:
+        """Links that are open."""
+        return [link for link in self._links.values() if not link.closed]
+
+    def find(self, host: str, port: int) -> ClientLink | None:
+        """Return the open link to an address."""
+        link = self._links.get((host, port))
+        return None if link is None or link.closed else link
+
+    async def connect(self, host: str, port: int, deadline: float) -> None:
+        """Open the link to an address unless it is open.
+
+        Raises
+        ------
+        AttemptError
+            If it does not open before `deadline`.
+        """
+        link = self._links.get((host, port))
+        if link is None or not link.is_usable:
+            await self._open(host, port, deadline)
+
     async def _open(self, host: str, port: int, deadline: float) -> ClientLink:
         address = (host, port)
         task = self._opening.get(address)
@@ -352,6 +376,7 @@
                 Cause.CONNECT_FAILED, Stage.UNSENT, f"link: {exc}"
             ) from exc
         link.on_silent = self._close_unheard
+        link.on_notice = self.on_notice
         replaced = self._links.get(address)
         if replaced is not None:
             self._replaced.add(replaced)
--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -186,6 +186,7 @@
         # A ping has gone without an answer for PING_INTERVAL_S.
         self.is_doubtful = False
         self.on_silent: Callable[[Link], None] | None = None
+        self.on_notice: Callable[[Link, bytes], None] | None = None
         self._check: asyncio.TimerHandle | None = None
         self._paused = False
         self._drain_waiters: list[asyncio.Future] = []
@@ -327,6 +328,14 @@
     def _on_pong(self, stream: int, payload: bytes) -> None:
         pass
 
+    def send_notice(self, payload: bytes) -> None:
+        """Send control data that belongs to no stream."""
+        self.send(FrameType.NOTICE, 0, payload)
+
+    def _on_notice(self, stream: int, payload: bytes) -> None:
+        if self.on_notice is not None:
+            self.on_notice(self, payload)
+
     def _end_handshake(self) -> None:
         self._max_frame = MAX_FRAME
         if self._handshake_timer is not None:
--- a/packages/node/src/mangowell_node/link/frames.py
+++ b/packages/node/src/mangowell_node/link/frames.py
@@ -50,6 +50,7 @@
     PING = 11
     PONG = 12
     GOAWAY = 13
+    NOTICE = 14
 
 
 REQUEST_FRAME = int(FrameType.REQUEST)
--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -83,7 +83,9 @@
             FrameType.CANCEL: self._on_cancel,
             FrameType.PING: self._on_ping,
             FrameType.PONG: self._on_pong,
+            FrameType.NOTICE: self._on_notice,
         }
+        self.on_notice = self._server.on_notice
         if self._stopping:
             self.send_goaway()
 
@@ -214,6 +216,7 @@
     ) -> None:
         self.handler = handler
         self.load = load
+        self.on_notice: Callable[[Link, bytes], None] | None = None
         self.links: set[ServerLink] = set()
         self._key = key
         self._emit = emit
--- /dev/null
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -0,0 +1,187 @@
+"""What nodes tell each other: their load, and their state when the store fails."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from time import monotonic
+
+import msgspec
+
+from mangowell_core.events import Event, EventCode
+from mangowell_core.mesh import Directory, MeshSettings
+from mangowell_core.mesh.model import FetchNotice, Notice, StateNotice, StatusNotice
+from mangowell_core.mesh.placement import LoadReport, Placement
+from mangowell_node.exchange import AttemptError
+from mangowell_node.link import LinkPool, LinkServer
+from mangowell_node.link.connection import Link
+from mangowell_node.mesh.feed import StateFeed
+from mangowell_node.mesh.runner import WorkerRunner
+from mangowell_node.mesh.tasks import start_loop
+
+# Interval of status notices in a fleet of up to `FULL_MESH_NODES`, seconds.
+STATUS_INTERVAL_S = 0.5
+# Beyond this the interval grows with the fleet, so that the cost of a node does
+# not.
+FULL_MESH_NODES = 24
+CONNECT_TIMEOUT_S = 1.0
+# Time for which another node may be ahead before this node asks it, seconds:
+# the own watch usually delivers the change in that time.
+BEHIND_S = 0.6
+# Time between two fetches of a state, seconds.
+FETCH_INTERVAL_S = 0.5
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Notice)
+
+
+class Gossip:
+    """Keeps links to the other nodes and exchanges notices on them.
+
+    Parameters
+    ----------
+    settings : MeshSettings
+    directory : Directory
+    runner : WorkerRunner
+    placement : Placement
+    links : LinkPool
+    server : LinkServer
+    feed : StateFeed
+    emit : callable
+    on_change : callable
+        Called without arguments after each change of the directory.
+    """
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        directory: Directory,
+        runner: WorkerRunner,
+        placement: Placement,
+        links: LinkPool,
+        server: LinkServer,
+        feed: StateFeed,
+        emit: Callable[[Event], None],
+        on_change: Callable[[], None],
+    ):
+        self._settings = settings
+        self._directory = directory
+        self._runner = runner
+        self._placement = placement
+        self._links = links
+        self._server = server
+        self._feed = feed
+        self._emit = emit
+        self._on_change = on_change
+        self._task: asyncio.Task | None = None
+        self._opening: set[asyncio.Task] = set()
+        self._behind_since = 0.0
+        self._fetched_at = float("-inf")
+        self.leaving = False
+        links.on_notice = self._receive
+        server.on_notice = self._receive
+
+    def start(self) -> None:
+        """Start to keep links and to send notices."""
+        self._task = start_loop(self._run())
+
+    async def stop(self) -> None:
+        """Stop."""
+        for task in (self._task, *self._opening):
+            if task is not None:
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+
+    def announce(self) -> None:
+        """Send the present status now."""
+        payload = _encoder.encode(self._make_status())
+        for link in list(self._server.links):
+            if link.peer and not link.closed:
+                link.send_notice(payload)
+
+    async def _run(self) -> None:
+        while True:
+            self._keep_links()
+            self.announce()
+            self._links.check(monotonic())
+            nodes = len(self._directory.find_hosts())
+            await asyncio.sleep(STATUS_INTERVAL_S * max(1.0, nodes / FULL_MESH_NODES))
+
+    def _keep_links(self) -> None:
+        settings = self._settings
+        port = settings.link.port
+        deadline = monotonic() + CONNECT_TIMEOUT_S
+        for host in self._directory.find_hosts():
+            if host == settings.link.host or self._links.find(host, port):
+                continue
+            task = asyncio.create_task(self._connect(host, port, deadline))
+            self._opening.add(task)
+            task.add_done_callback(self._opening.discard)
+
+    async def _connect(self, host: str, port: int, deadline: float) -> None:
+        # A node that is down is seen by the requests that need it.
+        with contextlib.suppress(AttemptError):
+            await self._links.connect(host, port, deadline)
+
+    def _make_status(self) -> StatusNotice:
+        directory = self._directory
+        return StatusNotice(
+            self._settings.instance,
+            directory.revision,
+            directory.is_away or not directory.revision,
+            self._runner.pending,
+            self._runner.admission.limit,
+            self.leaving,
+        )
+
+    def _receive(self, link: Link, payload: bytes) -> None:
+        try:
+            notice = _decoder.decode(payload)
+        except msgspec.DecodeError as exc:
+            fields = {"peer": link.peer, "reason": str(exc)}
+            self._emit(Event(EventCode.PEER_MESSAGE_DROPPED, fields))
+            return
+        match notice:
+            case StatusNotice():
+                self._take_status(link, notice)
+            case FetchNotice():
+                link.send_notice(_encoder.encode(StateNotice(self._directory.export())))
+            case StateNotice():
+                self._take_state(link, notice)
+
+    def _take_status(self, link: Link, notice: StatusNotice) -> None:
+        now = monotonic()
+        host = link.address[0]
+        for endpoint in self._directory.find_host(host):
+            load = LoadReport(notice.pending, notice.limit)
+            self._placement.note_load(endpoint, load, now)
+        own = self._directory.revision
+        if notice.needs_state and notice.revision < own:
+            link.send_notice(_encoder.encode(StateNotice(self._directory.export())))
+        elif notice.revision > own:
+            self._note_behind(link, now)
+        else:
+            self._behind_since = 0.0
+
+    def _note_behind(self, link: Link, now: float) -> None:
+        if not self._behind_since:
+            self._behind_since = now
+        is_late = now - self._behind_since >= BEHIND_S
+        if not (is_late or self._directory.is_away):
+            return
+        if now - self._fetched_at >= FETCH_INTERVAL_S:
+            self._fetched_at = now
+            link.send_notice(_encoder.encode(FetchNotice()))
+
+    def _take_state(self, link: Link, notice: StateNotice) -> None:
+        now = monotonic()
+        was_away = self._directory.is_away
+        if not self._directory.adopt(notice.state, now):
+            return
+        self._behind_since = 0.0
+        fields = {"peer": link.peer, "revision": notice.state.revision}
+        self._emit(Event(EventCode.REPAIR_FETCH, fields))
+        self._on_change()
+        if not was_away:
+            # The own watch should have delivered this.
+            self._feed.restart_call()
--- /dev/null
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -0,0 +1,160 @@
+"""One node: its parts and their life."""
+
+import asyncio
+import random
+from http import HTTPStatus
+from time import monotonic
+
+from mangowell_core.events import Event, EventCode
+from mangowell_core.mesh import Directory, MeshSettings
+from mangowell_node.ingress import IncomingCall, IngressServer, Reply
+from mangowell_node.link import LinkPool, LinkServer, derive_link_key
+from mangowell_node.mesh.feed import StateFeed
+from mangowell_node.mesh.gateway import Gateway
+from mangowell_node.mesh.gossip import Gossip
+from mangowell_node.mesh.runner import WorkerRunner
+from mangowell_node.mesh.tasks import start_loop
+from mangowell_node.platform import READY_PATH, StoreClient
+from mangowell_node.reach import Reach
+from mangowell_node.telemetry import Telemetry
+
+# The platform hands out no secret. The handshake only tells this protocol from
+# others; docs/decisions/0008 says what remains open.
+LINK_SECRET = ""
+# Time for which callers still come after the node has said that it is not
+# ready: two questions a second apart, and a margin.
+READY_LINGER_S = 2.8
+# Part of the grace period that is kept for closing, seconds.
+STOP_MARGIN_S = 0.5
+EXPIRE_INTERVAL_S = 0.25
+POLL_S = 0.02
+
+
+class MeshNode:
+    """Process-wide object that owns the parts of a node.
+
+    Parameters
+    ----------
+    settings : MeshSettings
+    telemetry : Telemetry
+    rng : random.Random
+    """
+
+    def __init__(self, settings: MeshSettings, telemetry: Telemetry, rng):
+        self._settings = settings
+        self._telemetry = telemetry
+        emit = telemetry.emit
+        self.directory = directory = Directory()
+        self._store = StoreClient(settings.store)
+        self._feed = StateFeed(self._store, directory, emit, self._sync, rng)
+        self.runner = WorkerRunner(settings, directory)
+        key = derive_link_key(LINK_SECRET)
+        self._links = LinkPool(settings.instance, key, Reach(), emit)
+        self._server = LinkServer(key, self.runner.run, lambda: -1.0, emit)
+        self.gateway = Gateway(
+            settings,
+            directory,
+            self.runner,
+            self._links,
+            emit,
+            self._observe,
+            rng,
+        )
+        self._gossip = Gossip(
+            settings,
+            directory,
+            self.runner,
+            self.gateway.placement,
+            self._links,
+            self._server,
+            self._feed,
+            emit,
+            self._sync,
+        )
+        self._ingress = IngressServer(self.gateway.serve)
+        self._ready = IngressServer(self._answer_ready)
+        self._draining = False
+        self._housekeeper: asyncio.Task | None = None
+
+    @classmethod
+    def from_settings(cls, settings: MeshSettings, telemetry: Telemetry) -> "MeshNode":
+        """Build a node that is not started yet; needs a running loop."""
+        return cls(settings, telemetry, random.Random())
+
+    async def start(self) -> None:
+        """Open the sockets and follow the store."""
+        settings = self._settings
+        self._telemetry.emit(Event(EventCode.JOIN_STARTED, {"peers": 0}))
+        await self._store.start()
+        await self._ready.start(settings.ready.host, settings.ready.port)
+        await self._server.start(settings.link.host, settings.link.port)
+        await self._ingress.start(settings.callers.host, settings.callers.port)
+        self._feed.start()
+        self._gossip.start()
+        self._housekeeper = start_loop(self._keep_house())
+
+    async def stop(self) -> None:
+        """Stop gracefully: finish what was taken, and send callers elsewhere."""
+        started = monotonic()
+        deadline = started + self._settings.grace_s - STOP_MARGIN_S
+        self._draining = True
+        self._telemetry.emit(Event(EventCode.STOP_STARTED, {"reason": "SIGTERM"}))
+        self._ingress.draining = True
+        self._gossip.leaving = True
+        self._gossip.announce()
+        for link in list(self._server.links):
+            link.send_goaway()
+        linger = min(started + READY_LINGER_S, deadline)
+        while monotonic() < linger:
+            await asyncio.sleep(POLL_S)
+        self._ingress.close_idle()
+        await self._ingress.stop(max(0.0, deadline - monotonic()))
+        await self._server.stop(deadline)
+        in_flight = self.gateway.in_flight + self.runner.pending
+        self._telemetry.emit(Event(EventCode.STOP_COMPLETED, {"in_flight": in_flight}))
+        await self._close()
+
+    async def _close(self) -> None:
+        if self._housekeeper is not None:
+            self._housekeeper.cancel()
+        await self._gossip.stop()
+        await self._feed.stop()
+        await self._store.close()
+        await self._ready.stop(0.0)
+        self._links.close()
+        self.runner.stop()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should come."""
+        directory = self.directory
+        return (
+            not self._draining and directory.document is not None and len(directory) > 0
+        )
+
+    async def _answer_ready(self, call: IncomingCall) -> Reply:
+        status = HTTPStatus.NOT_FOUND
+        if call.target.partition("?")[0] == READY_PATH:
+            status = HTTPStatus.OK if self.is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        body = b'{"ready": %b}\n' % (b"true" if self.is_ready else b"false")
+        headers = b"Content-Type: application/json\r\n"
+        return Reply(status.value, status.phrase, headers, body)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_INTERVAL_S)
+            epoch = self.directory.epoch
+            self.directory.expire(monotonic())
+            if self.directory.epoch != epoch:
+                self._sync()
+
+    def _sync(self) -> None:
+        self.runner.sync()
+        self.gateway.sync()
+        document = self.directory.document
+        if document is not None:
+            self._ingress.idle_timeout_s = document.limits.idle_timeout_s
+            self._telemetry.set_gauge("document_version", document.version)
+
+    def _observe(self, route: str, service: str, outcome: str, seconds: float) -> None:
+        self._telemetry.observe_call("", service, route, outcome, seconds)
--- /dev/null
+++ b/packages/node/src/mangowell_node/platform/document.py
@@ -0,0 +1,158 @@
+"""Values that the operators and the workers write to the store."""
+
+import msgspec
+
+from mangowell_core.mesh.model import (
+    CallerLimits,
+    Endpoint,
+    MeshDocument,
+    MeshRoute,
+    MeshService,
+)
+from mangowell_core.mesh.settings import parse_duration
+
+DOCUMENT_KEY = "op/config"
+ENDPOINT_PREFIX = "servers/"
+_STATES = {"ready": False, "draining": True}
+_REPEATABLE = {"safe": True, "unsafe": False}
+
+
+class PlatformFormatError(Exception):
+    """A value of the store that cannot be read; its raiser names the value."""
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="kebab"):
+    hostname: str
+    prefix: str
+    route_type: str  # whether a request may be repeated
+    timeout: str
+    target_latency: str  # time in which an answer has its full worth
+    priority: int
+    max_attempts: int  # workers in all, not retries
+    service: str | None = None
+    traffic_split: list[_Part] | None = None
+
+
+class _Service(msgspec.Struct, rename="kebab"):
+    max_connections: int  # at one worker
+
+
+class _Limits(msgspec.Struct, rename="kebab"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: dict[str, _Route]
+    services: dict[str, _Service]
+    limits: _Limits
+
+
+class _Info(msgspec.Struct):
+    service: str
+    zone: str
+    slots: int
+
+
+class _Status(msgspec.Struct, rename="kebab"):
+    state: str
+    warmup_left: str = "0ms"
+
+
+class _Entry(msgspec.Struct, rename="kebab"):
+    address: str
+    node_info: _Info  # of the worker; the platform lists no nodes
+    status: _Status
+    born: int = 0  # Unix ms
+
+
+_documents = msgspec.json.Decoder(_Document)
+_entries = msgspec.json.Decoder(_Entry)
+
+
+def decode_document(value: bytes) -> MeshDocument:
+    """Decode the operators' document.
+
+    Raises
+    ------
+    PlatformFormatError
+        If any part of it cannot be read.
+    """
+    try:
+        raw = _documents.decode(value)
+        routes = tuple(_make_route(name, r) for name, r in raw.routes.items())
+        limits = CallerLimits(
+            raw.limits.max_header_bytes,
+            raw.limits.max_body_bytes,
+            parse_duration(raw.limits.header_timeout),
+            parse_duration(raw.limits.idle_timeout),
+        )
+    except (msgspec.DecodeError, ValueError, KeyError) as exc:
+        raise PlatformFormatError(f"document: {exc}") from exc
+    services = tuple(
+        MeshService(name, service.max_connections)
+        for name, service in raw.services.items()
+    )
+    return MeshDocument(raw.version, routes, services, limits)
+
+
+def _make_route(name: str, raw: _Route) -> MeshRoute:
+    if raw.traffic_split:
+        parts = tuple((part.service, part.weight) for part in raw.traffic_split)
+    elif raw.service:
+        parts = ((raw.service, 1.0),)
+    else:
+        raise ValueError(f"route {name} names no service")
+    return MeshRoute(
+        name,
+        raw.hostname.lower(),
+        raw.prefix,
+        _REPEATABLE[raw.route_type],
+        parse_duration(raw.timeout),
+        parse_duration(raw.target_latency),
+        raw.priority,
+        raw.max_attempts,
+        parts,
+    )
+
+
+def decode_endpoint(key: str, value: bytes, revision: int) -> Endpoint:
+    """Decode the entry of a worker.
+
+    Parameters
+    ----------
+    key : str
+        Key in the store, which ends with the worker's id.
+    revision : int
+        Revision of the entry's last change.
+
+    Raises
+    ------
+    PlatformFormatError
+        If the entry names no worker that can be used.
+    """
+    try:
+        raw = _entries.decode(value)
+        host, _, port = raw.address.rpartition(":")
+        return Endpoint(
+            key.removeprefix(ENDPOINT_PREFIX),
+            raw.node_info.service,
+            host,
+            int(port),
+            raw.node_info.zone,
+            raw.node_info.slots,
+            _STATES[raw.status.state],
+            parse_duration(raw.status.warmup_left),
+            raw.born,
+            revision,
+        )
+    except (msgspec.DecodeError, ValueError, KeyError) as exc:
+        raise PlatformFormatError(f"{key}: {exc}") from exc
--- /dev/null
+++ b/packages/node/src/mangowell_node/platform/headers.py
@@ -0,0 +1,91 @@
+"""Header fields of requests and answers."""
+
+from multidict import CIMultiDictProxy, istr
+
+from mangowell_node.exchange import HOP_BY_HOP, RequestHead
+
+READY_PATH = "/api/ready"
+
+_REQUEST_ID = istr("Request-Id")
+_REMAINING_MS = istr("Timeout-Ms")
+_NOT_RUN = istr("Not-Executed")
+_LOAD = istr("Server-Load")
+_MISDIRECTED = 421  # another worker has the address; it has not run the request
+_MAX_REMAINING_MS = 86_400_000
+# Fields that the node sets itself, whatever the caller has sent.
+_OWN_FIELDS = frozenset({b"timeout-ms", b"caller-service", b"expected-instance"})
+
+
+class CallerFields:
+    """What a caller says of its request.
+
+    Parameters
+    ----------
+    request : str
+        Id of this attempt of the caller; empty if it gave none.
+    remaining_ms : int or None
+        Time that the caller waits; None if it gave none that can be read.
+    """
+
+    __slots__ = ("remaining_ms", "request")
+
+    def __init__(self, request: str, remaining_ms: int | None):
+        self.request = request
+        self.remaining_ms = remaining_ms
+
+
+def read_caller_fields(headers: CIMultiDictProxy[str]) -> CallerFields:
+    """Read the fields that concern the node."""
+    text = headers.get(_REMAINING_MS, "")
+    remaining = None
+    if text.isascii() and text.isdigit():
+        remaining = min(int(text[:12]), _MAX_REMAINING_MS)
+    return CallerFields(headers.get(_REQUEST_ID, ""), remaining)
+
+
+def write_refusal_fields(request: str, retry_after_s: float) -> bytes:
+    """Return the lines of an answer that the node makes itself.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        0 if the field is left out.
+    """
+    lines = []
+    if request.isascii() and request.isprintable() and request:
+        lines.append(f"{_REQUEST_ID}: {request}\r\n")
+    if retry_after_s > 0:
+        # The platform takes fractions of a second.
+        lines.append(f"Retry-After: {retry_after_s:.3f}\r\n")
+    return "".join(lines).encode()
+
+
+class PlatformDialect:
+    """Fields between a node and its worker."""
+
+    checks_identity = True
+    allows_unframed = True
+    dropped = HOP_BY_HOP | _OWN_FIELDS | {b"expect"}
+
+    def write_fields(self, head: RequestHead, remaining_ms: int) -> bytes:
+        """Return the lines to add to a request."""
+        return (
+            f"Timeout-Ms: {remaining_ms}\r\n"
+            f"Expected-Instance: {head.instance}\r\n"
+            f"Caller-Service: {head.caller_service}\r\n"
+        ).encode()
+
+    def read_request_id(self, headers: CIMultiDictProxy[str]) -> str | None:
+        """Return the id of the request that an answer belongs to."""
+        return headers.get(_REQUEST_ID)
+
+    def is_not_run(self, status: int, headers: CIMultiDictProxy[str]) -> bool:
+        """Tell whether the worker says that it did not run the request."""
+        return _NOT_RUN in headers or status == _MISDIRECTED
+
+    def read_slots(self, headers: CIMultiDictProxy[str]) -> int:
+        """Return the slots that the worker reports, or 0."""
+        fields = headers.get(_LOAD, "").split(",")
+        if len(fields) != 3 or not fields[2].strip().isdecimal():
+            return 0
+        return int(fields[2])
--- /dev/null
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -0,0 +1,237 @@
+"""Client of the platform's metadata store, which can only be read."""
+
+import base64
+import binascii
+import socket
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+
+from mangowell_core.mesh.model import Endpoint, MeshDocument
+from mangowell_core.mesh.settings import Address
+from mangowell_node.platform.document import (
+    DOCUMENT_KEY,
+    ENDPOINT_PREFIX,
+    decode_document,
+    decode_endpoint,
+)
+
+# The longest wait of a watch that the store accepts, less a margin.
+MAX_WAIT_MS = 25_000
+# Many times the 4 ms of an answer: an outage that slows the store down is not
+# to be taken for one that stops it.
+READ_TIMEOUT_S = 1.5
+# Silence after which an open connection to the store is given up, by keepalive
+# probes: a watch may rightly be silent for its whole wait.
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+USER_TIMEOUT_MS = 2500
+
+
+class StoreError(Exception):
+    """A call that the store did not answer, refused or answered unreadably."""
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer knows the changes since a revision; list again."""
+
+
+class Item(msgspec.Struct, frozen=True):
+    """One item as it was written, or its end.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes or None
+        None if the item is gone.
+    revision : int
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+    @property
+    def is_document(self) -> bool:
+        """Whether it is the operators' document."""
+        return self.key == DOCUMENT_KEY
+
+    @property
+    def endpoint_id(self) -> str:
+        """Id of the worker whose entry it is, or an empty string."""
+        if not self.key.startswith(ENDPOINT_PREFIX):
+            return ""
+        return self.key.removeprefix(ENDPOINT_PREFIX)
+
+    def read_document(self) -> MeshDocument:
+        """Decode the value; raises `PlatformFormatError`."""
+        return decode_document(self.value)
+
+    def read_endpoint(self) -> Endpoint:
+        """Decode the value; raises `PlatformFormatError`."""
+        return decode_endpoint(self.key, self.value, self.revision)
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """Items of a prefix at about one revision."""
+
+    items: list[Item]
+    revision: int
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """Changes up to a revision, oldest first."""
+
+    items: list[Item]
+    revision: int
+
+
+class _RawItem(msgspec.Struct, rename="kebab"):
+    key: str
+    mod_rev: int  # revision of the last change
+    value: str = ""
+    tombstone: bool = False
+
+
+class _KeyReply(_RawItem, rename="kebab"):
+    as_of: int = 0  # the store's revision, not the item's
+
+
+class _RangeReply(msgspec.Struct, rename="kebab"):
+    items: list[_RawItem]
+    has_more: bool
+    as_of: int
+
+
+class _WatchReply(msgspec.Struct, rename="kebab"):
+    events: list[_RawItem]
+    as_of: int
+
+
+class StoreClient:
+    """Calls to the store.
+
+    Parameters
+    ----------
+    address : Address
+    """
+
+    __slots__ = ("_base", "_session", "calls")
+
+    def __init__(self, address: Address):
+        self._base = f"http://{address.host}:{address.port}/api/"
+        self._session: aiohttp.ClientSession | None = None
+        self.calls = 0
+
+    async def start(self) -> None:
+        """Open the client session."""
+        connector = aiohttp.TCPConnector(
+            limit=4, keepalive_timeout=10.0, socket_factory=_make_socket
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        )
+
+    async def close(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read_document(self) -> Listing:
+        """Read the document; the listing is empty if there is none yet."""
+        body = await self._get(f"kv-key?key={quote(DOCUMENT_KEY)}", READ_TIMEOUT_S)
+        if body is None:
+            return Listing([], 0)
+        reply = _decode(_KeyReply, body)
+        return Listing([_make_item(reply)], reply.as_of)
+
+    async def list_endpoints(self) -> Listing:
+        """List the entries of all workers.
+
+        The revision is that of the first page, so that a watch from there
+        contains whatever changed between the pages.
+        """
+        items: list[Item] = []
+        revision = 0
+        after = ""
+        while True:
+            path = f"kv-range?prefix={quote(ENDPOINT_PREFIX, safe='')}"
+            if after:
+                path += f"&after={quote(after, safe='')}"
+            body = await self._get(path, READ_TIMEOUT_S)
+            if body is None:
+                raise StoreError("no such range")
+            reply = _decode(_RangeReply, body)
+            revision = revision or reply.as_of
+            items.extend(_make_item(raw) for raw in reply.items)
+            if not reply.has_more or not reply.items:
+                return Listing(items, revision)
+            after = reply.items[-1].key
+
+    async def watch(self, revision: int) -> Changes:
+        """Wait for the changes of all keys after a revision.
+
+        Raises
+        ------
+        HistoryGoneError
+            If the changes are not known any more.
+        """
+        path = f"kv-watch?prefix=&after={revision}&wait-ms={MAX_WAIT_MS}"
+        body = await self._get(path, MAX_WAIT_MS / 1000 + READ_TIMEOUT_S)
+        if body is None:
+            raise StoreError("watch refused: 404")
+        reply = _decode(_WatchReply, body)
+        return Changes([_make_item(raw) for raw in reply.events], reply.as_of)
+
+    async def _get(self, path: str, timeout_s: float) -> bytes | None:
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=READ_TIMEOUT_S)
+        try:
+            async with self._session.get(self._base + path, timeout=timeout) as resp:
+                body = await resp.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise StoreError(f"{type(exc).__name__}: {exc}") from exc
+        match resp.status:
+            case 200:
+                return body
+            case 404:
+                return None
+            case 410:
+                raise HistoryGoneError("history is gone")
+            case status:
+                raise StoreError(f"status {status}")
+
+
+def _decode(kind: type, body: bytes):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as exc:
+        raise StoreError(f"unreadable answer: {exc}") from exc
+
+
+def _make_item(raw: _RawItem) -> Item:
+    if raw.tombstone:
+        return Item(raw.key, None, raw.mod_rev)
+    try:
+        value = base64.b64decode(raw.value, validate=True)
+    except binascii.Error:
+        # Kept, so that the reader of the value can report it under its key.
+        value = raw.value.encode()
+    return Item(raw.key, value, raw.mod_rev)
+
+
+def _make_socket(address_info) -> socket.socket:
+    family, kind, protocol, _, _ = address_info
+    sock = socket.socket(family=family, type=kind, proto=protocol)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+        (socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, PROBE_COUNT),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    return sock
--- a/packages/node/src/mangowell_node/telemetry.py
+++ b/packages/node/src/mangowell_node/telemetry.py
@@ -3,6 +3,7 @@
 import time
 from bisect import bisect_left
 from collections import deque
+from collections.abc import Callable
 from itertools import accumulate
 
 import logbook
@@ -88,6 +89,8 @@
         Length of the event ring.
     level : str
         Lowest level that is logged.
+    sink : callable, optional
+        Takes each `Event` in place of the log.
     """
 
     __slots__ = (
@@ -102,11 +105,19 @@
         "_gauges",
         "_log",
         "_registry",
+        "_sink",
         "_source_reads",
         "_source_total",
     )
 
-    def __init__(self, instance: str, events_kept: int = 5000, level: str = "info"):
+    def __init__(
+        self,
+        instance: str,
+        events_kept: int = 5000,
+        level: str = "info",
+        sink: Callable[[Event], None] | None = None,
+    ):
+        self._sink = sink
         self._log = logbook.Logger(instance, level=logbook.lookup_level(level.upper()))
         self._events: deque[tuple[float, Event]] = deque(maxlen=events_kept)
         self._registry = registry = Registry()
@@ -153,6 +164,9 @@
         self._events_total.inc({"code": str(int(code)), "name": code.name.lower()})
         if code is EventCode.VERSION_APPLIED and "delay_ms" in event.fields:
             self._delay.observe({}, float(event.fields["delay_ms"]) / 1000)
+        if self._sink is not None:
+            self._sink(event)
+            return
         level = EVENT_LEVELS.get(code, logbook.INFO)
         if level >= self._log.level:
             self._log.log(level, "{}", format_event(event))
