Serve calls of running requests first; list again after a cut watch

Cause: every requester of a machine sends from the machine's own address, so all requests were taken for calls of its worker and had no objective; calls of checkout to partner-desk were refused and the purchases failed with 500. The client library repeated a cut watch by itself, so a dropped history was only seen at the next change. Change: a call is told by the id of its running parent; a cut watch leads to a new list.

--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -82,6 +82,8 @@
                 self._revision = 0
                 self._emit(Event(EventCode.SOURCE_STALE, {"reason": "history is gone"}))
             except StoreError as exc:
+                # Changes may have been missed, so everything is read again.
+                self._revision = 0
                 self._note_down(str(exc))
                 delay = self._backoff_s * (0.75 + 0.5 * self._rng.random())
                 self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -51,6 +51,9 @@
 # The rest of the time limit that makes another attempt worth its while, as a
 # share of the mean work.
 MIN_WORK_SHARE = 0.6
+# A worker puts the id of the request that it runs before the id of each call
+# that it makes for it.
+CALL_SEPARATOR = "."
 # Time by which an answer made here comes before the time limit, seconds.
 EXPIRY_MARGIN_S = 0.003
 _REASONS = {
@@ -211,7 +214,7 @@
         if body is None:
             reason = f"body of more than {limits.max_body_bytes} bytes"
             return Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 413, 0.0, reason)
-        is_call = call.peer == self._settings.worker.host
+        is_call = self._runner.is_running(request.partition(CALL_SEPARATOR)[0])
         objective_s = route.objective_s
         task.head = RequestHead(
             request,
@@ -409,6 +412,7 @@
             fields |= {
                 "route": route,
                 "service": service,
+                "call": task.head is not None and task.head.is_call,
                 "attempts": task.attempts,
                 "tried": ",".join(sorted(task.excluded)),
                 "version": self._directory.document.version,
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -40,6 +40,7 @@
         self._settings = settings
         self._directory = directory
         self._own: Endpoint | None = None
+        self._running_ids: set[str] = set()
         self._waiting: dict[Ticket, asyncio.Future] = {}
         self._sweeper: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
@@ -80,6 +81,10 @@
         """Requests that run or wait."""
         return self.admission.running + self.admission.waiting
 
+    def is_running(self, request: str) -> bool:
+        """Tell whether the worker runs a request now."""
+        return request in self._running_ids
+
     async def run(self, head: RequestHead, body: Body | None, deadline: float):
         """Run a request at the worker.
 
@@ -102,11 +107,13 @@
         has_run = False
         try:
             started = monotonic()
+            self._running_ids.add(head.request)
             answer = await self._exchange(head, body, deadline)
             has_run = not answer.head.is_not_run and answer.head.status < 500
             answer.head.work_s = monotonic() - started
             return answer
         finally:
+            self._running_ids.discard(head.request)
             self._release(ticket, has_run)
             if has_run:
                 answer.head.pending = self.pending
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -131,7 +131,9 @@
             limit=4, keepalive_timeout=10.0, socket_factory=_make_socket
         )
         self._session = aiohttp.ClientSession(
-            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            middlewares=(_report_cut,),
         )
 
     async def close(self) -> None:
@@ -204,6 +206,18 @@
                 raise StoreError(f"status {status}")
 
 
+async def _report_cut(req, handler):
+    """Report a connection that was cut, where the library would try again.
+
+    A watch is cut when the store drops its history. Asked again from the same
+    revision, the store waits for the next change before it says so.
+    """
+    try:
+        return await handler(req)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise StoreError(f"connection cut: {type(exc).__name__}: {exc}") from exc
+
+
 def _decode(kind: type, body: bytes):
     try:
         return msgspec.json.decode(body, type=kind)
