--- a/packages/core/src/mangowell_core/policy/fingerprints.py
+++ b/packages/core/src/mangowell_core/policy/fingerprints.py
@@ -6,7 +6,6 @@
 maximum, so a repeated or reordered report changes nothing.
 """
 
-import hashlib
 from enum import Enum
 
 from mangowell_core.distribution.ranking import rank_instances
@@ -369,16 +368,3 @@
                     Cause.SUSPECTED, f"a suspect of a crash runs at {item.name}"
                 )
         return None
-
-
-def make_fingerprint(method: str, path: str, query: str, body: bytes) -> str:
-    """Return the SHA-256 of a request, in hexadecimal.
-
-    Each part is preceded by its length, so that parts cannot run into each
-    other.
-    """
-    digest = hashlib.sha256()
-    for part in (method.encode(), path.encode(), query.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
--- /dev/null
+++ b/packages/core/src/mangowell_core/policy/request_digest.py
@@ -0,0 +1,16 @@
+"""Digest by which a request is recognised when it comes again."""
+
+import hashlib
+
+
+def make_fingerprint(method: str, path: str, query: str, body: bytes) -> str:
+    """Return the SHA-256 of a request, in hexadecimal.
+
+    Each part is preceded by its length, so that parts cannot run into each
+    other.
+    """
+    digest = hashlib.sha256()
+    for part in (method.encode(), path.encode(), query.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from mangowell_core.policy.fingerprints import make_fingerprint
 from mangowell_core.policy.outcome import Stage, refuse
+from mangowell_core.policy.request_digest import make_fingerprint
 from mangowell_core.policy.types import Cause, Outcome, Refusal
 
 MAX_BUFFERED_BODY = 1_048_576  # bytes; larger request bodies get one attempt
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -114,6 +114,12 @@
         self._telemetry.emit(Event(EventCode.STOP_COMPLETED, {"in_flight": in_flight}))
         await self._close()
 
+    async def abort(self) -> None:
+        """Stop at once, as a crash would."""
+        await self._ingress.stop(0.0)
+        await self._server.stop(0.0)
+        await self._close()
+
     async def _close(self) -> None:
         if self._housekeeper is not None:
             self._housekeeper.cancel()
--- /dev/null
+++ b/tests/mesh/support_mesh.py
@@ -0,0 +1,178 @@
+"""Nodes, scripted workers and a store for tests of the platform."""
+
+import asyncio
+import contextlib
+import json
+
+from mangowell_core.mesh import MeshSettings
+from mangowell_core.mesh.settings import Address
+from mangowell_node.mesh.node import MeshNode
+from mangowell_node.telemetry import Telemetry
+from mangowell_standins.platform_store import PlatformStore
+from node.support_calls import ScriptedBackend, find_port, make_answer, read_response
+
+HOST = "shop.example"
+
+
+def make_document(version=1, routes=None, services=("orders",), limits=None):
+    return json.dumps(
+        {
+            "version": version,
+            "routes": routes or {"r1": make_route(), "r2": make_route("/pay/", "unsafe")},
+            "services": {
+                name: {"health-path": "/healthz", "max-connections": 60}
+                for name in services
+            },
+            "limits": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 1_000_000,
+                "header-timeout": "3000ms",
+                "idle-timeout": "15000ms",
+                **(limits or {}),
+            },
+        }
+    ).encode()
+
+
+def make_route(prefix="/", kind="safe", **fields):
+    return {
+        "hostname": HOST,
+        "prefix": prefix,
+        "route-type": kind,
+        "timeout": "2000ms",
+        "target-latency": "500ms",
+        "priority": 1,
+        "max-attempts": 2,
+        "service": "orders",
+        **fields,
+    }
+
+
+def make_entry(host, port, service="orders", state="ready", **fields):
+    return json.dumps(
+        {
+            "address": f"{host}:{port}",
+            "node-info": {"service": service, "version": "v1", "zone": "z", "slots": 4},
+            "status": {"state": state, "seq": 1, "warmup-left": "0ms"},
+            "born": 1_700_000_000_000,
+            **fields,
+        }
+    ).encode()
+
+
+def answer_with_id(body=b"ok", status="200 OK", headers=""):
+    """Make a handler that answers as a worker does, with the request's id."""
+
+    async def handle(request):
+        number = request.headers["request-id"]
+        return make_answer(body, status, f"Request-Id: {number}\r\n{headers}")
+
+    return handle
+
+
+class Machine:
+    """One machine: a scripted worker and the node beside it."""
+
+    def __init__(self, number, link_port, store_port, zone="z"):
+        self.number = number
+        self.host = f"127.0.0.{number + 1}"
+        self.id = f"i-{number}"
+        self.zone = zone
+        self.worker = ScriptedBackend(answer_with_id())
+        self.link_port = link_port
+        self.store_port = store_port
+        self.settings: MeshSettings | None = None
+        self.node: MeshNode | None = None
+
+    async def start(self):
+        if not self.worker.port:
+            await self.worker.start(host=self.host)
+        self.settings = MeshSettings(
+            instance=f"node-{self.number}",
+            failure_domain=self.zone,
+            service="orders",
+            callers=Address(self.host, find_port()),
+            ready=Address(self.host, find_port()),
+            worker=Address(self.host, self.worker.port),
+            store=Address("127.0.0.1", self.store_port),
+            link=Address(self.host, self.link_port),
+            metrics_port=find_port(),
+            reads_per_s=1000,
+            heartbeat_s=0.5,
+            contact_s=3.0,
+            drain_s=2.0,
+            grace_s=3.0,
+            config_apply_s=2.0,
+            lost_slack_s=0.2,
+            retry_ratio=1.0,
+            retry_floor=100,
+            retry_window_s=10.0,
+        )
+        self.telemetry = Telemetry(self.settings.instance, level="error")
+        self.node = MeshNode.from_settings(self.settings, self.telemetry)
+        await self.node.start()
+
+    @property
+    def entry(self):
+        return make_entry(self.host, self.worker.port)
+
+    def find(self, name):
+        return [e for e in self.telemetry.find_events() if e["name"] == name]
+
+    async def connect(self):
+        address = self.settings.callers
+        return await asyncio.open_connection(address.host, address.port)
+
+    async def call(self, target="/x", method="GET", body=b"", request="id-1", **fields):
+        reader, writer = await self.connect()
+        writer.write(make_request(target, method, body, request, **fields))
+        try:
+            return await read_response(reader)
+        finally:
+            writer.close()
+
+    async def is_ready(self):
+        address = self.settings.ready
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        try:
+            return (await read_response(reader)).status == 200
+        finally:
+            writer.close()
+
+
+def make_request(
+    target="/x", method="GET", body=b"", request="id-1", timeout_ms=1500, host=HOST
+):
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    return (
+        f"{method} {target} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {request}\r\n"
+        f"Timeout-Ms: {timeout_ms}\r\n{length}\r\n"
+    ).encode() + body
+
+
+@contextlib.asynccontextmanager
+async def run_mesh(count=1, document=None):
+    """Run a store and machines that are all listed and ready."""
+    store = await PlatformStore().start()
+    store.put("op/config", document or make_document())
+    link_port = find_port()
+    machines = [Machine(n + 1, link_port, store.port) for n in range(count)]
+    try:
+        for machine in machines:
+            await machine.start()
+            store.put(f"servers/{machine.id}", machine.entry)
+        await until(lambda: all(len(m.node.directory) == count for m in machines))
+        yield store, machines
+    finally:
+        for machine in machines:
+            if machine.node is not None:
+                await machine.node.abort()
+            machine.worker.crash()
+        await store.stop()
+
+
+async def until(condition, timeout_s=5.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
