Refuse requests that crash workers; guard the path by tests

Cause: tests against scripted workers showed that a body limit was not held for short bodies, that a connection was used again after an early rejection of a long body, and that a single worker was not tried again after one lost connection; nothing stopped a request that crashes its workers. Change: crash ledger, told to all nodes and repeated for 4 s; limits on every body; a waiting request keeps its place until its objective is out of reach.

--- a/packages/core/src/mangowell_core/mesh/__init__.py
+++ b/packages/core/src/mangowell_core/mesh/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from mangowell_core.mesh.admission import Admission, Verdict
+from mangowell_core.mesh.crashes import CrashLedger
 from mangowell_core.mesh.directory import Directory
 from mangowell_core.mesh.model import (
     CallerLimits,
@@ -23,6 +24,7 @@
 __all__ = [
     "Admission",
     "CallerLimits",
+    "CrashLedger",
     "Directory",
     "Endpoint",
     "MeshDocument",
--- a/packages/core/src/mangowell_core/mesh/admission.py
+++ b/packages/core/src/mangowell_core/mesh/admission.py
@@ -11,9 +11,11 @@
 from bisect import insort
 from enum import Enum
 
-# Share of the time between work and objective that may be spent waiting. The
-# rest absorbs the spread of the work.
+# Share of the time between work and objective that a new request may be
+# expected to wait. The rest absorbs the spread of the work.
 WAIT_SHARE = 0.6
+# The same for one that waits already, whose time would be wasted.
+KEEP_SHARE = 1.0
 # The least time that may be spent waiting, as a share of the objective.
 MIN_WAIT_SHARE = 0.15
 WORK_GAIN = 0.1
@@ -39,7 +41,10 @@
     rank : tuple of int
         Lower ranks run first.
     latest_start : float
-        Time after which it is not worth starting.
+        Time after which it is not worth starting, once it waits.
+    work_s : float
+        Expected work.
+    arrived : float
     """
 
     __slots__ = (
@@ -124,10 +129,12 @@
             it is refused.
         """
         work_s = self._work.get(route, FIRST_WORK_S)
-        latest = deadline - work_s
+        entry = latest = deadline - work_s
         if objective_s > 0:
-            slack = (objective_s - work_s) * WAIT_SHARE
-            latest = min(latest, now + max(slack, objective_s * MIN_WAIT_SHARE))
+            slack = objective_s - work_s
+            least = objective_s * MIN_WAIT_SHARE
+            entry = min(entry, now + max(slack * WAIT_SHARE, least))
+            latest = min(latest, now + max(slack * KEEP_SHARE, least))
         self._counter += 1
         key = (rank, self._counter)
         ticket = Ticket(request, route, key, latest, work_s, now)
@@ -137,8 +144,8 @@
             self._start(ticket, now)
             return Verdict.RUN, ticket, 0.0
         start = now + self._predict_wait(ticket)
-        if start > latest:
-            return Verdict.REFUSED, ticket, _bound_retry(start - latest)
+        if start > entry:
+            return Verdict.REFUSED, ticket, _bound_retry(start - entry)
         insort(self._queue, ticket)
         return Verdict.WAIT, ticket, 0.0
 
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -176,4 +176,18 @@
     state: MeshState
 
 
-Notice = StatusNotice | FetchNotice | StateNotice
+class CrashNotice(msgspec.Struct, frozen=True, tag=True):
+    """Crash of a worker with the requests that it was running.
+
+    Parameters
+    ----------
+    crash : str
+        Id and start of the worker.
+    fingerprints : tuple of str
+    """
+
+    crash: str
+    fingerprints: tuple[str, ...]
+
+
+Notice = StatusNotice | FetchNotice | StateNotice | CrashNotice
--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -30,6 +30,8 @@
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
 _NO_BODY_STATUSES = frozenset({204, 304})
 _HEAD_END = b"\r\n\r\n"
+# Body that may not have been read when a rejection of it arrives.
+LONG_BODY_BYTES = 16_384
 # Part of the idle time stated by the backend server for which a connection is
 # used, so that a request does not cross the close.
 KEEP_ALIVE_SHARE = 0.7
@@ -49,10 +51,10 @@
         "_head",
         "_head_bytes",
         "_is_aborted",
-        "_is_skipping",
         "_may_repeat",
         "_pool",
         "_reusable",
+        "_sent_body",
         "_timer",
         "_until_eof",
         "_waiter",
@@ -81,8 +83,8 @@
         # Bytes of the present answer's body that are missing; -1 if the parser
         # finds the end, None while no answer is being read.
         self._body_left: int | None = None
-        self._is_skipping = False
         self._until_eof = False
+        self._sent_body = 0
         self._expected_id = ""
         self.max_idle_s = float("inf")
         self.used = False
@@ -140,7 +142,6 @@
         self._expected_id = head.request
         self._head_bytes.clear()
         self._body_left = None
-        self._is_skipping = False
         self._until_eof = False
         waiter = self._waiter = self._loop.create_future()
         self._timer = self._loop.call_later(deadline - now, self._expire)
@@ -155,6 +156,7 @@
                 head.body,
             )
         )
+        self._sent_body = len(head.body)
         self.used = True
         self.exchanges += 1
         return waiter
@@ -198,19 +200,31 @@
     def finish(self) -> None:
         """End the exchange and give the connection back, if it is reusable."""
         self._stop_timer()
-        body, self._head, self._body = self._body, None, None
+        head, body = self._head, self._body
+        self._head = self._body = None
         if (
             self._reusable
             and self.is_open
             and body is not None
             and body.is_eof()
             and body.exception() is None
+            and not self._is_upload_doubtful(head)
         ):
             if self.is_pooled:
                 self._pool.put(self)
         else:
             self.abort()
 
+    def _is_upload_doubtful(self, head: AnswerHead | None) -> bool:
+        """Tell whether the backend server may not have read the whole request.
+
+        It may reject a long body before it is in, and then close.
+        """
+        if self.transport.get_write_buffer_size():
+            return True
+        is_rejected = head is None or head.status >= 400
+        return is_rejected and self._sent_body > LONG_BODY_BYTES
+
     def release(self) -> None:
         """Give back a connection on which nothing was sent."""
         if self.is_open:
--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -328,6 +328,11 @@
     def _on_pong(self, stream: int, payload: bytes) -> None:
         pass
 
+    @property
+    def peer_is_known(self) -> bool:
+        """Whether the handshake is over."""
+        return self._handshake_timer is None
+
     def send_notice(self, payload: bytes) -> None:
         """Send control data that belongs to no stream."""
         self.send(FrameType.NOTICE, 0, payload)
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -90,7 +90,8 @@
                 await asyncio.sleep(delay)
             else:
                 self._note_up(loop.time())
-                await asyncio.sleep(GATHER_S)
+                # Nodes that were woken together do not ask together.
+                await asyncio.sleep(GATHER_S * (0.6 + 0.8 * self._rng.random()))
 
     async def _step(self) -> None:
         if not self._revision:
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -9,6 +9,7 @@
 
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import (
+    CrashLedger,
     Directory,
     Endpoint,
     MeshRoute,
@@ -26,6 +27,7 @@
     AttemptError,
     MessageFormatError,
     RequestHead,
+    find_fingerprint,
     join_headers,
 )
 from mangowell_node.ingress import IncomingCall, Reply
@@ -80,6 +82,7 @@
         "deadline",
         "error",
         "excluded",
+        "has_cleared",
         "head",
         "may_have_run",
         "route",
@@ -95,6 +98,7 @@
         self.excluded: set[str] = set()
         # Attempts that may have reached a worker.
         self.attempts = 0
+        self.has_cleared = False
         self.may_have_run = False
         self.answer: Answer | None = None
         self.error: AttemptError | None = None
@@ -112,6 +116,7 @@
     directory : Directory
     runner : WorkerRunner
     links : LinkPool
+    ledger : CrashLedger
     emit : callable
         Takes an `Event`.
     observe : callable
@@ -125,6 +130,7 @@
         directory: Directory,
         runner: WorkerRunner,
         links: LinkPool,
+        ledger: CrashLedger,
         emit: Callable[[Event], None],
         observe: Callable[[str, str, str, float], None],
         rng: random.Random,
@@ -133,6 +139,7 @@
         self._directory = directory
         self._runner = runner
         self._links = links
+        self._ledger = ledger
         self._emit = emit
         self._observe = observe
         self._rng = rng
@@ -183,6 +190,10 @@
         refusal = await self._read(task, request)
         if refusal is not None:
             return self._refuse(request, task, refusal, call.arrived)
+        if self._is_poisonous(task, monotonic()):
+            reason = "the same request has crashed workers"
+            refusal = refuse(Cause.QUARANTINED, reason)
+            return self._refuse(request, task, refusal, call.arrived)
         if not task.head.is_call:
             self.budget.count_request(task.service, monotonic())
         try:
@@ -239,13 +250,14 @@
     async def _read_body(self, task: _Task, limit: int) -> bytes | None:
         call = task.call
         if call.has_arrived:
-            return call.take_body()
+            body = call.take_body()
+            return body if len(body) <= limit else None
         if int(call.headers.get(_LENGTH, 0)) > limit:
             return None
         async with asyncio.timeout(task.deadline - monotonic()):
             body = await call.read_body()
             if type(body) is bytes:
-                return body
+                return body if len(body) <= limit else None
             chunks = []
             size = 0
             while chunk := await body.read():
@@ -269,6 +281,10 @@
                 task.excluded,
                 now,
             )
+            if endpoint is None and self._may_return(task):
+                # The only worker may have lost a connection and nothing else.
+                task.excluded.clear()
+                continue
             if endpoint is None:
                 if task.error is None and task.answer is None:
                     task.error = AttemptError(
@@ -297,6 +313,13 @@
             if await self._attempt(task, endpoint):
                 return
 
+    def _may_return(self, task: _Task) -> bool:
+        """Tell whether the workers that were tried may be tried once more."""
+        if task.has_cleared or not task.may_have_run:
+            return False
+        task.has_cleared = True
+        return task.route.idempotent and task.error is not None
+
     def _may_repeat(self, task: _Task, now: float) -> bool:
         """Tell whether a request that reached a worker may go to another."""
         if task.may_have_run and not task.route.idempotent:
@@ -306,8 +329,15 @@
         work = self.placement.find_work(task.route.name, task.service)
         if task.deadline - now < work * MIN_WORK_SHARE:
             return False
+        if self._is_poisonous(task, now):
+            return False
         return self.budget.spend(task.service, now)
 
+    def _is_poisonous(self, task: _Task, now: float) -> bool:
+        """Tell whether the request has crashed the workers that ran it."""
+        ledger = self._ledger
+        return bool(ledger) and ledger.is_refused(find_fingerprint(task.head), now)
+
     async def _attempt(self, task: _Task, endpoint: Endpoint) -> bool:
         """Make one attempt; tell whether its result is final."""
         placement = self.placement
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -2,14 +2,21 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from collections.abc import Callable
 from time import monotonic
 
 import msgspec
 
 from mangowell_core.events import Event, EventCode
-from mangowell_core.mesh import Directory, MeshSettings
-from mangowell_core.mesh.model import FetchNotice, Notice, StateNotice, StatusNotice
+from mangowell_core.mesh import CrashLedger, Directory, MeshSettings
+from mangowell_core.mesh.model import (
+    CrashNotice,
+    FetchNotice,
+    Notice,
+    StateNotice,
+    StatusNotice,
+)
 from mangowell_core.mesh.placement import LoadReport, Placement
 from mangowell_node.exchange import AttemptError
 from mangowell_node.link import LinkPool, LinkServer
@@ -27,6 +34,8 @@
 # Time for which another node may be ahead before this node asks it, seconds:
 # the own watch usually delivers the change in that time.
 BEHIND_S = 0.6
+# Time for which a crash is repeated to nodes that link up late, seconds.
+CRASH_REPEAT_S = 4.0
 # Time between two fetches of a state, seconds.
 FETCH_INTERVAL_S = 0.5
 
@@ -46,6 +55,7 @@
     links : LinkPool
     server : LinkServer
     feed : StateFeed
+    ledger : CrashLedger
     emit : callable
     on_change : callable
         Called without arguments after each change of the directory.
@@ -60,6 +70,7 @@
         links: LinkPool,
         server: LinkServer,
         feed: StateFeed,
+        ledger: CrashLedger,
         emit: Callable[[Event], None],
         on_change: Callable[[], None],
     ):
@@ -70,12 +81,16 @@
         self._links = links
         self._server = server
         self._feed = feed
+        self._ledger = ledger
+        runner.on_crash = self.report_crash
         self._emit = emit
         self._on_change = on_change
         self._task: asyncio.Task | None = None
         self._opening: set[asyncio.Task] = set()
         self._behind_since = 0.0
         self._fetched_at = float("-inf")
+        # The own worker's crashes, each with the time until which it is repeated.
+        self._crashes: deque[tuple[float, CrashNotice]] = deque()
         self.leaving = False
         links.on_notice = self._receive
         server.on_notice = self._receive
@@ -96,13 +111,44 @@
         """Send the present status now."""
         payload = _encoder.encode(self._make_status())
         for link in list(self._server.links):
-            if link.peer and not link.closed:
+            if link.peer_is_known and not link.closed:
                 link.send_notice(payload)
 
+    def report_crash(self, crash: str, fingerprints: tuple[str, ...]) -> None:
+        """Count a crash of the own worker and tell the other nodes."""
+        notice = CrashNotice(crash, fingerprints)
+        self._take_crash(notice)
+        self._crashes.append((monotonic() + CRASH_REPEAT_S, notice))
+        self._send_all(_encoder.encode(notice))
+
+    def _send_all(self, payload: bytes) -> None:
+        for link in (*self._links.links, *self._server.links):
+            if link.peer_is_known and not link.closed:
+                link.send_notice(payload)
+
+    def _repeat_crashes(self) -> None:
+        now = monotonic()
+        while self._crashes and self._crashes[0][0] <= now:
+            self._crashes.popleft()
+        for _, notice in self._crashes:
+            self._send_all(_encoder.encode(notice))
+
+    def _take_crash(self, notice: CrashNotice) -> None:
+        now = monotonic()
+        news = [
+            fingerprint
+            for fingerprint in notice.fingerprints
+            if self._ledger.note(fingerprint, notice.crash, now)
+        ]
+        if news:
+            fields = {"backend": notice.crash, "reason": "crashed", "lost": len(news)}
+            self._emit(Event(EventCode.BACKEND_DOWN, fields))
+
     async def _run(self) -> None:
         while True:
             self._keep_links()
             self.announce()
+            self._repeat_crashes()
             self._links.check(monotonic())
             nodes = len(self._directory.find_hosts())
             await asyncio.sleep(STATUS_INTERVAL_S * max(1.0, nodes / FULL_MESH_NODES))
@@ -148,6 +194,8 @@
                 link.send_notice(_encoder.encode(StateNotice(self._directory.export())))
             case StateNotice():
                 self._take_state(link, notice)
+            case CrashNotice():
+                self._take_crash(notice)
 
     def _take_status(self, link: Link, notice: StatusNotice) -> None:
         now = monotonic()
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -6,7 +6,7 @@
 from time import monotonic
 
 from mangowell_core.events import Event, EventCode
-from mangowell_core.mesh import Directory, MeshSettings
+from mangowell_core.mesh import CrashLedger, Directory, MeshSettings
 from mangowell_node.ingress import IncomingCall, IngressServer, Reply
 from mangowell_node.link import LinkPool, LinkServer, derive_link_key
 from mangowell_node.mesh.feed import StateFeed
@@ -47,7 +47,8 @@
         self.directory = directory = Directory()
         self._store = StoreClient(settings.store)
         self._feed = StateFeed(self._store, directory, emit, self._sync, rng)
-        self.runner = WorkerRunner(settings, directory)
+        ledger = CrashLedger()
+        self.runner = WorkerRunner(settings, directory, ledger)
         key = derive_link_key(LINK_SECRET)
         self._links = LinkPool(settings.instance, key, Reach(), emit)
         self._server = LinkServer(key, self.runner.run, lambda: -1.0, emit)
@@ -56,6 +57,7 @@
             directory,
             self.runner,
             self._links,
+            ledger,
             emit,
             self._observe,
             rng,
@@ -68,6 +70,7 @@
             self._links,
             self._server,
             self._feed,
+            ledger,
             emit,
             self._sync,
         )
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -1,15 +1,29 @@
 """Runs requests at the node's own worker."""
 
 import asyncio
+from collections.abc import Callable
 from time import monotonic
 
-from mangowell_core.mesh import Admission, Directory, MeshSettings, Verdict
+from mangowell_core.mesh import (
+    Admission,
+    CrashLedger,
+    Directory,
+    MeshSettings,
+    Verdict,
+)
 from mangowell_core.mesh.admission import Ticket
 from mangowell_core.mesh.model import Endpoint
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause
 from mangowell_node.backend import BackendConnection, BackendPool
-from mangowell_node.exchange import Answer, AttemptError, Body, RequestHead
+from mangowell_node.exchange import (
+    Answer,
+    AttemptError,
+    Body,
+    RequestHead,
+    find_fingerprint,
+)
+from mangowell_node.mesh.tasks import start_loop
 from mangowell_node.platform import PlatformDialect
 from mangowell_node.reach import Reach
 
@@ -23,6 +37,8 @@
 # Connections of the worker that are left to others, such as its health checks.
 SPARE_CONNECTIONS = 10
 DEFAULT_CONNECTIONS = 60
+# Time in which the connections of a crashed worker are lost, seconds.
+CRASH_WINDOW_S = 0.05
 # Calls of running requests go before all priorities of new requests.
 CALL_RANK = -1
 
@@ -34,9 +50,17 @@
     ----------
     settings : MeshSettings
     directory : Directory
+    ledger : CrashLedger
     """
 
-    def __init__(self, settings: MeshSettings, directory: Directory):
+    def __init__(
+        self, settings: MeshSettings, directory: Directory, ledger: CrashLedger
+    ):
+        self._ledger = ledger
+        self._lost: list[str] = []
+        self._crash_check: asyncio.Task | None = None
+        # Called with the crash and the fingerprints of what ran.
+        self.on_crash: Callable[[str, tuple[str, ...]], None] = _ignore_crash
         self._settings = settings
         self._directory = directory
         self._own: Endpoint | None = None
@@ -199,11 +223,39 @@
     ) -> Answer:
         try:
             await conn.start(head, deadline)
-            return await self.pool.read_answer(conn, head, _ignore_end)
-        except BaseException:
+            answer = await self.pool.read_answer(conn, head, _ignore_end)
+        except BaseException as exc:
             # Closing the connection makes the worker stop its work.
             conn.abort()
+            if isinstance(exc, AttemptError):
+                self._note_loss(head, exc)
             raise
+        if self._ledger:
+            self._ledger.clear(find_fingerprint(head))
+        return answer
+
+    # Crashes
+
+    def _note_loss(self, head: RequestHead, exc: AttemptError) -> None:
+        if exc.refusal.cause is not Cause.CONNECTION_LOST:
+            return
+        self._lost.append(find_fingerprint(head))
+        if self._crash_check is None:
+            self._crash_check = start_loop(self._check_crash())
+
+    async def _check_crash(self) -> None:
+        """Tell a crash from a lost connection: a crashed worker accepts none."""
+        try:
+            await asyncio.sleep(CRASH_WINDOW_S)
+            conn = await self.pool.open(monotonic() + CRASH_WINDOW_S * 4)
+            conn.release()
+        except AttemptError:
+            own = self._own
+            if own is not None:
+                self.on_crash(f"{own.id}/{own.born_ms}", tuple(self._lost))
+        finally:
+            self._lost.clear()
+            self._crash_check = None
 
     def stop(self) -> None:
         """Close the connections to the worker."""
@@ -212,5 +264,9 @@
         self.pool.close()
 
 
+def _ignore_crash(crash: str, fingerprints: tuple[str, ...]) -> None:
+    """Take a crash that nobody is to be told of."""
+
+
 def _ignore_end(error: AttemptError | None) -> None:
     """Take the end of a streamed answer, whose slot is free already."""
--- a/packages/standins/src/mangowell_standins/platform_store.py
+++ b/packages/standins/src/mangowell_standins/platform_store.py
@@ -31,7 +31,7 @@
         self._events: list[dict] = []
         self._oldest = 0
         self._changed = asyncio.Event()
-        self._watchers: set[web.Request] = set()
+        self._watchers: set[asyncio.Transport] = set()
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> "PlatformStore":
@@ -51,6 +51,11 @@
         """Close every connection."""
         await self._runner.cleanup()
 
+    @property
+    def watchers(self) -> int:
+        """Watches that wait."""
+        return len(self._watchers)
+
     def put(self, key: str, value: bytes) -> int:
         """Write an item; return its revision."""
         self._revision += 1
@@ -77,8 +82,8 @@
         """Forget all changes and cut the watches, as the platform does."""
         self._events.clear()
         self._oldest = self._revision
-        for request in list(self._watchers):
-            request.transport.abort()
+        for transport in list(self._watchers):
+            transport.abort()
 
     def put_unseen(self, key: str, value: bytes) -> None:
         """Write an item of which no open watch hears."""
@@ -128,7 +133,8 @@
         deadline = asyncio.get_running_loop().time() + (
             int(request.query["wait-ms"]) / 1000
         )
-        self._watchers.add(request)
+        transport = request.transport
+        self._watchers.add(transport)
         try:
             while not any(e["mod-rev"] > after for e in self._events):
                 changed = self._changed
@@ -137,7 +143,7 @@
         except TimeoutError:
             pass
         finally:
-            self._watchers.discard(request)
+            self._watchers.discard(transport)
         if after < self._oldest:
             return web.json_response({"error": "gone"}, status=410)
         events = [e for e in self._events if e["mod-rev"] > after]
--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -18,7 +18,8 @@
     return json.dumps(
         {
             "version": version,
-            "routes": routes or {"r1": make_route(), "r2": make_route("/pay/", "unsafe")},
+            "routes": routes
+            or {"r1": make_route(), "r2": make_route("/pay/", "unsafe")},
             "services": {
                 name: {"health-path": "/healthz", "max-connections": 60}
                 for name in services
--- /dev/null
+++ b/tests/mesh/test_feed.py
@@ -0,0 +1,79 @@
+"""Guards the following of the store, through its outages."""
+
+import asyncio
+
+from mesh.support_mesh import make_document, make_entry, make_route, run_mesh, until
+
+
+async def test_new_version_is_in_force_soon():
+    async with run_mesh() as (store, (machine,)):
+        store.put("op/config", make_document(2, {"r": make_route("/new/")}))
+        await until(lambda: machine.node.directory.document.version == 2)
+        assert (await machine.call("/new/x")).status == 200
+        assert (await machine.call("/x")).status == 404
+
+
+async def test_older_version_is_never_run():
+    async with run_mesh(document=make_document(5)) as (store, (machine,)):
+        store.put("op/config", make_document(4))
+        store.put("servers/i-9", make_entry("127.0.0.9", 1))
+        await until(lambda: len(machine.node.directory) == 2)
+        assert machine.node.directory.document.version == 5
+
+
+async def test_unreadable_document_leaves_the_last_one_in_force():
+    async with run_mesh() as (store, (machine,)):
+        store.put("op/config", b"{")
+        await until(lambda: machine.find("version_refused"))
+        assert machine.node.directory.document.version == 1
+        assert (await machine.call()).status == 200
+
+
+async def test_unreadable_entry_takes_only_its_own_worker():
+    async with run_mesh(2) as (store, machines):
+        store.put("servers/i-2", b"\xff")
+        await until(lambda: len(machines[0].node.directory) == 1)
+        assert (await machines[0].call()).status == 200
+
+
+async def test_cut_watch_with_dropped_history_leads_to_a_new_list():
+    """The client library repeated the watch, which then waited for a change."""
+    async with run_mesh() as (store, (machine,)):
+        await until(lambda: store.watchers == 1)
+        store.put_unseen("op/config", make_document(3))
+        store.drop_history()
+        await until(lambda: machine.node.directory.document.version == 3, 2.0)
+
+
+async def test_entries_that_lapse_in_an_outage_are_kept_until_workers_are_back():
+    async with run_mesh() as (store, (machine,)):
+        store.refuse_status = 503
+        store.drop_history()
+        await until(lambda: machine.node.directory.is_away)
+        store.delete("servers/i-1")
+        store.refuse_status = 0
+        await until(lambda: not machine.node.directory.is_away)
+        assert (await machine.call()).status == 200
+        await asyncio.sleep(0.5)
+        assert (await machine.call()).status == 200
+        await until(lambda: len(machine.node.directory) == 0, 4.0)
+
+
+async def test_node_without_a_document_promises_that_nothing_ran():
+    async with run_mesh() as (_, (machine,)):
+        machine.node.gateway._table = None
+        answer = await machine.call()
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+        assert machine.worker.executions == 0
+
+
+async def test_node_that_the_store_turns_away_gets_the_state_from_others():
+    async with run_mesh(2) as (store, machines):
+        first, second = machines
+        await until(lambda: first.node._links.find(second.host, second.link_port))
+        # The feed of the first node stops, as if the store refused it.
+        await first.node._feed.stop()
+        first.node.directory.lose_store()
+        store.put("op/config", make_document(8))
+        await until(lambda: first.node.directory.document.version == 8, 3.0)
--- /dev/null
+++ b/tests/mesh/test_platform_document.py
@@ -0,0 +1,75 @@
+"""Guards the decoding of what the operators and workers write to the store."""
+
+import json
+
+import pytest
+
+from mangowell_node.platform import (
+    PlatformFormatError,
+    decode_document,
+    decode_endpoint,
+)
+from mesh.support_mesh import make_document, make_entry, make_route
+
+
+def test_route_fields_are_decoded_with_their_units():
+    document = decode_document(make_document(7))
+    route = document.routes[1]
+    assert (document.version, route.prefix, route.idempotent) == (7, "/pay/", False)
+    assert (route.timeout_s, route.objective_s, route.max_attempts) == (2.0, 0.5, 2)
+    assert route.parts == (("orders", 1.0),)
+    assert document.limits.idle_timeout_s == 15.0
+
+
+def test_split_keeps_its_weights():
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    routes = {"r": make_route(**{"traffic-split": split})}
+    (route,) = decode_document(make_document(1, routes)).routes
+    assert route.parts == (("a", 90), ("b", 10))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"timeout": "2000"},
+        {"timeout": 2000},
+        {"route-type": "perhaps"},
+        {"priority": "high"},
+        {"service": None},
+    ],
+)
+def test_document_with_one_bad_route_is_refused_whole(change):
+    routes = {"good": make_route(), "bad": make_route("/b/", **change)}
+    with pytest.raises(PlatformFormatError):
+        decode_document(make_document(1, routes))
+
+
+def test_endpoint_is_decoded():
+    endpoint = decode_endpoint("servers/i-1", make_entry("10.0.0.1", 80), 44)
+    assert (endpoint.id, endpoint.host, endpoint.port) == ("i-1", "10.0.0.1", 80)
+    assert (endpoint.draining, endpoint.slots, endpoint.revision) == (False, 4, 44)
+    assert endpoint.born_ms == 1_700_000_000_000
+
+
+def change_entry(**fields):
+    entry = json.loads(make_entry("10.0.0.1", 80))
+    return json.dumps({**entry, **fields}).encode()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        change_entry(address=5),
+        change_entry(address="10.0.0.1"),
+        change_entry(status={"state": "dancing"}),
+        change_entry(status={}),
+        change_entry(**{"node-info": {"service": "a", "zone": "z", "slots": "4"}}),
+        change_entry(born="yesterday"),
+    ],
+)
+def test_unreadable_entry_names_no_worker(value):
+    with pytest.raises(PlatformFormatError):
+        decode_endpoint("servers/i-1", value, 1)
--- /dev/null
+++ b/tests/mesh/test_requests.py
@@ -0,0 +1,403 @@
+"""Guards requests on their way from a caller to a worker and back."""
+
+import asyncio
+import json
+import socket
+import struct
+import time
+
+import pytest
+
+from mesh.support_mesh import (
+    answer_with_id,
+    make_document,
+    make_entry,
+    make_request,
+    make_route,
+    run_mesh,
+    until,
+)
+from node.support_calls import make_answer, read_response
+
+
+async def test_worker_gets_the_request_unchanged_with_the_fields_of_the_node():
+    async with run_mesh() as (_, (machine,)):
+        reader, writer = await machine.connect()
+        writer.write(
+            b"POST /x/y?a=b%20c HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Request-Id: abc\r\nTimeout-Ms: 900\r\nCaller-Service: forged\r\n"
+            b"Expected-Instance: forged\r\nX-Other: kept\r\nContent-Length: 4\r\n\r\n"
+            b"body"
+        )
+        assert (await read_response(reader)).status == 200
+        (received,) = machine.worker.received
+        assert (received.target, received.body) == ("/x/y?a=b%20c", b"body")
+        fields = received.headers
+        assert fields["request-id"] == "abc"
+        assert fields["caller-service"] == "orders"
+        assert fields["expected-instance"] == "i-1"
+        assert fields["x-other"] == "kept"
+        assert 500 < int(fields["timeout-ms"]) <= 900
+        writer.close()
+
+
+async def test_chunked_body_reaches_the_worker_whole():
+    async with run_mesh() as (_, (machine,)):
+        reader, writer = await machine.connect()
+        writer.write(
+            b"POST /x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        assert (await read_response(reader)).status == 200
+        assert machine.worker.received[0].body == b"abcde"
+        writer.close()
+
+
+async def test_time_limit_of_the_route_ends_a_request_in_time():
+    routes = {"r": make_route(timeout="300ms")}
+    async with run_mesh(document=make_document(1, routes)) as (_, (machine,)):
+
+        async def stall(request):
+            await asyncio.sleep(5)
+
+        machine.worker.handler = stall
+        started = time.monotonic()
+        answer = await machine.call()
+        assert answer.status == 504
+        assert 0.25 < time.monotonic() - started < 0.5
+        await until(lambda: machine.worker.received[0].cancelled.is_set(), 0.5)
+
+
+async def test_pipelined_requests_run_side_by_side_and_are_answered_in_order():
+    """Served one after another, those behind a slow one miss their objective."""
+    async with run_mesh() as (_, (machine,)):
+
+        async def handle(request):
+            if request.target == "/x0":
+                await asyncio.sleep(0.3)
+            number = request.headers["request-id"]
+            headers = f"Request-Id: {number}\r\n"
+            return make_answer(request.target.encode(), headers=headers)
+
+        machine.worker.handler = handle
+        reader, writer = await machine.connect()
+        for number in range(3):
+            writer.write(make_request(f"/x{number}", request=f"p{number}"))
+        await until(lambda: machine.worker.executions == 3, 0.2)
+        for number in range(3):
+            assert (await read_response(reader)).body == b"/x%d" % number
+        writer.close()
+
+
+async def test_caller_that_leaves_stops_the_work():
+    async with run_mesh() as (_, (machine,)):
+
+        async def stall(request):
+            await asyncio.sleep(5)
+
+        machine.worker.handler = stall
+        _, writer = await machine.connect()
+        writer.write(make_request())
+        await until(lambda: machine.worker.executions == 1)
+        writer.transport.abort()
+        await until(lambda: machine.worker.received[0].cancelled.is_set(), 0.5)
+
+
+async def test_waiting_request_whose_caller_leaves_never_runs():
+    async with run_mesh() as (_, (machine,)):
+
+        async def slow(request):
+            await asyncio.sleep(0.2)
+            return await answer_with_id()(request)
+
+        machine.worker.handler = slow
+        calls = [
+            asyncio.create_task(machine.call(request=f"a{number}"))
+            for number in range(4)
+        ]
+        await until(lambda: machine.worker.executions == 4)
+        _, writer = await machine.connect()
+        writer.write(make_request(request="gone"))
+        await until(lambda: machine.node.runner.admission.waiting == 1)
+        writer.transport.abort()
+        await asyncio.gather(*calls)
+        await asyncio.sleep(0.3)
+        assert machine.worker.executions == 4
+
+
+def break_first(machines, first):
+    """Let the worker that is reached first do `first`, the others answer."""
+    seen = []
+
+    async def handle(request):
+        seen.append(request)
+        if len(seen) == 1:
+            return await first(request)
+        return await answer_with_id()(request)
+
+    for machine in machines:
+        machine.worker.handler = handle
+    return seen
+
+
+async def close(request):
+    request.writer.transport.abort()
+
+
+async def truncate(request):
+    number = request.headers["request-id"]
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: {number}\r\nContent-Length: 50\r\n\r\n"
+    request.writer.write(head.encode() + b"half")
+    await request.writer.drain()
+    request.writer.close()
+
+
+async def spoil(request):
+    request.writer.write(b"\x00\x01 this is no answer\r\n\r\n")
+    await request.writer.drain()
+    request.writer.close()
+
+
+async def fail(request):
+    return await answer_with_id(b"bad", "500 Error")(request)
+
+
+FAULTS = {"closed": close, "truncated": truncate, "spoiled": spoil}
+
+
+@pytest.mark.parametrize("fault", [*FAULTS.values(), fail], ids=[*FAULTS, "failed"])
+async def test_idempotent_request_goes_to_another_worker(fault):
+    async with run_mesh(2) as (_, machines):
+        seen = break_first(machines, fault)
+        answer = await machines[0].call()
+        assert (answer.status, answer.body, len(seen)) == (200, b"ok", 2)
+
+
+@pytest.mark.parametrize("fault", FAULTS.values(), ids=FAULTS)
+async def test_other_request_runs_once_and_is_not_promised_unrun(fault):
+    async with run_mesh(2) as (_, machines):
+        seen = break_first(machines, fault)
+        answer = await machines[0].call("/pay/1", "POST", b"x")
+        assert (answer.status, len(seen)) == (502, 1)
+
+
+@pytest.mark.parametrize("target", ["/x", "/pay/1"])
+async def test_request_that_a_worker_did_not_run_goes_to_another(target):
+    async with run_mesh(2) as (_, machines):
+
+        async def shed(request):
+            handle = answer_with_id(b"", "503 Full", "Not-Executed: 1\r\n")
+            return await handle(request)
+
+        seen = break_first(machines, shed)
+        answer = await machines[0].call(target, "POST", b"x")
+        assert (answer.status, len(seen)) == (200, 2)
+
+
+async def test_worker_whose_address_went_to_another_is_left():
+    async with run_mesh(2) as (_, machines):
+
+        async def misdirected(request):
+            return make_answer(b"", "421 Misdirected", "Instance-Id: i-77\r\n")
+
+        seen = break_first(machines, misdirected)
+        assert (await machines[0].call("/pay/1", "POST", b"x")).status == 200
+        assert len(seen) == 2
+
+
+async def test_late_answer_to_an_earlier_request_is_not_passed_on():
+    async with run_mesh() as (_, (machine,)):
+
+        async def late(request):
+            number = request.headers["request-id"]
+            extra = make_answer(b"old", headers="Request-Id: earlier\r\n")
+            return extra + make_answer(b"own", headers=f"Request-Id: {number}\r\n")
+
+        machine.worker.handler = late
+        assert (await machine.call()).body == b"own"
+
+
+async def test_bytes_behind_an_answer_belong_to_no_request():
+    async with run_mesh() as (_, (machine,)):
+
+        async def extra(request):
+            number = request.headers["request-id"]
+            answer = make_answer(b"own", headers=f"Request-Id: {number}\r\n")
+            return answer + make_answer(b"more", headers="Request-Id: own\r\n") + b"\0"
+
+        machine.worker.handler = extra
+        for number in range(3):
+            answer = await machine.call("/pay/1", "POST", b"x", request=f"n{number}")
+            assert (answer.status, answer.body) == (200, b"own")
+        assert machine.worker.connections == 3
+
+
+async def test_answer_without_a_length_is_complete_at_an_orderly_end():
+    async with run_mesh() as (_, (machine,)):
+
+        async def unframed(request):
+            number = request.headers["request-id"]
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {number}\r\n\r\n"
+            request.writer.write(head.encode() + b"all of it")
+            await request.writer.drain()
+            request.writer.close()
+
+        machine.worker.handler = unframed
+        answer = await machine.call("/pay/1", "POST", b"x")
+        assert (answer.status, answer.body) == (200, b"all of it")
+
+
+async def test_answer_without_a_length_that_is_reset_is_not_complete():
+    async with run_mesh() as (_, (machine,)):
+
+        async def reset(request):
+            number = request.headers["request-id"]
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {number}\r\n\r\n"
+            request.writer.write(head.encode() + b"part of it")
+            await request.writer.drain()
+            await asyncio.sleep(0.05)
+            sock = request.writer.get_extra_info("socket")
+            # Closes with a reset instead of an orderly end.
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            request.writer.transport.abort()
+
+        machine.worker.handler = reset
+        answer = await machine.call("/pay/1", "POST", b"x")
+        assert answer.status == 502
+
+
+async def test_early_answer_to_a_long_body_costs_its_connection_only():
+    async with run_mesh() as (_, (machine,)):
+
+        async def early(reader, writer):
+            answer = make_answer(b"", "413 Large", "Request-Id: id-1\r\n")
+            writer.write(answer)
+            await writer.drain()
+            await asyncio.sleep(0.2)
+
+        machine.worker.raw = early
+        answer = await machine.call("/pay/1", "POST", b"x" * 300_000)
+        assert answer.status == 413
+        machine.worker.raw = None
+        assert (await machine.call()).status == 200
+        assert machine.worker.connections == 2
+
+
+async def test_split_gets_its_weights():
+    split = [{"service": "orders", "weight": 3}, {"service": "other", "weight": 1}]
+    routes = {"r": make_route(**{"traffic-split": split})}
+    document = make_document(1, routes, ("orders", "other"))
+    async with run_mesh(2, document) as (store, machines):
+        first, second = machines
+        entry = json.loads(second.entry)
+        entry["node-info"]["service"] = "other"
+        store.put("servers/i-2", json.dumps(entry).encode())
+        await until(lambda: first.node.directory.find_service("other"))
+        for number in range(20):
+            await first.call(request=f"s{number}")
+        assert (first.worker.executions, second.worker.executions) == (15, 5)
+
+
+async def test_part_without_room_is_refused_and_not_moved():
+    split = [{"service": "orders", "weight": 1}, {"service": "other", "weight": 1}]
+    routes = {"r": make_route(**{"traffic-split": split})}
+    document = make_document(1, routes, ("orders", "other"))
+    async with run_mesh(1, document) as (_, (machine,)):
+        answers = [await machine.call(request=f"s{n}") for n in range(10)]
+        assert [answer.status for answer in answers].count(200) == 5
+        assert machine.worker.executions == 5
+
+
+async def test_draining_worker_gets_no_new_request():
+    async with run_mesh(2) as (store, machines):
+        first, second = machines
+        store.put(
+            "servers/i-1", make_entry(first.host, first.worker.port, state="draining")
+        )
+        await until(lambda: first.node.runner.own.draining)
+        await until(lambda: second.node.directory.find_host(first.host)[0].draining)
+        for number in range(5):
+            assert (await second.call(request=f"d{number}")).status == 200
+        assert (first.worker.executions, second.worker.executions) == (0, 5)
+
+
+async def test_planned_stop_finishes_what_was_taken():
+    async with run_mesh(2) as (_, machines):
+        first = machines[0]
+
+        async def slow(request):
+            await asyncio.sleep(0.5)
+            return await answer_with_id()(request)
+
+        for machine in machines:
+            machine.worker.handler = slow
+        call = asyncio.create_task(first.call("/pay/1", "POST", b"x"))
+        await until(lambda: sum(m.worker.executions for m in machines) == 1)
+        stop = asyncio.create_task(first.node.stop())
+        await asyncio.sleep(0.1)
+        assert not await first.is_ready()
+        answer = await first.call(request="during")
+        assert (answer.status, answer.headers["connection"]) == (200, "close")
+        assert (await call).status == 200
+        await stop
+        first.node = None
+
+
+async def test_body_over_the_limit_is_refused():
+    document = make_document(limits={"max-body-bytes": 1000})
+    async with run_mesh(1, document) as (_, (machine,)):
+        assert (await machine.call("/x", "POST", b"x" * 1001)).status == 413
+        assert (await machine.call("/x", "POST", b"x" * 1000)).status == 200
+
+
+async def test_call_of_a_running_request_is_told_by_its_id():
+    async with run_mesh() as (_, (machine,)):
+        calls = []
+
+        async def handle(request):
+            number = request.headers["request-id"]
+            if number == "parent":
+                calls.append(machine.node.runner.is_running("parent"))
+                calls.append(machine.node.runner.is_running("other"))
+            return await answer_with_id()(request)
+
+        machine.worker.handler = handle
+        await machine.call(request="parent")
+        assert calls == [True, False]
+        assert not machine.node.runner.is_running("parent")
+
+
+async def test_request_that_crashes_workers_is_refused_at_every_machine():
+    async with run_mesh(3) as (_, machines):
+
+        async def crash_worker(machine):
+            machine.worker.crash()
+
+        def make_handler(machine):
+            async def handle(request):
+                if request.target == "/x/poison":
+                    await crash_worker(machine)
+                    return None
+                return await answer_with_id()(request)
+
+            return handle
+
+        for machine in machines:
+            machine.worker.handler = make_handler(machine)
+        answer = await machines[0].call("/x/poison")
+        assert answer.status == 502
+        await until(lambda: all(len(m.find("backend_down")) == 2 for m in machines))
+        runs = sum(m.worker.executions for m in machines)
+        assert runs == 2
+        for machine in machines:
+            assert (await machine.call("/x/poison", request="again")).status == 503
+        assert sum(m.worker.executions for m in machines) == runs
+
+
+async def test_only_worker_is_tried_again_after_a_lost_connection():
+    async with run_mesh() as (_, machines):
+        seen = break_first(machines, close)
+        assert (await machines[0].call()).status == 200
+        assert len(seen) == 2
--- a/tests/node/support_calls.py
+++ b/tests/node/support_calls.py
@@ -110,9 +110,7 @@
         return len(self.received)
 
     async def start(self, port=0, host="127.0.0.1"):
-        self._server = await asyncio.start_server(
-            self._serve, host, port, limit=2**20
-        )
+        self._server = await asyncio.start_server(self._serve, host, port, limit=2**20)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
