Serve metrics, reload settings, tell callers of an isolated node to go elsewhere

Cause: a node that is cut off from all others kept its callers, whose requests for other services all failed; changed settings were not read; no metrics.

--- a/packages/node/src/mangowell_node/backend/pool.py
+++ b/packages/node/src/mangowell_node/backend/pool.py
@@ -106,6 +106,7 @@
         self._idle: deque[BackendConnection] = deque()
         self._open: set[BackendConnection] = set()
         self._opening = 0
+        self.opened = 0
         self._waiters: deque[asyncio.Future] = deque()
         self._losses: deque[float] = deque(maxlen=32)
         self._closed = False
@@ -225,6 +226,7 @@
             raise
         finally:
             self._opening -= 1
+        self.opened += 1
         self._open.add(conn)
         conn.opened_at = monotonic()
         return conn
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -56,6 +56,9 @@
 # A worker puts the id of the request that it runs before the id of each call
 # that it makes for it.
 CALL_SEPARATOR = "."
+# Time that a request waits for a link to open, seconds; the opening goes on
+# for others. Links are kept open, so this is met behind a cut or a restart.
+CONNECT_WAIT_S = 0.3
 # Time by which an answer made here comes before the time limit, seconds.
 EXPIRY_MARGIN_S = 0.003
 _REASONS = {
@@ -152,6 +155,10 @@
         self._full_budget_ms: dict[str, int] = {}
         self.in_flight = 0
 
+    def reload(self, settings: MeshSettings) -> None:
+        """Take changed settings."""
+        self._settings = settings
+
     def sync(self) -> None:
         """Take a change of the directory."""
         directory = self._directory
@@ -382,6 +389,8 @@
         if endpoint.host == self._settings.worker.host:
             return await self._runner.run(task.head, None, task.deadline)
         port = self._settings.link.port
+        deadline = min(task.deadline, monotonic() + CONNECT_WAIT_S)
+        await self._links.connect(endpoint.host, port, deadline)
         return await self._links.call(
             endpoint.host, port, task.head, None, task.deadline
         )
@@ -413,6 +422,8 @@
         outcome = "failed" if head.status >= 500 else "done"
         seconds = monotonic() - task.call.arrived
         self._observe(task.route.name, task.service, outcome, seconds)
+        if seconds > task.route.objective_s and not task.head.is_call:
+            self._report_late(task, seconds)
         return Reply(
             head.status,
             head.reason,
@@ -422,6 +433,21 @@
             head.length,
         )
 
+    def _report_late(self, task: _Task, seconds: float) -> None:
+        fields = {
+            "request": task.head.request,
+            "route": task.route.name,
+            "service": task.service,
+            "backend": task.head.instance,
+            "attempts": task.attempts,
+            "total_ms": round(seconds * 1000),
+            "work_ms": round(task.answer.head.work_s * 1000),
+            "objective_ms": round(task.route.objective_s * 1000),
+            "status": task.answer.head.status,
+            "version": self._directory.document.version,
+        }
+        self._emit(Event(EventCode.CALL_LATE, fields))
+
     def _refuse(
         self, request: str, task: _Task | None, refusal: Refusal, started: float
     ) -> Reply:
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -41,6 +41,12 @@
 FAR_INTERVALS = 4
 # Rates are sent as whole numbers of tenths a second.
 DEMAND_SCALE = 10
+# Time without a word from any other node after which this one counts as cut
+# off, seconds: longer than the interval of the status to other domains.
+ISOLATED_S = 2.6
+# The same for one node, whose worker is then used last.
+QUIET_NEAR_S = 1.3
+QUIET_FAR_S = 2.6
 # Time for which a crash is repeated to nodes that link up late, seconds.
 CRASH_REPEAT_S = 4.0
 # Time between two fetches of a state, seconds.
@@ -102,6 +108,8 @@
         # The own worker's crashes, each with the time until which it is repeated.
         self._crashes: deque[tuple[float, CrashNotice]] = deque()
         self.leaving = False
+        self._started = monotonic()
+        self._is_isolated = False
         links.on_notice = self._receive
         server.on_notice = self._receive
 
@@ -172,10 +180,36 @@
             self._keep_links()
             self.announce(everywhere=not tick % FAR_INTERVALS or not self._has_state)
             self._repeat_crashes()
+            self._check_contact(monotonic())
             self._links.check(monotonic())
             nodes = len(self._directory.find_hosts())
             await asyncio.sleep(STATUS_INTERVAL_S * max(1.0, nodes / FULL_MESH_NODES))
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether other nodes are listed and none has been heard of."""
+        return self._is_isolated
+
+    def _check_contact(self, now: float) -> None:
+        """Look for nodes that have fallen silent."""
+        directory = self._directory
+        intervals = max(1.0, len(directory.find_hosts()) / FULL_MESH_NODES)
+        heard_at = self._started
+        for link in (*self._links.links, *self._server.links):
+            heard_at = max(heard_at, link.heard_at)
+        for link in self._links.links:
+            quiet_s = QUIET_NEAR_S if self._is_near(link) else QUIET_FAR_S
+            if 0 < link.heard_at < now - quiet_s * intervals:
+                for endpoint in directory.find_host(link.address[0]):
+                    self._placement.note_down(endpoint, now)
+        has_others = bool(directory.find_hosts() - {self._settings.link.host})
+        isolated = has_others and now - heard_at > ISOLATED_S * intervals
+        if isolated != self._is_isolated:
+            self._is_isolated = isolated
+            code = EventCode.NODE_ISOLATED if isolated else EventCode.NODE_REJOINED
+            fields = {"silent_s": round(now - heard_at, 2)}
+            self._emit(Event(code, fields))
+
     def _keep_links(self) -> None:
         settings = self._settings
         port = settings.link.port
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -26,6 +26,7 @@
 READY_LINGER_S = 2.8
 # Part of the grace period that is kept for closing, seconds.
 STOP_MARGIN_S = 0.5
+METRICS_PATH = "/metrics"
 EXPIRE_INTERVAL_S = 0.25
 POLL_S = 0.02
 
@@ -77,6 +78,7 @@
         )
         self._ingress = IngressServer(self.gateway.serve)
         self._ready = IngressServer(self._answer_ready)
+        self._metrics = IngressServer(self._answer_metrics)
         self._draining = False
         self._housekeeper: asyncio.Task | None = None
 
@@ -91,12 +93,25 @@
         self._telemetry.emit(Event(EventCode.JOIN_STARTED, {"peers": 0}))
         await self._store.start()
         await self._ready.start(settings.ready.host, settings.ready.port)
+        await self._metrics.start(settings.ready.host, settings.metrics_port)
         await self._server.start(settings.link.host, settings.link.port)
         await self._ingress.start(settings.callers.host, settings.callers.port)
         self._feed.start()
         self._gossip.start()
         self._housekeeper = start_loop(self._keep_house())
 
+    def reload(self, settings: MeshSettings) -> None:
+        """Take changed settings; addresses are taken at the next start only."""
+        old, self._settings = self._settings, settings
+        changed = [
+            field
+            for field in settings.__struct_fields__
+            if getattr(settings, field) != getattr(old, field)
+        ]
+        self.gateway.reload(settings)
+        fields = {"changed": ",".join(changed)}
+        self._telemetry.emit(Event(EventCode.SETTINGS_RELOADED, fields))
+
     async def stop(self) -> None:
         """Stop gracefully: finish what was taken, and send callers elsewhere."""
         started = monotonic()
@@ -131,6 +146,7 @@
         await self._feed.stop()
         await self._store.close()
         await self._ready.stop(0.0)
+        await self._metrics.stop(0.0)
         self._links.close()
         self.runner.stop()
 
@@ -139,7 +155,10 @@
         """Whether callers should come."""
         directory = self.directory
         return (
-            not self._draining and directory.document is not None and len(directory) > 0
+            not self._draining
+            and directory.document is not None
+            and len(directory) > 0
+            and not self._gossip.is_isolated
         )
 
     async def _answer_ready(self, call: IncomingCall) -> Reply:
@@ -150,6 +169,33 @@
         headers = b"Content-Type: application/json\r\n"
         return Reply(status.value, status.phrase, headers, body)
 
+    async def _answer_metrics(self, call: IncomingCall) -> Reply:
+        if call.target.partition("?")[0] != METRICS_PATH:
+            return Reply(HTTPStatus.NOT_FOUND.value, HTTPStatus.NOT_FOUND.phrase, b"")
+        self._set_gauges()
+        body = self._telemetry.render()
+        headers = b"Content-Type: text/plain; version=0.0.4\r\n"
+        return Reply(HTTPStatus.OK.value, HTTPStatus.OK.phrase, headers, body)
+
+    def _set_gauges(self) -> None:
+        directory = self.directory
+        document = directory.document
+        gauges = {
+            "ready": self.is_ready,
+            "document_version": document.version if document else 0,
+            "state_revision": directory.revision,
+            "store_away": directory.is_away,
+            "store_calls": self._store.calls,
+            "endpoints": len(directory),
+            "requests_in_flight": self.gateway.in_flight,
+            "worker_running": self.runner.admission.running,
+            "worker_waiting": self.runner.admission.waiting,
+            "worker_connections": len(self.runner.pool.open_connections),
+            "worker_connections_opened": self.runner.pool.opened,
+        }
+        for name, value in gauges.items():
+            self._telemetry.set_gauge(name, float(value))
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
@@ -164,7 +210,6 @@
         document = self.directory.document
         if document is not None:
             self._ingress.idle_timeout_s = document.limits.idle_timeout_s
-            self._telemetry.set_gauge("document_version", document.version)
 
     def _observe(self, route: str, service: str, outcome: str, seconds: float) -> None:
         self._telemetry.observe_call("", service, route, outcome, seconds)
