Send no request towards a node that cannot be reached

Change: links are opened in the background and a node whose link is lost is no choice; a link is pinged when it is quiet for 0.2 s and doubtful after as much again; repeatable requests on it are given up after 0.8 s. The test of silent links has its two cases: 1.5 s for other requests as before, 0.8 s for these.

--- a/packages/core/src/mangowell_core/mesh/placement.py
+++ b/packages/core/src/mangowell_core/mesh/placement.py
@@ -12,7 +12,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from mangowell_core.mesh.model import Endpoint
 
@@ -33,6 +33,8 @@
 HOP_COST_S = 0.002
 # Cost of a failed attempt, in objectives.
 FAILURE_COST = 1.5
+# Cost of a host that has not answered for a moment, in objectives.
+DOUBT_COST = 1.0
 # Weight of the load below the limit: an idle worker is better than a busy one.
 BUSY_COST = 0.4
 # Time without connections after a failed one, doubled at each failure, seconds.
@@ -42,6 +44,10 @@
 LOAD_MAX_AGE_S = 1.0
 
 
+def _trust(host: str) -> bool | None:
+    return False
+
+
 class LoadReport:
     """Load of a worker, counted by the node beside it.
 
@@ -143,6 +149,7 @@
         objective_s: float,
         excluded: set[str],
         now: float,
+        doubted: Callable[[str], bool | None] = _trust,
     ) -> Endpoint | None:
         """Return the worker with the lowest predicted cost.
 
@@ -154,13 +161,22 @@
         objective_s : float
         excluded : set of str
             Ids that are not to be tried again.
+        doubted : callable
+            Takes a host; gives False if it can be reached, True if it has not
+            answered for a moment, None if it cannot be reached. A request sent
+            towards one that cannot be reached would only wait.
         """
         best = None
         best_cost = math.inf
         for endpoint in endpoints:
             if endpoint.draining or endpoint.id in excluded:
                 continue
+            is_doubted = doubted(endpoint.host)
+            if is_doubted is None:
+                continue
             cost = self.predict(endpoint, route, objective_s, now)
+            if is_doubted:
+                cost += DOUBT_COST * objective_s
             cost *= 1.0 + 0.02 * self._rng.random()
             if cost < best_cost:
                 best, best_cost = endpoint, cost
--- a/packages/node/src/mangowell_node/link/__init__.py
+++ b/packages/node/src/mangowell_node/link/__init__.py
@@ -6,7 +6,7 @@
 cannot be taken for part of another one.
 """
 
-from mangowell_node.link.client import ClientLink, LinkPool
+from mangowell_node.link.client import ClientLink, Contact, LinkPool
 from mangowell_node.link.frames import (
     MAX_FRAME,
     SILENT_AFTER_S,
@@ -23,6 +23,7 @@
     "SILENT_AFTER_S",
     "WINDOW_BYTES",
     "ClientLink",
+    "Contact",
     "FrameType",
     "LinkAuthenticationError",
     "LinkError",
--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import hmac
 from collections.abc import Callable
+from enum import Enum
 from time import monotonic
 
 from mangowell_core.events import Event, EventCode
@@ -43,7 +44,16 @@
 class _ClientStream:
     """One request on a link, at the node that sends it."""
 
-    __slots__ = ("answer", "deadline", "id", "inflow", "link", "outflow", "timer")
+    __slots__ = (
+        "answer",
+        "deadline",
+        "id",
+        "inflow",
+        "is_repeatable",
+        "link",
+        "outflow",
+        "timer",
+    )
 
     def __init__(self, link: "ClientLink", stream: int) -> None:
         self.link = link
@@ -52,6 +62,7 @@
         self.inflow: Inflow | None = None
         self.outflow: Outflow | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.is_repeatable = False
 
     def cancel(self) -> None:
         """Stop the request at the other node."""
@@ -165,6 +176,7 @@
             )
         self._last_stream = number = self._last_stream + 1
         stream = self._streams[number] = _ClientStream(self, number)
+        stream.is_repeatable = head.idempotent and body is None
         self.used_at = now
         self.send(REQUEST_FRAME, number, payload)
         stream.timer = self.loop.call_later(deadline - now, stream.expire)
@@ -258,6 +270,14 @@
     def _has_streams(self) -> bool:
         return bool(self._streams)
 
+    def _give_up_repeatable(self) -> None:
+        reason = "link: no answer to a ping"
+        for stream in list(self._streams.values()):
+            if stream.is_repeatable and stream.inflow is None:
+                stream.cancel()
+                cause = Cause.CONNECTION_SILENT
+                stream.fail(AttemptError.at(cause, Stage.SENT, reason))
+
     def _fail_streams(self) -> None:
         if not self.ready.done():
             error = AttemptError.at(
@@ -273,6 +293,17 @@
             stream.fail(error)
 
 
+class Contact(Enum):
+    """What is known of the way to another node."""
+
+    OPEN = "open"
+    # A ping has gone without an answer for some time.
+    DOUBTFUL = "doubtful"
+    # No link has been tried yet.
+    UNKNOWN = "unknown"
+    LOST = "lost"
+
+
 class LinkPool:
     """Links to other nodes, opened when first needed.
 
@@ -296,6 +327,8 @@
         self._emit = emit
         self.on_notice: Callable[[Link, bytes], None] | None = None
         self._links: dict[tuple[str, int], ClientLink] = {}
+        # Addresses whose last link was lost or did not open.
+        self._unreachable: set[tuple[str, int]] = set()
         # Not usable for new streams, but some may be open still.
         self._replaced: set[ClientLink] = set()
         self._opening: dict[tuple[str, int], asyncio.Task] = {}
@@ -326,6 +359,16 @@
         link = self._links.get((host, port))
         return None if link is None or link.closed else link
 
+    def find_contact(self, host: str, port: int) -> Contact:
+        """Tell what is known of an address without asking it."""
+        link = self._links.get((host, port))
+        if link is None:
+            is_lost = (host, port) in self._unreachable
+            return Contact.LOST if is_lost else Contact.UNKNOWN
+        if link.closed or link.leaving:
+            return Contact.LOST
+        return Contact.DOUBTFUL if link.is_doubtful else Contact.OPEN
+
     async def connect(self, host: str, port: int, deadline: float) -> None:
         """Open the link to an address unless it is open.
 
@@ -372,6 +415,7 @@
             raise
         except (OSError, TimeoutError) as exc:
             link.abandon("handshake takes too long")
+            self._unreachable.add(address)
             raise AttemptError.at(
                 Cause.CONNECT_FAILED, Stage.UNSENT, f"link: {exc}"
             ) from exc
@@ -381,6 +425,7 @@
         if replaced is not None:
             self._replaced.add(replaced)
         self._links[address] = link
+        self._unreachable.discard(address)
         self._emit(Event(EventCode.LINK_OPENED, {"peer": f"{address[0]}:{address[1]}"}))
         return link
 
@@ -393,6 +438,8 @@
                 link.close("idle")
             if link.closed:
                 del self._links[address]
+                if link.close_reason != "idle":
+                    self._unreachable.add(address)
                 self._report(address, link)
 
         for link in list(self._replaced):
--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -23,6 +23,7 @@
     NO_PAYLOAD,
     NONCE_BYTES,
     PING_INTERVAL_S,
+    REPEAT_AFTER_S,
     SILENT_AFTER_S,
     WINDOW_BYTES,
     WINDOW_UPDATE,
@@ -183,7 +184,7 @@
         self._checked_at = 0.0
         self._pinged_at = 0.0
         self.heard_at = 0.0
-        # A ping has gone without an answer for PING_INTERVAL_S.
+        # A ping has gone without an answer.
         self.is_doubtful = False
         self.on_silent: Callable[[Link], None] | None = None
         self.on_notice: Callable[[Link, bytes], None] | None = None
@@ -316,8 +317,11 @@
         if now - self._received_at >= SILENT_AFTER_S:
             self.close("silent")
             return
-        self.send(FrameType.PING)
-        self._pinged_at = now
+        if now - self._received_at >= REPEAT_AFTER_S:
+            self._give_up_repeatable()
+        if now - self._received_at >= PING_INTERVAL_S and not self.is_doubtful:
+            self.send(FrameType.PING)
+            self._pinged_at = now
         # The last check falls on the limit itself.
         delay = min(PING_INTERVAL_S, self._received_at + SILENT_AFTER_S - now)
         self._check = self.loop.call_later(max(0.01, delay), self._check_silence)
@@ -347,6 +351,9 @@
             self._handshake_timer.cancel()
             self._handshake_timer = None
 
+    def _give_up_repeatable(self) -> None:
+        """End requests that may be tried another way; only at their sender."""
+
     @abstractmethod
     def _has_streams(self) -> bool:
         """Return whether requests are open."""
--- a/packages/node/src/mangowell_node/link/frames.py
+++ b/packages/node/src/mangowell_node/link/frames.py
@@ -17,8 +17,13 @@
 
 MAGIC = b"mangowell-link-1"
 NONCE_BYTES = 32
-PING_INTERVAL_S = 0.5
+# Silence after which a link with open streams is pinged. A ping that has no
+# answer for as long makes the link doubtful.
+PING_INTERVAL_S = 0.2
 SILENT_AFTER_S = 1.5
+# Silence after which requests that may be repeated are given up, as there may
+# be time left for another way.
+REPEAT_AFTER_S = 0.8
 CONNECT_TIMEOUT_S = 1.0
 HANDSHAKE_TIMEOUT_S = 2.0
 IDLE_CLOSE_S = 60.0
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -31,7 +31,7 @@
     join_headers,
 )
 from mangowell_node.ingress import IncomingCall, Reply
-from mangowell_node.link import LinkPool
+from mangowell_node.link import Contact, LinkPool
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.platform import (
     PlatformDialect,
@@ -69,6 +69,13 @@
     503: "Service Unavailable",
     504: "Gateway Timeout",
 }
+_DOUBTS = {
+    Contact.OPEN: False,
+    Contact.DOUBTFUL: True,
+    # The request waits a moment for the first link.
+    Contact.UNKNOWN: False,
+    Contact.LOST: None,
+}
 # Failures that say that the node beside the worker cannot be reached.
 _UNREACHABLE = frozenset(
     {Cause.CONNECT_FAILED, Cause.CONNECTION_SILENT, Cause.CONNECTION_LOST}
@@ -287,6 +294,7 @@
                 route.objective_s,
                 task.excluded,
                 now,
+                self._is_doubted,
             )
             if endpoint is None and self._may_return(task):
                 # The only worker may have lost a connection and nothing else.
@@ -297,7 +305,7 @@
                     task.error = AttemptError(
                         refuse(
                             Cause.NO_INSTANCE,
-                            f"no worker of {task.service}",
+                            f"no worker of {task.service} can be reached",
                             retry_after_s=NO_WORKER_RETRY_S,
                         )
                     )
@@ -320,6 +328,12 @@
             if await self._attempt(task, endpoint):
                 return
 
+    def _is_doubted(self, host: str) -> bool | None:
+        """See `Placement.choose`."""
+        if host == self._settings.worker.host:
+            return False
+        return _DOUBTS[self._links.find_contact(host, self._settings.link.port)]
+
     def _may_return(self, task: _Task) -> bool:
         """Tell whether the workers that were tried may be tried once more."""
         if task.has_cleared or not task.may_have_run:
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -102,7 +102,7 @@
         self._emit = emit
         self._on_change = on_change
         self._task: asyncio.Task | None = None
-        self._opening: set[asyncio.Task] = set()
+        self._opening: dict[str, asyncio.Task] = {}
         self._behind_since = 0.0
         self._fetched_at = float("-inf")
         # The own worker's crashes, each with the time until which it is repeated.
@@ -119,7 +119,7 @@
 
     async def stop(self) -> None:
         """Stop."""
-        for task in (self._task, *self._opening):
+        for task in (self._task, *self._opening.values()):
             if task is not None:
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
@@ -177,7 +177,7 @@
 
     async def _run(self) -> None:
         for tick in itertools.count():
-            self._keep_links()
+            self.keep_links()
             self.announce(everywhere=not tick % FAR_INTERVALS or not self._has_state)
             self._repeat_crashes()
             self._check_contact(monotonic())
@@ -210,16 +210,20 @@
             fields = {"silent_s": round(now - heard_at, 2)}
             self._emit(Event(code, fields))
 
-    def _keep_links(self) -> None:
+    def keep_links(self) -> None:
+        """Open the links to listed nodes that are not open."""
         settings = self._settings
         port = settings.link.port
         deadline = monotonic() + CONNECT_TIMEOUT_S
         for host in self._directory.find_hosts():
-            if host == settings.link.host or self._links.find(host, port):
+            if host == settings.link.host or host in self._opening:
+                continue
+            link = self._links.find(host, port)
+            if link is not None and not link.leaving:
                 continue
             task = asyncio.create_task(self._connect(host, port, deadline))
-            self._opening.add(task)
-            task.add_done_callback(self._opening.discard)
+            self._opening[host] = task
+            task.add_done_callback(lambda _, host=host: self._opening.pop(host, None))
 
     async def _connect(self, host: str, port: int, deadline: float) -> None:
         # A node that is down is seen by the requests that need it.
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -207,6 +207,7 @@
     def _sync(self) -> None:
         self.runner.sync()
         self.gateway.sync()
+        self._gossip.keep_links()
         document = self.directory.document
         if document is not None:
             self._ingress.idle_timeout_s = document.limits.idle_timeout_s
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -401,3 +401,31 @@
         seen = break_first(machines, close)
         assert (await machines[0].call()).status == 200
         assert len(seen) == 2
+
+
+async def test_worker_that_cannot_be_reached_is_refused_at_once():
+    """Requests were sent towards a cut and waited there for their time limit."""
+    async with run_mesh(2) as (store, machines):
+        first, second = machines
+        store.delete("servers/i-1")
+        await until(lambda: len(first.node.directory) == 1)
+        await until(lambda: first.node._links.find(second.host, second.link_port))
+        await second.node.abort()
+        second.node = None
+        await until(lambda: not first.node._links.links)
+        started = time.monotonic()
+        answer = await first.call("/pay/1", "POST", b"x")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert time.monotonic() - started < 0.2
+
+
+async def test_isolated_node_is_not_ready():
+    async with run_mesh(2) as (_, machines):
+        first, second = machines
+        await until(lambda: first.node._links.find(second.host, second.link_port))
+        assert await first.is_ready()
+        await second.node.abort()
+        second.node = None
+        await until(lambda: first.find("node_isolated"), 5.0)
+        assert not await first.is_ready()
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -22,6 +22,7 @@
     LinkServer,
     derive_link_key,
 )
+from mangowell_node.link.frames import REPEAT_AFTER_S
 from node.support_calls import CutReach, find_port, until
 
 KEY = derive_link_key("secret")
@@ -333,18 +334,26 @@
         await until(lambda: body.closed)
 
 
-async def test_silent_link_is_closed_and_a_new_one_works():
-    """The peer's process lives but its connection passes no bytes."""
+@pytest.mark.parametrize(
+    ("idempotent", "after_s"),
+    [(False, link_module.SILENT_AFTER_S), (True, REPEAT_AFTER_S)],
+)
+async def test_silent_link_is_closed_and_a_new_one_works(idempotent, after_s):
+    """The peer's process lives but its connection passes no bytes.
+
+    A request that may be repeated is given up earlier than the link, so that
+    there is time left for another way.
+    """
     async with run_ends() as ends:
         await ends.call(make_head("/first"))
         (server_link,) = ends.server.links
         server_link.transport.pause_reading()
         started = monotonic()
         with pytest.raises(AttemptError) as caught:
-            await ends.call(make_head("/lost"), seconds=20)
+            await ends.call(make_head("/lost", idempotent=idempotent), seconds=20)
         assert caught.value.refusal.cause is Cause.CONNECTION_SILENT
         assert caught.value.refusal.outcome is Outcome.UNKNOWN
-        assert monotonic() - started >= link_module.SILENT_AFTER_S
+        assert after_s <= monotonic() - started < after_s + 0.6
         answer = await ends.call(make_head("/second"))
         assert answer.head.body == b"/second"
         ends.pool.check(monotonic())
