Open lost links again sooner; wait a moment for the first document

Cause: after all processes were killed, a node refused requests for 0.3 s that other nodes were up again, as lost links were tried every 0.5 s, and refused what came in the 40 ms before the store answered. Change: lost links are tried after 0.1 s, doubling to 0.8 s, and at once when the node is heard of; requests wait up to 0.25 s for the first document; links that are doubted together with a silent one are found at 0.8 s too.

--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -28,8 +28,8 @@
     MAX_STREAM,
     NONCE_BYTES,
     PING_INTERVAL_S,
+    REPEAT_AFTER_S,
     REQUEST_FRAME,
-    SILENT_AFTER_S,
     WINDOW_UPDATE,
     FrameType,
     LinkAuthenticationError,
@@ -271,6 +271,8 @@
         return bool(self._streams)
 
     def _give_up_repeatable(self) -> None:
+        if self.on_silent is not None:
+            self.on_silent(self)
         reason = "link: no answer to a ping"
         for stream in list(self._streams.values()):
             if stream.is_repeatable and stream.inflow is None:
@@ -293,6 +295,11 @@
             stream.fail(error)
 
 
+# Reasons of closing a link that do not say that the peer cannot be reached.
+IDLE = "idle"
+DOUBTED = "may be silent"
+
+
 class Contact(Enum):
     """What is known of the way to another node."""
 
@@ -435,10 +442,10 @@
             if not link.closed and not self._reach.allows(*address):
                 link.close("unreachable")
             elif link.is_idle and (link.leaving or now - link.used_at > IDLE_CLOSE_S):
-                link.close("idle")
+                link.close(IDLE)
             if link.closed:
                 del self._links[address]
-                if link.close_reason != "idle":
+                if link.close_reason not in (IDLE, DOUBTED):
                     self._unreachable.add(address)
                 self._report(address, link)
 
@@ -461,8 +468,8 @@
         for link in list(self._links.values()):
             if not link.is_idle:
                 link.is_doubtful |= link.heard_at < now - PING_INTERVAL_S
-            elif link.heard_at < now - SILENT_AFTER_S:
-                link.close("may be silent")
+            elif link.heard_at < now - REPEAT_AFTER_S:
+                link.close(DOUBTED)
 
     def _report(self, address: tuple[str, int], link: ClientLink) -> None:
         silent = link.close_reason == "silent"
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -1,6 +1,7 @@
 """Takes requests from callers, and from the own worker, to a worker."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from time import monotonic
@@ -56,6 +57,8 @@
 # A worker puts the id of the request that it runs before the id of each call
 # that it makes for it.
 CALL_SEPARATOR = "."
+# Time that a request waits for the first document, seconds.
+DOCUMENT_WAIT_S = 0.25
 # Time that a request waits for a link to open, seconds; the opening goes on
 # for others. Links are kept open, so this is met behind a cut or a restart.
 CONNECT_WAIT_S = 0.3
@@ -154,6 +157,7 @@
         self._observe = observe
         self._rng = rng
         self._table: RouteTable | None = None
+        self._has_document = asyncio.Event()
         self._parts = PartChooser()
         self.placement = Placement(settings.worker.host, settings.failure_domain, rng)
         self.budget = RetryBudget(
@@ -172,6 +176,7 @@
         document = directory.document
         if document is not None:
             self._table = RouteTable(document)
+            self._has_document.set()
             self._parts.keep({route.name for route in document.routes})
         now = monotonic()
         self.placement.sync(directory.find_all(), now)
@@ -188,6 +193,8 @@
     async def _serve(self, call: IncomingCall) -> Reply:
         fields = read_caller_fields(call.headers)
         request = fields.request
+        if self._table is None:
+            await self._wait_for_document()
         if self._table is None:
             refusal = refuse(Cause.NOT_READY, "no document yet", retry_after_s=0.5)
             return self._refuse(request, None, refusal, call.arrived)
@@ -220,6 +227,12 @@
             task.error = AttemptError.at(Cause.DEADLINE, stage, reason)
         return self._reply(task, request)
 
+    async def _wait_for_document(self) -> None:
+        """Wait a moment after the start, as the store answers in milliseconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DOCUMENT_WAIT_S):
+                await self._has_document.wait()
+
     async def _read(self, task: _Task, request: str) -> Refusal | None:
         """Read the body and prepare the head that goes to the worker."""
         call = task.call
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -33,6 +33,9 @@
 # not.
 FULL_MESH_NODES = 24
 CONNECT_TIMEOUT_S = 1.0
+# Interval at which lost links are opened again, and its limit, seconds.
+RECONNECT_S = 0.1
+MAX_RECONNECT_S = 0.8
 # Time for which another node may be ahead before this node asks it, seconds:
 # the own watch usually delivers the change in that time.
 BEHIND_S = 0.6
@@ -102,6 +105,9 @@
         self._emit = emit
         self._on_change = on_change
         self._task: asyncio.Task | None = None
+        self._links_task: asyncio.Task | None = None
+        self._retry_at: dict[str, float] = {}
+        self._waits: dict[str, float] = {}
         self._opening: dict[str, asyncio.Task] = {}
         self._behind_since = 0.0
         self._fetched_at = float("-inf")
@@ -116,10 +122,11 @@
     def start(self) -> None:
         """Start to keep links and to send notices."""
         self._task = start_loop(self._run())
+        self._links_task = start_loop(self._run_links())
 
     async def stop(self) -> None:
         """Stop."""
-        for task in (self._task, *self._opening.values()):
+        for task in (self._task, self._links_task, *self._opening.values()):
             if task is not None:
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
@@ -177,11 +184,9 @@
 
     async def _run(self) -> None:
         for tick in itertools.count():
-            self.keep_links()
             self.announce(everywhere=not tick % FAR_INTERVALS or not self._has_state)
             self._repeat_crashes()
             self._check_contact(monotonic())
-            self._links.check(monotonic())
             nodes = len(self._directory.find_hosts())
             await asyncio.sleep(STATUS_INTERVAL_S * max(1.0, nodes / FULL_MESH_NODES))
 
@@ -210,6 +215,12 @@
             fields = {"silent_s": round(now - heard_at, 2)}
             self._emit(Event(code, fields))
 
+    async def _run_links(self) -> None:
+        while True:
+            await asyncio.sleep(RECONNECT_S)
+            self._links.check(monotonic())
+            self.keep_links()
+
     def keep_links(self) -> None:
         """Open the links to listed nodes that are not open."""
         settings = self._settings
@@ -218,6 +229,8 @@
         for host in self._directory.find_hosts():
             if host == settings.link.host or host in self._opening:
                 continue
+            if monotonic() < self._retry_at.get(host, 0.0):
+                continue
             link = self._links.find(host, port)
             if link is not None and not link.leaving:
                 continue
@@ -226,9 +239,18 @@
             task.add_done_callback(lambda _, host=host: self._opening.pop(host, None))
 
     async def _connect(self, host: str, port: int, deadline: float) -> None:
-        # A node that is down is seen by the requests that need it.
-        with contextlib.suppress(AttemptError):
+        try:
             await self._links.connect(host, port, deadline)
+        except AttemptError:
+            # The pool knows that the node cannot be reached. One that restarts
+            # refuses connections for about a second.
+            now = monotonic()
+            wait_s = min(MAX_RECONNECT_S, 2 * self._waits.get(host, RECONNECT_S / 2))
+            self._waits[host] = wait_s
+            self._retry_at[host] = now + wait_s
+        else:
+            self._waits.pop(host, None)
+            self._retry_at.pop(host, None)
 
     @property
     def _has_state(self) -> bool:
@@ -272,6 +294,7 @@
     def _take_status(self, link: Link, notice: StatusNotice) -> None:
         now = monotonic()
         host = link.address[0]
+        self._retry_at.pop(host, None)
         for endpoint in self._directory.find_host(host):
             load = LoadReport(notice.pending, notice.limit)
             self._placement.note_load(endpoint, load, now)
