--- a/packages/cli/src/mangowell_cli/app.py
+++ b/packages/cli/src/mangowell_cli/app.py
@@ -18,6 +18,7 @@
 from mangowell_cli.internal.errors import CommandError, ExitCode
 from mangowell_cli.internal.files import load_document
 from mangowell_cli.internal.fleet import exit_code, print_fleet, report_fleet
+from mangowell_cli.internal.logs import show_logs
 from mangowell_cli.internal.nodes import Limits, select_nodes
 from mangowell_cli.internal.output import clean
 from mangowell_cli.internal.promotion import promote
@@ -167,6 +168,10 @@
         str,
         Arg(long="--backend", value_name="INSTANCE", help="Events of this backend."),
     ] = ""
+    logs: Annotated[
+        list[str],
+        Arg(long="--logs", value_name="FILE", help="Read logs instead; - for stdin."),
+    ] = field(default_factory=list)
     timeout_s: TimeoutS = 2.0
     deadline_s: DeadlineS = 30.0
     json: Json = False
@@ -178,6 +183,9 @@
             "request": self.request,
             "backend": self.backend,
         }
+        if self.logs:
+            wanted = {name: value for name, value in given.items() if value}
+            return show_logs(self.logs, wanted, self.json)
         return show_timeline(
             select_nodes(self.nodes, self.instances),
             {name: value for name, value in given.items() if value},
