Split the server for callers; one loader of settings; drop unused settings

Cause: ingress.py had grown to 572 lines, two programs read settings in the same way, six settings were read and never used. Change: ingress/ with messages, connection and server; settings_file.py. Conclusion: no change of behaviour.

--- a/packages/core/src/mangowell_core/mesh/settings.py
+++ b/packages/core/src/mangowell_core/mesh/settings.py
@@ -30,12 +30,8 @@
     callers, ready, worker, store, link : Address
         Listening addresses, and the addresses of the worker and the store.
     metrics_port : int
-    reads_per_s : float
-        Calls that the store answers to all nodes together.
-    heartbeat_s : float
-        Interval of a worker's heartbeats.
-    contact_s, drain_s, grace_s, config_apply_s, lost_slack_s : float
-        Bounds that the platform states.
+    grace_s : float
+        Time between SIGTERM and SIGKILL.
     retry_ratio, retry_floor, retry_window_s : float, int, float
         Bound of the retries of all nodes.
     """
@@ -49,13 +45,7 @@
     store: Address
     link: Address
     metrics_port: int
-    reads_per_s: float
-    heartbeat_s: float
-    contact_s: float
-    drain_s: float
     grace_s: float
-    config_apply_s: float
-    lost_slack_s: float
     retry_ratio: float
     retry_floor: int
     retry_window_s: float
@@ -134,14 +124,8 @@
     "link": ("listen", _read_address),
     "metrics_port": ("listen", _read_count),
     "worker": ("worker", _read_address),
-    "heartbeat_s": ("worker", parse_duration),
     "store": ("store", _read_address),
-    "reads_per_s": ("store", _read_number),
-    "contact_s": ("bounds", parse_duration),
-    "drain_s": ("bounds", parse_duration),
     "grace_s": ("bounds", parse_duration),
-    "config_apply_s": ("bounds", parse_duration),
-    "lost_slack_s": ("bounds", parse_duration),
     "retry_ratio": ("retries", _read_number),
     "retry_floor": ("retries", _read_count),
     "retry_window_s": ("retries", parse_duration),
--- a/packages/node/src/mangowell_node/app.py
+++ b/packages/node/src/mangowell_node/app.py
@@ -8,13 +8,12 @@
 import aiomisc
 import cappa
 import logbook
-from result import Err, Ok
 
-from mangowell_core.settings import NodeSettings, parse_settings
+from mangowell_core.settings import parse_settings
 from mangowell_node.control import ControlError
 from mangowell_node.node import Node
+from mangowell_node.settings_file import load_settings
 
-EXIT_INVALID_SETTINGS = 2
 EXIT_CANNOT_START = 3
 # Longer than any route's timeout, so that a planned stop cuts no call.
 STOP_GRACE_S = 30.0
@@ -51,7 +50,7 @@
 
 def main() -> None:
     """Read the settings and run the node until it is told to stop."""
-    settings = load_settings(cappa.parse(Arguments).settings)
+    settings = load_settings(cappa.parse(Arguments).settings, parse_settings)
     handler = logbook.StreamHandler(sys.stderr, level=settings.log.level.upper())
     with handler.applicationbound():
         try:
@@ -64,19 +63,3 @@
         except (ControlError, OSError) as exc:
             print(f"mangowell-node: {exc}", file=sys.stderr)
             sys.exit(EXIT_CANNOT_START)
-
-
-def load_settings(path: Path) -> NodeSettings:
-    """Read settings from `path`; on errors print each and exit with code 2."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        print(f"mangowell-node: cannot read {path}: {exc}", file=sys.stderr)
-        sys.exit(EXIT_INVALID_SETTINGS)
-    match parse_settings(text, str(path)):
-        case Ok(settings):
-            return settings
-        case Err(errors):
-            for error in errors:
-                print(error, file=sys.stderr)
-            sys.exit(EXIT_INVALID_SETTINGS)
--- a/packages/node/src/mangowell_node/ingress.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -1,23 +1,17 @@
-"""HTTP server for callers, on the request parser of aiohttp.
-
-The library's own server creates a request object and a task beside the one of
-the connection for each request. At 213 calls/s that took 178 to 225 us of
-processor time a call, against 113 to 141 us for the parser with one task.
-"""
+"""One connection of a caller."""
 
 import asyncio
 import contextlib
 from collections import deque
-from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from time import monotonic
+from typing import TYPE_CHECKING
 
 import logbook
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import StreamReader
-from multidict import CIMultiDictProxy, istr
 
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause, Outcome
@@ -27,168 +21,21 @@
     Body,
     MessageFormatError,
 )
+from mangowell_node.ingress.messages import IncomingCall, Reply
+
+if TYPE_CHECKING:
+    from mangowell_node.ingress.server import IngressServer
 
 READ_BUFFER = 65_536  # bytes; reading from a caller pauses at twice this size
 MAX_LINE = 16_384  # bytes
 MAX_PIPELINED = 16  # requests that wait on one connection
 MAX_SIDE_BY_SIDE = 16  # requests of one connection that are served at once
-IDLE_CLOSE_S = 75.0
-SWEEP_INTERVAL_S = 5.0
 LINGER_S = 2.0  # reads the rest of a refused upload, so that the answer arrives
 _BODILESS_STATUSES = frozenset({204, 304})
-_EXPECT = istr("Expect")
-_CONTENT_LENGTH = istr("Content-Length")
 
 _log = logbook.Logger(__name__)
 
 
-class Reply:
-    """What a caller is sent.
-
-    Parameters
-    ----------
-    status : int
-    reason : str
-    headers : bytes
-        Lines that each end in CRLF, without framing fields.
-    body : bytes
-    stream : Body or None
-        Replaces `body`.
-    length : int
-        Bytes of `stream`, or -1 if unknown; for HEAD the length to state.
-    """
-
-    __slots__ = ("body", "headers", "length", "reason", "status", "stream")
-
-    def __init__(
-        self,
-        status: int,
-        reason: str,
-        headers: bytes,
-        body: bytes = b"",
-        stream: Body | None = None,
-        length: int = -1,
-    ) -> None:
-        self.status = status
-        self.reason = reason
-        self.headers = headers
-        self.body = body
-        self.stream = stream
-        self.length = length
-
-
-class CallerBody:
-    """Rest of a request body that is too large to buffer."""
-
-    __slots__ = ("_prefix", "_reader", "length", "started")
-
-    def __init__(self, prefix: list[bytes], reader: StreamReader, length: int) -> None:
-        self._prefix = prefix
-        self._reader = reader
-        self.length = length
-        self.started = False
-
-    async def read(self) -> bytes:
-        """Return the next chunk, or ``b""`` at the end."""
-        self.started = True
-        if self._prefix:
-            return self._prefix.pop(0)
-        try:
-            return await self._reader.readany()
-        except (MessageFormatError, ConnectionError, RuntimeError) as exc:
-            # The library raises RuntimeError for a connection that is closed.
-            raise AttemptError.at(
-                Cause.CANCELLED, Stage.SENT, f"request body cut off: {exc}"
-            ) from exc
-
-    def close(self) -> None:
-        """Leave the rest unread."""
-
-
-class IncomingCall:
-    """Request of a caller.
-
-    Attributes
-    ----------
-    method, target : str
-        `target` is path and query as sent.
-    headers : CIMultiDictProxy
-    raw_headers : tuple of (bytes, bytes)
-    peer : str
-        Host of the caller.
-    arrived : float
-        Monotonic seconds.
-    """
-
-    __slots__ = (
-        "_connection",
-        "_content",
-        "arrived",
-        "headers",
-        "is_http_1_0",
-        "keep_alive",
-        "method",
-        "peer",
-        "raw_headers",
-        "target",
-    )
-
-    def __init__(
-        self,
-        connection: "CallerConnection",
-        message: RawRequestMessage,
-        content: StreamReader,
-    ) -> None:
-        self._connection = connection
-        self._content = content
-        self.method: str = message.method
-        target = message.path
-        if not target.startswith("/"):
-            target = message.url.raw_path_qs
-        self.target: str = target
-        self.headers: CIMultiDictProxy[str] = message.headers
-        self.raw_headers = message.raw_headers
-        self.peer = connection.peer
-        self.arrived = monotonic()
-        self.keep_alive = not message.should_close and not message.upgrade
-        self.is_http_1_0 = message.version < (1, 1)
-
-    @property
-    def has_arrived(self) -> bool:
-        """Whether the whole body has arrived."""
-        content = self._content
-        return content.is_eof() and content.total_bytes <= MAX_BUFFERED_BODY
-
-    def take_body(self) -> bytes:
-        """Return the body of a request that has arrived."""
-        return self._content.read_nowait(-1)
-
-    async def read_body(self) -> bytes | CallerBody:
-        """Read the body, or its start if it is longer than the limit.
-
-        Raises
-        ------
-        MessageFormatError
-            If the body is malformed or cut off.
-        """
-        content = self._content
-        if self.headers.get(_EXPECT, "").lower() == "100-continue":
-            self._connection.write_continue()
-        chunks = []
-        size = 0
-        stated = int(self.headers.get(_CONTENT_LENGTH, -1))
-        while stated <= MAX_BUFFERED_BODY and size <= MAX_BUFFERED_BODY:
-            chunk = await content.readany()
-            if not chunk:
-                return b"".join(chunks)
-            chunks.append(chunk)
-            size += len(chunk)
-        return CallerBody(chunks, content, stated)
-
-
-Serve = Callable[[IncomingCall], Awaitable[Reply]]
-
-
 class _Exchange:
     """One request of a connection, and the task that finds its reply."""
 
@@ -508,65 +355,3 @@
             reason = "answer too large for HTTP/1.0"
             raise AttemptError.at(Cause.BAD_ANSWER, Stage.ANSWERED, reason)
     return b"".join(chunks)
-
-
-class IngressServer:
-    """Serves callers on one port.
-
-    Parameters
-    ----------
-    serve : callable
-        Takes an `IncomingCall` and returns its `Reply`; it is cancelled when
-        the caller disconnects.
-    """
-
-    def __init__(self, serve: Serve) -> None:
-        self.serve = serve
-        self.idle_timeout_s = IDLE_CLOSE_S
-        self.connections: set[CallerConnection] = set()
-        self.draining = False
-        self._server: asyncio.Server | None = None
-        self._sweeper: asyncio.TimerHandle | None = None
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self, loop), host, port
-        )
-        self._sweep()
-
-    def _sweep(self) -> None:
-        """Close connections that have carried no request for long."""
-        limit = monotonic() - self.idle_timeout_s
-        for connection in list(self.connections):
-            if connection.is_idle and connection.idle_since < limit:
-                connection.close_if_idle()
-        loop = asyncio.get_running_loop()
-        self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
-
-    def close_idle(self) -> None:
-        """Close every connection on which no request is being answered."""
-        for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close_if_idle()
-
-    async def stop(self, timeout: float) -> None:
-        """Close the listener and every connection.
-
-        Parameters
-        ----------
-        timeout : float
-            Seconds that answers still being written may take.
-        """
-        if self._server is None:
-            return
-        self._server.close()
-        self._sweeper.cancel()
-        for connection in list(self.connections):
-            connection.close_if_idle()
-        end = monotonic() + timeout
-        while self.connections and monotonic() < end:
-            await asyncio.sleep(0.005)
-        for connection in list(self.connections):
-            connection.abort()
--- /dev/null
+++ b/packages/node/src/mangowell_node/ingress/messages.py
@@ -0,0 +1,175 @@
+"""Requests of callers and the replies to them."""
+
+from time import monotonic
+from typing import Protocol
+
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
+from multidict import CIMultiDictProxy, istr
+
+from mangowell_core.policy.outcome import Stage
+from mangowell_core.policy.types import Cause
+from mangowell_node.exchange import (
+    MAX_BUFFERED_BODY,
+    AttemptError,
+    Body,
+    MessageFormatError,
+)
+
+_EXPECT = istr("Expect")
+_CONTENT_LENGTH = istr("Content-Length")
+
+
+class Connection(Protocol):
+    """Connection that a request has come on."""
+
+    peer: str
+    """Host of the caller."""
+
+    def write_continue(self) -> None:
+        """Ask the caller for the body that it holds back."""
+        ...
+
+
+class Reply:
+    """What a caller is sent.
+
+    Parameters
+    ----------
+    status : int
+    reason : str
+    headers : bytes
+        Lines that each end in CRLF, without framing fields.
+    body : bytes
+    stream : Body or None
+        Replaces `body`.
+    length : int
+        Bytes of `stream`, or -1 if unknown; for HEAD the length to state.
+    """
+
+    __slots__ = ("body", "headers", "length", "reason", "status", "stream")
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        headers: bytes,
+        body: bytes = b"",
+        stream: Body | None = None,
+        length: int = -1,
+    ) -> None:
+        self.status = status
+        self.reason = reason
+        self.headers = headers
+        self.body = body
+        self.stream = stream
+        self.length = length
+
+
+class CallerBody:
+    """Rest of a request body that is too large to buffer."""
+
+    __slots__ = ("_prefix", "_reader", "length", "started")
+
+    def __init__(self, prefix: list[bytes], reader: StreamReader, length: int) -> None:
+        self._prefix = prefix
+        self._reader = reader
+        self.length = length
+        self.started = False
+
+    async def read(self) -> bytes:
+        """Return the next chunk, or ``b""`` at the end."""
+        self.started = True
+        if self._prefix:
+            return self._prefix.pop(0)
+        try:
+            return await self._reader.readany()
+        except (MessageFormatError, ConnectionError, RuntimeError) as exc:
+            # The library raises RuntimeError for a connection that is closed.
+            raise AttemptError.at(
+                Cause.CANCELLED, Stage.SENT, f"request body cut off: {exc}"
+            ) from exc
+
+    def close(self) -> None:
+        """Leave the rest unread."""
+
+
+class IncomingCall:
+    """Request of a caller.
+
+    Attributes
+    ----------
+    method, target : str
+        `target` is path and query as sent.
+    headers : CIMultiDictProxy
+    raw_headers : tuple of (bytes, bytes)
+    peer : str
+        Host of the caller.
+    arrived : float
+        Monotonic seconds.
+    """
+
+    __slots__ = (
+        "_connection",
+        "_content",
+        "arrived",
+        "headers",
+        "is_http_1_0",
+        "keep_alive",
+        "method",
+        "peer",
+        "raw_headers",
+        "target",
+    )
+
+    def __init__(
+        self,
+        connection: Connection,
+        message: RawRequestMessage,
+        content: StreamReader,
+    ) -> None:
+        self._connection = connection
+        self._content = content
+        self.method: str = message.method
+        target = message.path
+        if not target.startswith("/"):
+            target = message.url.raw_path_qs
+        self.target: str = target
+        self.headers: CIMultiDictProxy[str] = message.headers
+        self.raw_headers = message.raw_headers
+        self.peer = connection.peer
+        self.arrived = monotonic()
+        self.keep_alive = not message.should_close and not message.upgrade
+        self.is_http_1_0 = message.version < (1, 1)
+
+    @property
+    def has_arrived(self) -> bool:
+        """Whether the whole body has arrived."""
+        content = self._content
+        return content.is_eof() and content.total_bytes <= MAX_BUFFERED_BODY
+
+    def take_body(self) -> bytes:
+        """Return the body of a request that has arrived."""
+        return self._content.read_nowait(-1)
+
+    async def read_body(self) -> bytes | CallerBody:
+        """Read the body, or its start if it is longer than the limit.
+
+        Raises
+        ------
+        MessageFormatError
+            If the body is malformed or cut off.
+        """
+        content = self._content
+        if self.headers.get(_EXPECT, "").lower() == "100-continue":
+            self._connection.write_continue()
+        chunks = []
+        size = 0
+        stated = int(self.headers.get(_CONTENT_LENGTH, -1))
+        while stated <= MAX_BUFFERED_BODY and size <= MAX_BUFFERED_BODY:
+            chunk = await content.readany()
+            if not chunk:
+                return b"".join(chunks)
+            chunks.append(chunk)
+            size += len(chunk)
+        return CallerBody(chunks, content, stated)
--- /dev/null
+++ b/packages/node/src/mangowell_node/ingress/server.py
@@ -0,0 +1,75 @@
+"""Listener for callers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from time import monotonic
+
+from mangowell_node.ingress.connection import CallerConnection
+from mangowell_node.ingress.messages import IncomingCall, Reply
+
+IDLE_CLOSE_S = 75.0
+SWEEP_INTERVAL_S = 5.0
+
+Serve = Callable[[IncomingCall], Awaitable[Reply]]
+
+
+class IngressServer:
+    """Serves callers on one port.
+
+    Parameters
+    ----------
+    serve : callable
+        Takes an `IncomingCall` and returns its `Reply`; it is cancelled when
+        the caller disconnects.
+    """
+
+    def __init__(self, serve: Serve) -> None:
+        self.serve = serve
+        self.idle_timeout_s = IDLE_CLOSE_S
+        self.connections: set[CallerConnection] = set()
+        self.draining = False
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self, loop), host, port
+        )
+        self._sweep()
+
+    def _sweep(self) -> None:
+        """Close connections that have carried no request for long."""
+        limit = monotonic() - self.idle_timeout_s
+        for connection in list(self.connections):
+            if connection.is_idle and connection.idle_since < limit:
+                connection.close_if_idle()
+        loop = asyncio.get_running_loop()
+        self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    def close_idle(self) -> None:
+        """Close every connection on which no request is being answered."""
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close_if_idle()
+
+    async def stop(self, timeout: float) -> None:
+        """Close the listener and every connection.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds that answers still being written may take.
+        """
+        if self._server is None:
+            return
+        self._server.close()
+        self._sweeper.cancel()
+        for connection in list(self.connections):
+            connection.close_if_idle()
+        end = monotonic() + timeout
+        while self.connections and monotonic() < end:
+            await asyncio.sleep(0.005)
+        for connection in list(self.connections):
+            connection.abort()
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -163,7 +163,6 @@
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_floor, settings.retry_window_s, rng
         )
-        self._full_budget_ms: dict[str, int] = {}
         self.in_flight = 0
 
     def reload(self, settings: MeshSettings) -> None:
--- a/packages/node/src/mangowell_node/mesh/program.py
+++ b/packages/node/src/mangowell_node/mesh/program.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import sys
 import traceback
 from pathlib import Path
 
@@ -14,29 +13,13 @@
 from mangowell_node.event_log import EventLog
 from mangowell_node.mesh.node import MeshNode
 from mangowell_node.mesh.tasks import start_loop
+from mangowell_node.settings_file import load_settings
 from mangowell_node.telemetry import Telemetry
 
-EXIT_INVALID_SETTINGS = 2
 EVENTS_KEPT = 200
 SETTINGS_POLL_S = 1.0
 
 
-def load_settings(path: Path) -> MeshSettings:
-    """Read settings from `path`; on errors print each and exit with code 2."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        print(f"mangowell-node: cannot read {path}: {exc}", file=sys.stderr)
-        sys.exit(EXIT_INVALID_SETTINGS)
-    match parse_mesh_settings(text, str(path)):
-        case Ok(settings):
-            return settings
-        case Err(errors):
-            for error in errors:
-                print(error, file=sys.stderr)
-            sys.exit(EXIT_INVALID_SETTINGS)
-
-
 class SettingsReloader:
     """Takes changes of the settings file, which may come without a signal.
 
@@ -94,7 +77,7 @@
 
 async def run(path: Path) -> None:
     """Run the node until SIGTERM."""
-    settings = load_settings(path)
+    settings = load_settings(path, parse_mesh_settings)
     log = EventLog(settings.instance)
     telemetry = Telemetry(settings.instance, EVENTS_KEPT, sink=log.write)
     loop = asyncio.get_running_loop()
