Make no promise after an attempt that may have run

Cause: read in review: after a worker had refused a request unrun and a second one had lost it, the caller was given the first one's 503, a promise that was not known to be true, also for requests that may run once; a worker whose connection was lost once was avoided like one that cannot be reached; a long malformed body was answered 500. Change: a refusal of a worker is passed on only if no attempt may have run; a lost connection counts as a failure of the worker; 400 for such bodies.

--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -80,9 +80,9 @@
     Contact.LOST: None,
 }
 # Failures that say that the node beside the worker cannot be reached.
-_UNREACHABLE = frozenset(
-    {Cause.CONNECT_FAILED, Cause.CONNECTION_SILENT, Cause.CONNECTION_LOST}
-)
+_UNREACHABLE = frozenset({Cause.CONNECT_FAILED, Cause.CONNECTION_SILENT})
+# Failures of the worker itself; one that has crashed refuses the next connection.
+_FAILED = frozenset({Cause.BAD_ANSWER, Cause.DEADLINE, Cause.CONNECTION_LOST})
 
 
 class _Task:
@@ -244,7 +244,8 @@
                 call.headers.get(_CONNECTION),
             )
             body = await self._read_body(task, limits.max_body_bytes)
-        except MessageFormatError as exc:
+        except (MessageFormatError, AttemptError) as exc:
+            # Malformed, or cut off by the caller.
             return Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 400, 0.0, str(exc))
         except TimeoutError:
             return refuse(Cause.DEADLINE, "request body arrives too slowly")
@@ -429,20 +430,18 @@
         elif cause is Cause.OVERLOADED:
             load = LoadReport(int(exc.backend_load), endpoint.slots)
             self.placement.note_load(endpoint, load, now)
-        elif cause in (Cause.BAD_ANSWER, Cause.DEADLINE):
+        elif cause in _FAILED:
             self.placement.note_failure(endpoint, now)
 
     # Replies
 
     def _reply(self, task: _Task, request: str) -> Reply:
         answer = task.answer
+        if answer is not None and answer.head.is_not_run and task.may_have_run:
+            # The worker speaks for itself, not for another that was tried.
+            answer = None
         if answer is None:
-            refusal = task.error.refusal
-            if task.may_have_run and refusal.outcome is Outcome.NOT_RUN:
-                # An earlier attempt may have run, so no promise can be made.
-                refusal = refuse(
-                    Cause.CONNECTION_LOST, refusal.reason, stage=Stage.SENT
-                )
+            refusal = _find_refusal(task)
             return self._refuse(request, task, refusal, task.call.arrived)
         head = answer.head
         outcome = "failed" if head.status >= 500 else "done"
@@ -512,6 +511,17 @@
         )
 
 
+def _find_refusal(task: _Task) -> Refusal:
+    """Return what the caller is told without an answer of a worker."""
+    if task.error is None:
+        return refuse(Cause.CONNECTION_LOST, "outcome unknown", stage=Stage.SENT)
+    refusal = task.error.refusal
+    if task.may_have_run and refusal.outcome is Outcome.NOT_RUN:
+        # An earlier attempt may have run, so no promise can be made.
+        return refuse(Cause.CONNECTION_LOST, refusal.reason, stage=Stage.SENT)
+    return refusal
+
+
 def _prefer(known: AttemptError | None, new: AttemptError) -> AttemptError:
     """Return the error that tells the caller more."""
     if known is None:
--- /dev/null
+++ b/tests/mesh/test_mesh_settings.py
@@ -0,0 +1,125 @@
+"""Guards the settings of a node on the platform, and their change at run time."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from mangowell_core.mesh import parse_mesh_settings
+from mangowell_core.mesh.settings import parse_duration
+from mangowell_node.mesh.program import SettingsReloader
+from mangowell_node.telemetry import Telemetry
+
+TEMPLATE = Path(__file__).parents[2] / "deploy/settings.ini.template"
+VALUES = {
+    "node-name": "sidecar-1",
+    "zone": "z-a",
+    "service": "orders",
+    "listen.outbound": "10.0.0.1:8304",
+    "listen.ready": "10.0.0.1:8302",
+    "ip": "10.0.0.1",
+    "internal-ports.0": "7620",
+    "app-addr": "10.0.0.1:8301",
+    "platform.address": "10.9.0.1:8309",
+    "bounds.grace": "6s",
+    "bounds.retry-budget-ratio": "0.2",
+    "bounds.budget-min-retries": "60",
+    "bounds.budget-window": "10s",
+}
+
+
+def render(**changes):
+    values = VALUES | changes
+    return re.sub(r"\{\{(.*?)\}\}", lambda m: values[m[1]], TEMPLATE.read_text())
+
+
+def test_template_gives_settings_that_can_be_read():
+    settings = parse_mesh_settings(render(), "x").unwrap()
+    assert (settings.instance, settings.failure_domain) == ("sidecar-1", "z-a")
+    assert (settings.link.host, settings.link.port) == ("10.0.0.1", 7620)
+    assert (settings.grace_s, settings.retry_floor) == (6.0, 60)
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"zone": ""}, "[node] failure_domain: missing"),
+        ({"app-addr": "10.0.0.1"}, "[worker] worker='10.0.0.1'"),
+        ({"bounds.grace": "6"}, "[bounds] grace_s='6'"),
+        ({"bounds.retry-budget-ratio": "-1"}, "[retries] retry_ratio='-1'"),
+        ({"bounds.retry-budget-ratio": "nan"}, "[retries] retry_ratio='nan'"),
+        ({"bounds.budget-min-retries": "many"}, "[retries] retry_floor='many'"),
+    ],
+)
+def test_each_error_names_section_key_and_value(change, named):
+    errors = parse_mesh_settings(render(**change), "file.ini").unwrap_err()
+    assert [named in error and "file.ini" in error for error in errors] == [True]
+
+
+def test_every_error_is_told():
+    changes = {"zone": "", "bounds.grace": "soon"}
+    assert len(parse_mesh_settings(render(**changes), "x").unwrap_err()) == 2
+
+
+def test_file_that_is_no_ini_is_an_error():
+    assert parse_mesh_settings("instance = x", "x").is_err()
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
+)
+def test_duration_has_its_unit(text, seconds):
+    assert parse_duration(text) == seconds
+
+
+@pytest.mark.parametrize("text", ["5", "s", "1 s", "1m", "-1s", "1e3ms", ""])
+def test_duration_without_a_known_unit_is_refused(text):
+    with pytest.raises(ValueError, match="unit"):
+        parse_duration(text)
+
+
+class FakeNode:
+    def __init__(self):
+        self.reloaded = []
+
+    def reload(self, settings):
+        self.reloaded.append(settings)
+
+
+@pytest.fixture
+def reloader(tmp_path):
+    path = tmp_path / "node.ini"
+    path.write_text(render())
+    settings = parse_mesh_settings(render(), str(path)).unwrap()
+    telemetry = Telemetry("n", level="error")
+    node = FakeNode()
+    return path, node, telemetry, SettingsReloader(path, settings, node, telemetry)
+
+
+def test_changed_settings_are_taken(reloader):
+    path, node, _, watcher = reloader
+    path.write_text(render(service="stock"))
+    watcher.reload()
+    assert [settings.service for settings in node.reloaded] == ["stock"]
+
+
+def test_unchanged_settings_change_nothing(reloader):
+    _, node, _, watcher = reloader
+    watcher.reload()
+    assert node.reloaded == []
+
+
+@pytest.mark.parametrize("text", ["", "[node", "\udcff"])
+def test_invalid_settings_leave_the_last_ones_in_force(reloader, text):
+    path, node, telemetry, watcher = reloader
+    path.write_bytes(text.encode("utf-8", "surrogateescape"))
+    watcher.reload()
+    assert node.reloaded == []
+    assert [e["name"] for e in telemetry.find_events()] == ["settings_refused"]
+
+
+def test_settings_file_that_is_gone_leaves_the_last_ones_in_force(reloader):
+    path, node, _, watcher = reloader
+    path.unlink()
+    watcher.reload()
+    assert node.reloaded == []
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -396,6 +396,38 @@
         assert sum(m.worker.executions for m in machines) == runs
 
 
+async def test_lost_connection_does_not_make_its_worker_unreachable():
+    """Workers that lose one answer in ten were avoided like crashed ones."""
+    async with run_mesh(2) as (_, machines):
+        first = machines[0]
+        break_first(machines, close)
+        await first.call()
+        now = time.monotonic()
+        costs = [
+            first.node.gateway.placement.predict(endpoint, "r1", 0.5, now)
+            for endpoint in first.node.directory.find_all()
+        ]
+        assert max(costs) < 1.0
+
+
+async def test_long_body_that_is_malformed_is_refused():
+    async with run_mesh(
+        document=make_document(limits={"max-body-bytes": 3_000_000})
+    ) as (
+        _,
+        (machine,),
+    ):
+        reader, writer = await machine.connect()
+        writer.write(
+            b"POST /x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: a\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\nzz\r\n"
+            % (1_500_000, b"x" * 1_500_000)
+        )
+        assert (await read_response(reader)).status == 400
+        assert machine.worker.executions == 0
+        writer.close()
+
+
 async def test_only_worker_is_tried_again_after_a_lost_connection():
     async with run_mesh() as (_, machines):
         seen = break_first(machines, close)
@@ -429,3 +461,37 @@
         second.node = None
         await until(lambda: first.find("node_isolated"), 5.0)
         assert not await first.is_ready()
+
+
+async def shed_request(request):
+    handle = answer_with_id(b"", "503 Full", "Not-Executed: 1\r\n")
+    return await handle(request)
+
+
+def play_in_turn(machines, *faults):
+    """Let the workers do one fault after another, whichever is reached."""
+    seen = []
+
+    async def handle(request):
+        seen.append(request)
+        return await faults[min(len(seen), len(faults)) - 1](request)
+
+    for machine in machines:
+        machine.worker.handler = handle
+    return seen
+
+
+@pytest.mark.parametrize("target", ["/x", "/pay/1"])
+async def test_refusal_of_one_worker_is_no_promise_for_the_next(target):
+    """The first worker has not run the request, the second may have."""
+    async with run_mesh(2) as (_, machines):
+        seen = play_in_turn(machines, shed_request, close)
+        answer = await machines[0].call(target, "POST", b"x")
+        assert (answer.status, len(seen)) == (502, 2)
+
+
+async def test_refusal_after_an_attempt_that_may_have_run_is_no_promise():
+    async with run_mesh(2) as (_, machines):
+        seen = play_in_turn(machines, close, shed_request)
+        answer = await machines[0].call()
+        assert (answer.status, len(seen)) == (502, 2)
