--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -385,8 +385,16 @@
             If it does not open before `deadline`.
         """
         link = self._links.get((host, port))
-        if link is None or not link.is_usable:
+        if link is not None and link.is_usable:
+            return
+        try:
             await self._open(host, port, deadline)
+        except AttemptError as exc:
+            if exc.refusal.cause is not Cause.DEADLINE:
+                raise
+            # The time for opening is over, not that of any request.
+            reason = "link does not open"
+            raise AttemptError.at(Cause.CONNECT_FAILED, Stage.UNSENT, reason) from exc
 
     async def _open(self, host: str, port: int, deadline: float) -> ClientLink:
         address = (host, port)
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -399,6 +399,23 @@
         assert (await call(other.port)).head.body == b"/ok"
 
 
+async def test_link_that_does_not_open_in_time_says_that_nothing_was_sent():
+    """It was told as the end of the request's own time, which allows no retry."""
+
+    async def say_nothing(reader, writer):
+        await reader.read()
+
+    async with run_ends() as ends:
+        port = find_port()
+        server = await asyncio.start_server(say_nothing, "127.0.0.1", port)
+        with pytest.raises(AttemptError) as caught:
+            await ends.pool.connect("127.0.0.1", port, monotonic() + 0.1)
+        refusal = caught.value.refusal
+        assert (refusal.cause, refusal.status) == (Cause.CONNECT_FAILED, 503)
+        assert refusal.outcome is Outcome.NOT_RUN
+        server.close()
+
+
 async def test_new_requests_avoid_a_link_in_doubt():
     """Requests sent before the silence is certain would be lost with it."""
     async with run_ends() as ends:
