Split the making of replies from the attempts of a call

Change: replies.py makes replies, limited_events.py bounds events of calls; calls.py keeps the attempts. Measured: tests of calls, drain, refusals, control and keys pass as before. Conclusion: no change of behaviour.

--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -1,8 +1,6 @@
 """Lifecycle of one call: route, pick, send, retry, respond."""
 
 import asyncio
-import json
-import random
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -45,39 +43,25 @@
     join_headers,
 )
 from mangowell_node.ingress import CallerBody, IncomingCall, IngressServer, Reply
+from mangowell_node.limited_events import LimitedEvents
 from mangowell_node.link import LinkPool, LinkServer, derive_link_key
 from mangowell_node.reach import Reach
+from mangowell_node.replies import HEADER_DONE, ReplyMaker
 from mangowell_node.telemetry import Telemetry
 
 HOUSEKEEPING_INTERVAL_S = 0.1
-EVENTS_PER_INTERVAL = 5  # refused and retried calls that get an event of their own
 # Time in which callers with open connections are told another address.
 DRAIN_LINGER_S = 0.5
 # Fewer than the open control sockets of a node. A mark ends by itself elsewhere.
 RETURN_PEERS = 64
 INTERNAL_PREFIX = "/.mangowell/"
 
-_REASONS = {
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    409: "Conflict",
-    422: "Unprocessable Content",
-    499: "Client Closed Request",
-    501: "Not Implemented",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 # Failures after which the policy judges the request itself.
 _CRASH_CAUSES = frozenset({Cause.BACKEND_CRASHED, Cause.SUSPECTED})
 _CONNECTION = istr("Connection")
 _DEADLINE = istr("Mangowell-Deadline-Ms")
 _TENANT = istr("Mangowell-Tenant")
 _KEY = istr("Idempotency-Key")
-_HEADER_DONE = b"Mangowell-Outcome: done\r\n"
-_HEADER_FAILED = b"Mangowell-Outcome: failed\r\n"
-_HEADER_RETRIED = b"Mangowell-Retried: 1\r\n"
 
 
 class _ReportedBody:
@@ -131,7 +115,8 @@
         self._reach = reach
         self._send_control = send_control
         self._instances: dict[str, Instance] = {}
-        self._alternates: tuple[Instance, ...] = ()
+        self._limited = LimitedEvents(telemetry)
+        self._replies = ReplyMaker(policy, telemetry, self._limited)
         self._snapshot: Snapshot | None = None
         self._paused = ""
         self._has_served = False
@@ -139,8 +124,6 @@
         self._draining = False
         self._active = 0
         self._count = 0
-        self._event_room = EVENTS_PER_INTERVAL
-        self._omitted = 0
         # Ids stay distinct over restarts of the process.
         self._prefix = f"{settings.instance}-{time.time_ns() // 1_000_000:x}-"
         self._ingress: IngressServer | None = None
@@ -268,7 +251,7 @@
         ]
         own = self._settings.failure_domain
         near = [instance for instance in others if instance.failure_domain == own]
-        self._alternates = tuple(near or others)
+        self._replies.alternates = tuple(near or others)
         self._apply_service()
 
     def _apply_service(self) -> None:
@@ -346,25 +329,10 @@
     async def _keep_house(self) -> None:
         while True:
             self._links.check(monotonic())
-            self._event_room = EVENTS_PER_INTERVAL
+            self._limited.renew()
             self._drain_events()
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
 
-    def _emit_limited(self, code: EventCode, fields: dict) -> None:
-        """Emit an event that comes with many calls at once in an overload.
-
-        Beyond the limit only their number is kept, so that they neither take
-        the node's time nor push other events out of the ring.
-        """
-        if self._event_room <= 0:
-            self._omitted += 1
-            return
-        self._event_room -= 1
-        if self._omitted:
-            fields["omitted"] = self._omitted
-            self._omitted = 0
-        self._telemetry.emit(Event(code, fields))
-
     def _drain_events(self) -> None:
         for event in self._policy.events():
             self._telemetry.emit(event)
@@ -404,15 +372,15 @@
     async def _serve(self, call: IncomingCall, request: str, now: float) -> Reply:
         if self._draining:
             refusal = refuse(Cause.LEAVING, "node is stopping")
-            return self._refuse(request, None, refusal, now)
+            return self._replies.refuse(request, None, refusal, now)
         self._check_pause()
         if self._paused:
             refusal = refuse(Cause.NOT_READY, self._paused)
-            return self._refuse(request, None, refusal, now)
+            return self._replies.refuse(request, None, refusal, now)
         headers = call.headers
         if call.method == "CONNECT" or not call.target.startswith("/"):
             refusal = Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 400, 0.0, "no path")
-            return self._refuse(request, None, refusal, now)
+            return self._replies.refuse(request, None, refusal, now)
         path, _, query = call.target.partition("?")
         if path.startswith(INTERNAL_PREFIX):
             return await self._serve_internal(call, request, path, query, now)
@@ -423,7 +391,7 @@
             )
         except (ValueError, MessageFormatError) as exc:
             refusal = Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 400, 0.0, str(exc))
-            return self._refuse(request, None, refusal, now)
+            return self._replies.refuse(request, None, refusal, now)
         plan = self._policy.match(
             request,
             call.method,
@@ -434,7 +402,7 @@
             now,
         )
         if type(plan) is Refusal:
-            return self._refuse(request, None, plan, now)
+            return self._replies.refuse(request, None, plan, now)
         if call.has_arrived:
             body = call.take_body()
         else:
@@ -443,10 +411,10 @@
                     body = await call.read_body()
             except TimeoutError:
                 refusal = refuse(Cause.DEADLINE, "request body arrives too slowly")
-                return self._refuse(request, plan, refusal, now)
+                return self._replies.refuse(request, plan, refusal, now)
             except MessageFormatError as exc:
                 refusal = Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 400, 0.0, str(exc))
-                return self._refuse(request, plan, refusal, now)
+                return self._replies.refuse(request, plan, refusal, now)
         head = RequestHead(
             request,
             plan.service.name,
@@ -470,7 +438,7 @@
                 plan = self._add_fingerprint(plan, head)
                 refusal = self._policy.suspect(plan, now)
                 if refusal is not None:
-                    return self._refuse(request, plan, refusal, now)
+                    return self._replies.refuse(request, plan, refusal, now)
         else:
             stream = body
             head.streaming = True
@@ -502,12 +470,14 @@
                 choice = policy.pick(plan, excluded, now)
             if type(choice) is Refusal:
                 if answer is not None:
-                    return self._answer(plan, answer, started, attempts)
+                    return self._replies.answer(plan, answer, started, attempts)
                 # What the attempts before have met says more than this does.
                 refusal = choice if error is None else error.refusal
                 if has_run:
                     refusal = _weaken(refusal)
-                return self._refuse(head.request, plan, refusal, started, attempts)
+                return self._replies.refuse(
+                    head.request, plan, refusal, started, attempts
+                )
             attempts += 1
             hedge_at = policy.hedge_deadline(plan, now) if body is None else None
             try:
@@ -528,7 +498,7 @@
             else:
                 result = _make_result(answer)
                 if result.cause is Cause.NONE or answer.stream is not None:
-                    return self._answer(plan, answer, started, attempts)
+                    return self._replies.answer(plan, answer, started, attempts)
                 error = None
             excluded.add(choice.instance.name)
             if result.cause is Cause.CONNECTION_SILENT:
@@ -547,10 +517,12 @@
             )
             if not allowed:
                 if error is None:
-                    return self._answer(plan, answer, started, attempts)
+                    return self._replies.answer(plan, answer, started, attempts)
                 refusal = _weaken(error.refusal) if has_run else error.refusal
-                return self._refuse(head.request, plan, refusal, started, attempts)
-            self._emit_limited(
+                return self._replies.refuse(
+                    head.request, plan, refusal, started, attempts
+                )
+            self._limited.emit(
                 EventCode.CALL_RETRIED,
                 {
                     "request": head.request,
@@ -652,17 +624,17 @@
         """Issue a pinned key at an instance that may run its request."""
         if path != KEYS_TARGET or call.method != "POST":
             refusal = Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 404, 0.0, "no such page")
-            return self._refuse(request, None, refusal, now)
+            return self._replies.refuse(request, None, refusal, now)
         fields = parse_qs(query)
         target = fields.get("path", [""])[0]
         if not target:
             answer = self._egress.mint()
-            return Reply(201, "Created", _HEADER_DONE + answer.headers, answer.body)
+            return Reply(201, "Created", HEADER_DONE + answer.headers, answer.body)
         plan = self._policy.match(
             request, fields.get("method", ["POST"])[0], target, "", None, "", now
         )
         if type(plan) is Refusal:
-            return self._refuse(request, None, plan, now)
+            return self._replies.refuse(request, None, plan, now)
         head = RequestHead(
             request,
             plan.service.name,
@@ -678,83 +650,6 @@
         )
         return await self._run(plan, head, None, now)
 
-    # Answers
-
-    def _answer(
-        self, plan: Plan, answer: Answer, started: float, attempts: int
-    ) -> Reply:
-        head = answer.head
-        failed = head.status >= 500
-        headers = (_HEADER_FAILED if failed else _HEADER_DONE) + head.headers
-        if failed and not head.retried and self._policy.is_retried(plan, attempts):
-            headers += _HEADER_RETRIED
-        self._telemetry.observe_call(
-            plan.tenant,
-            plan.traffic_class.name,
-            plan.route.name,
-            "failed" if failed else "done",
-            monotonic() - started,
-        )
-        return Reply(
-            head.status, head.reason, headers, head.body, answer.stream, head.length
-        )
-
-    def _refuse(
-        self,
-        request: str,
-        plan: Plan | None,
-        refusal: Refusal,
-        started: float,
-        attempts: int = 0,
-    ) -> Reply:
-        outcome = refusal.outcome
-        code = EventCode.CALL_UNKNOWN
-        if outcome is Outcome.NOT_RUN:
-            code = EventCode.CALL_REFUSED
-        fields = {
-            "request": request,
-            "cause": refusal.cause.value,
-            "reason": refusal.reason,
-        }
-        lines = [f"Mangowell-Outcome: {outcome.value}\r\n"]
-        if refusal.retry_after_s > 0:
-            lines.append(f"Retry-After: {max(1, round(refusal.retry_after_s))}\r\n")
-        if refusal.cause in (Cause.LEAVING, Cause.NOT_READY):
-            alternate = self._find_alternate()
-            if alternate:
-                lines.append(f"Mangowell-Alternate: {alternate}\r\n")
-        if attempts and self._policy.is_retried(plan, attempts):
-            lines.append("Mangowell-Retried: 1\r\n")
-        lines.append("Content-Type: application/json\r\n")
-        body = json.dumps({"outcome": outcome.value, **fields}) + "\n"
-        if plan is not None:
-            fields["route"] = plan.route.name
-            self._telemetry.observe_call(
-                plan.tenant,
-                plan.traffic_class.name,
-                plan.route.name,
-                outcome.value,
-                monotonic() - started,
-            )
-        if code is EventCode.CALL_REFUSED:
-            self._emit_limited(code, fields)
-        else:
-            self._telemetry.emit(Event(code, fields))
-        return Reply(
-            refusal.status,
-            _REASONS.get(refusal.status, "Error"),
-            "".join(lines).encode(),
-            body.encode(),
-        )
-
-    def _find_alternate(self) -> str:
-        leaving = self._policy.board.leaving
-        others = [i for i in self._alternates if i.name not in leaving]
-        if not others:
-            return ""
-        instance = random.choice(others)
-        return f"{instance.host}:{instance.call_port}"
-
 
 def _skip() -> None:
     """Check nothing."""
