Find silent backend connections when the comparison itself is late

Two gaps of the health poller explain such an end, each reproduced by a test: connections heard from after the unanswered check began were not given up, and a new connection that took over 0.3 s to answer ended the comparison for good. Change: a held connection is suspected after 0.5 s instead of 1 s; an unanswered check is kept and compared with the next new connection. Measured: both tests failed before and pass now.

--- a/packages/node/src/mangowell_node/backend/health.py
+++ b/packages/node/src/mangowell_node/backend/health.py
@@ -14,10 +14,14 @@
 HEALTH_INTERVAL_S = 0.5
 MIN_HEALTH_INTERVAL_S = 0.005  # once the poller's connection is lost
 HEALTH_TIMEOUT_S = 1.0
-# Together with the above within the 2 s in which silence is to be found.
-NEW_HEALTH_TIMEOUT_S = 0.3
+# A check on a held connection that lasts longer is repeated on a new one.
+SUSPECT_AFTER_S = 0.5
+# Together with the two above within the 2 s in which silence is to be found.
+NEW_HEALTH_TIMEOUT_S = 0.8
 # After a pause of the backend server, old and new connections answer together.
 SILENCE_GRACE_S = 0.1
+# Longer than any pause after which a backend server still answers.
+HELD_TIMEOUT_S = 60.0
 
 
 class HealthReply(msgspec.Struct):
@@ -46,6 +50,9 @@
         self._on_health = on_health
         self._task: asyncio.Task | None = None
         self._conn: BackendConnection | None = None
+        # A check that has no answer yet, and when it was sent.
+        self._unanswered: asyncio.Task | None = None
+        self._unanswered_since = 0.0
         self._lost = asyncio.Event()
 
     def start(self) -> None:
@@ -58,6 +65,7 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        await self._drop_unanswered()
 
     async def _run(self) -> None:
         while True:
@@ -89,6 +97,7 @@
                 answer = await self._ask_held(held)
             else:
                 answer = await self._ask_new(HEALTH_TIMEOUT_S)
+                await self._judge_unanswered()
             if answer.stream is not None:
                 answer.stream.close()
                 return "down", 0.0
@@ -109,26 +118,38 @@
         return await self._ask(conn, deadline)
 
     async def _ask_held(self, conn: BackendConnection) -> Answer:
-        """Ask on the held connection, and on a new one if it stays silent.
+        """Ask on the held connection, and on a new one if it stays silent."""
+        await self._drop_unanswered()
+        self._unanswered_since = now = monotonic()
+        check = asyncio.create_task(self._ask(conn, now + HELD_TIMEOUT_S))
+        self._unanswered = check
+        await asyncio.wait((check,), timeout=SUSPECT_AFTER_S)
+        if check.done():
+            self._unanswered = None
+            return check.result()
+        answer = await self._ask_new(NEW_HEALTH_TIMEOUT_S)
+        await self._judge_unanswered()
+        return answer
+
+    async def _judge_unanswered(self) -> None:
+        """Compare an unanswered check with one that was answered after it.
 
-        If only the new one answers, the connections opened before it are
-        taken for silent as well.
+        If only the new connection answers, those opened before it are taken
+        for silent as well. A check that fails for another reason tells nothing.
         """
-        asked_at = monotonic()
-        deadline = asked_at + 2 * HEALTH_TIMEOUT_S
-        held = asyncio.create_task(self._ask(conn, deadline))
-        try:
-            await asyncio.wait((held,), timeout=HEALTH_TIMEOUT_S)
-            if held.done():
-                return held.result()
-            answer = await self._ask_new(NEW_HEALTH_TIMEOUT_S)
-            await asyncio.wait((held,), timeout=SILENCE_GRACE_S)
-            if not held.done():
-                self._pool.give_up_silent(asked_at)
-            return answer
-        finally:
-            held.cancel()
-            await asyncio.gather(held, return_exceptions=True)
+        if self._unanswered is None:
+            return
+        await asyncio.wait((self._unanswered,), timeout=SILENCE_GRACE_S)
+        if not self._unanswered.done():
+            # The silence may have begun while the check was on its way.
+            self._pool.give_up_silent(self._unanswered_since + SILENCE_GRACE_S)
+        await self._drop_unanswered()
+
+    async def _drop_unanswered(self) -> None:
+        check, self._unanswered = self._unanswered, None
+        if check is not None:
+            check.cancel()
+            await asyncio.gather(check, return_exceptions=True)
 
     async def _ask(self, conn: BackendConnection, deadline: float) -> Answer:
         head = RequestHead(
--- a/tests/node/support_calls.py
+++ b/tests/node/support_calls.py
@@ -98,6 +98,8 @@
         self.handler = handler
         self.raw = None  # takes reader and writer after a request's head
         self.health = health
+        self.health_delay_s = 0.0
+        self.muted: set[asyncio.StreamWriter] = set()  # connections gone silent
         self.received: list[Received] = []
         self.arrived = asyncio.Event()
         self.connections = 0
@@ -114,6 +116,10 @@
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
+    def mute_connections(self):
+        """Let all open connections go silent; new ones work."""
+        self.muted = set(self._writers)
+
     def crash(self):
         """Close the listener and every connection at once."""
         self._server.close()
@@ -139,7 +145,12 @@
         for line in lines:
             name, _, value = line.partition(": ")
             headers[name.lower()] = value
+        if writer in self.muted:
+            return True
         if target == "/health":
+            await asyncio.sleep(self.health_delay_s)
+            if writer in self.muted:
+                return True
             text = f'{{"status": "{self.health}", "load": 0.1}}'
             writer.write(make_answer(text.encode()))
             return True
--- a/tests/node/test_backend.py
+++ b/tests/node/test_backend.py
@@ -42,6 +42,10 @@
         raise
 
 
+async def answer_ok():
+    return make_answer(b"ok")
+
+
 def script(data, close=True):
     async def handler(request):
         request.writer.write(data)
@@ -192,6 +196,58 @@
         await server.stop()
 
 
+async def test_silence_that_begins_during_a_health_check_is_found():
+    """A connection heard from after the check began may be silent as well."""
+    async with run_pool(lambda request: answer_ok()) as (backend, pool):
+        poller = HealthPoller(pool, lambda status, load: None)
+        await poller.poll()
+        await exchange(pool, make_head())
+        backend.health_delay_s = 0.05
+        check = asyncio.create_task(poller.poll())
+        await asyncio.sleep(0.02)
+        await exchange(pool, make_head())
+        backend.mute_connections()
+        waiting = asyncio.create_task(exchange(pool, make_head(), seconds=60.0))
+        assert (await check)[0] == "ok"
+        with pytest.raises(AttemptError) as caught:
+            await asyncio.wait_for(waiting, 1.0)
+        assert caught.value.refusal.cause is Cause.CONNECTION_SILENT
+
+
+async def test_silence_is_found_although_new_connections_are_slow():
+    """The first comparison ends without a verdict; a later one gives it."""
+    async with run_pool(lambda request: answer_ok()) as (backend, pool):
+        poller = HealthPoller(pool, lambda status, load: None)
+        await poller.poll()
+        await exchange(pool, make_head())
+        backend.mute_connections()
+        waiting = asyncio.create_task(exchange(pool, make_head(), seconds=60.0))
+        backend.health_delay_s = 2.0
+        assert (await poller.poll())[0] == "down"
+        backend.health_delay_s = 0.0
+        assert (await poller.poll())[0] == "ok"
+        with pytest.raises(AttemptError) as caught:
+            await asyncio.wait_for(waiting, 1.0)
+        assert caught.value.refusal.cause is Cause.CONNECTION_SILENT
+
+
+async def test_paused_backend_server_is_not_taken_for_silent_connections():
+    """After a pause longer than a check, old and new connections answer."""
+
+    async def answer_later(request):
+        await asyncio.sleep(3.0)
+        return make_answer(b"late")
+
+    async with run_pool(answer_later) as (backend, pool):
+        poller = HealthPoller(pool, lambda status, load: None)
+        await poller.poll()
+        waiting = asyncio.create_task(exchange(pool, make_head(), seconds=60.0))
+        backend.health_delay_s = 1.6
+        assert (await poller.poll())[0] == "down"
+        await poller.poll()
+        assert (await waiting).head.body == b"late"
+
+
 async def test_slow_requests_are_not_taken_for_silent_ones():
     """A request may take longer than the health endpoint."""
     server = BackendServer()
