--- a/packages/node/src/mangowell_node/ingress/__init__.py
+++ b/packages/node/src/mangowell_node/ingress/__init__.py
@@ -6,10 +6,11 @@
 """
 
 from mangowell_node.ingress.connection import CallerConnection
-from mangowell_node.ingress.messages import CallerBody, IncomingCall, Reply
+from mangowell_node.ingress.messages import REASONS, CallerBody, IncomingCall, Reply
 from mangowell_node.ingress.server import IngressServer
 
 __all__ = [
+    "REASONS",
     "CallerBody",
     "CallerConnection",
     "IncomingCall",
--- a/packages/node/src/mangowell_node/ingress/messages.py
+++ b/packages/node/src/mangowell_node/ingress/messages.py
@@ -16,6 +16,20 @@
     MessageFormatError,
 )
 
+# Reason phrases of the statuses of replies that are made here.
+REASONS = {
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    499: "Client Closed Request",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 _EXPECT = istr("Expect")
 _CONTENT_LENGTH = istr("Content-Length")
 
--- a/packages/node/src/mangowell_node/replies.py
+++ b/packages/node/src/mangowell_node/replies.py
@@ -9,22 +9,10 @@
 from mangowell_core.policy import RequestPolicy
 from mangowell_core.policy.types import Cause, Outcome, Plan, Refusal
 from mangowell_node.exchange import Answer
-from mangowell_node.ingress import Reply
+from mangowell_node.ingress import REASONS, Reply
 from mangowell_node.limited_events import LimitedEvents
 from mangowell_node.telemetry import Telemetry
 
-_REASONS = {
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    409: "Conflict",
-    422: "Unprocessable Content",
-    499: "Client Closed Request",
-    501: "Not Implemented",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 HEADER_DONE = b"Mangowell-Outcome: done\r\n"
 _HEADER_FAILED = b"Mangowell-Outcome: failed\r\n"
 _HEADER_RETRIED = b"Mangowell-Retried: 1\r\n"
@@ -131,7 +119,7 @@
             self._telemetry.emit(Event(code, fields))
         return Reply(
             refusal.status,
-            _REASONS.get(refusal.status, "Error"),
+            REASONS.get(refusal.status, "Error"),
             "".join(lines).encode(),
             body.encode(),
         )
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -404,7 +404,7 @@
         await first.call()
         now = time.monotonic()
         costs = [
-            first.node.gateway.placement.predict(endpoint, "r1", 0.5, now)
+            first.node.gateway.attempts.placement.predict(endpoint, "r1", 0.5, now)
             for endpoint in first.node.directory.find_all()
         ]
         assert max(costs) < 1.0
