Do not answer told changes with changes

Cause: right after the start several nodes of a domain take themselves for the one that tells the others. A told entry replaced an equal one, which counted as a change and was told back, without end. Seen as a 504 in 5 of about 130 runs of test_request_that_crashes_workers... beside load; the events of one failing run show hundreds of equal entries in 2 ms. Change: an equal entry changes nothing; what another node tells counts as told. Links come from the node's own address, and a node counts as near also while its worker is not listed. Measured: tests of both gaps failed before; the mesh's tests pass.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -81,6 +81,8 @@
         if known is not None and known.revision > endpoint.revision:
             return
         self._held.pop(endpoint.id, None)
+        if known == endpoint:
+            return
         self._endpoints[endpoint.id] = endpoint
         self._touch()
 
--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -323,15 +323,23 @@
     reach : Reach
     emit : callable
         Takes an `Event`.
+    host : str or None
+        Address that links come from, by which other nodes know this one.
     """
 
     def __init__(
-        self, name: str, key: bytes, reach: Reach, emit: Callable[[Event], None]
+        self,
+        name: str,
+        key: bytes,
+        reach: Reach,
+        emit: Callable[[Event], None],
+        host: str | None = None,
     ) -> None:
         self._name = name
         self._key = key
         self._reach = reach
         self._emit = emit
+        self._source = None if host is None else (host, 0)
         self.on_notice: Callable[[Link, bytes], None] | None = None
         self._links: dict[tuple[str, int], ClientLink] = {}
         # Addresses whose last link was lost or did not open.
@@ -423,7 +431,9 @@
         link = ClientLink(self._key, self._name)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(lambda: link, *address)
+                await loop.create_connection(
+                    lambda: link, *address, local_addr=self._source
+                )
                 await link.ready
         except asyncio.CancelledError:
             link.abandon("stopping")
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -118,6 +118,8 @@
         self._retry_at: dict[str, float] = {}
         self._waits: dict[str, float] = {}
         self._opening: dict[str, asyncio.Task] = {}
+        # Failure domains by host, also of nodes whose worker is not listed.
+        self._domains: dict[str, str] = {}
         self._behind_since = 0.0
         self._fetched_at = float("-inf")
         # The own worker's crashes, each with the time until which it is repeated.
@@ -159,9 +161,11 @@
                 link.send_notice(payload)
 
     def _is_near(self, link: Link) -> bool:
-        own = self._settings.failure_domain
-        listed = self._directory.find_host(link.address[0])
-        return any(endpoint.failure_domain == own for endpoint in listed)
+        host = link.address[0]
+        for endpoint in self._directory.find_host(host):
+            # Kept, as the node is still there when its worker is gone.
+            self._domains[host] = endpoint.failure_domain
+        return self._domains.get(host) == self._settings.failure_domain
 
     def report_crash(self, crash: str, fingerprints: tuple[str, ...]) -> None:
         """Count a crash of the own worker and tell the other nodes."""
@@ -238,6 +242,10 @@
         if not directory.take_changes(changes, monotonic()):
             self._fetch(link)
             return
+        # The sender tells the others as well.
+        self._publication.mark(
+            directory.revision, directory.document, directory.endpoints
+        )
         if (directory.revision, directory.epoch) != before:
             self._report_changes(link, changes)
             self._on_change()
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -51,7 +51,9 @@
         ledger = CrashLedger()
         self.runner = WorkerRunner(settings, directory, ledger)
         key = derive_link_key(LINK_SECRET)
-        self._links = LinkPool(settings.instance, key, Reach(), emit)
+        self._links = LinkPool(
+            settings.instance, key, Reach(), emit, settings.link.host
+        )
         self._server = LinkServer(key, self.runner.run, lambda: -1.0, emit)
         self.gateway = Gateway(
             settings,
--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -49,11 +49,16 @@
     }
 
 
-def make_entry(host, port, service="orders", state="ready", **fields):
+def make_entry(host, port, service="orders", state="ready", zone="z", **fields):
     return json.dumps(
         {
             "address": f"{host}:{port}",
-            "node-info": {"service": service, "version": "v1", "zone": "z", "slots": 4},
+            "node-info": {
+                "service": service,
+                "version": "v1",
+                "zone": zone,
+                "slots": 4,
+            },
             "status": {"state": state, "seq": 1, "warmup-left": "0ms"},
             "born": 1_700_000_000_000,
             **fields,
@@ -110,7 +115,7 @@
 
     @property
     def entry(self):
-        return make_entry(self.host, self.worker.port)
+        return make_entry(self.host, self.worker.port, zone=self.zone)
 
     def find(self, name):
         return [e for e in self.telemetry.find_events() if e["name"] == name]
@@ -148,12 +153,15 @@
 
 
 @contextlib.asynccontextmanager
-async def run_mesh(count=1, document=None):
+async def run_mesh(count=1, document=None, zones=("z",)):
     """Run a store and machines that are all listed and ready."""
     store = await PlatformStore().start()
     store.put("op/config", document or make_document())
     link_port = find_port()
-    machines = [Machine(n + 1, link_port, store.port) for n in range(count)]
+    machines = [
+        Machine(n + 1, link_port, store.port, zones[n % len(zones)])
+        for n in range(count)
+    ]
     try:
         for machine in machines:
             await machine.start()
--- a/tests/mesh/test_feed.py
+++ b/tests/mesh/test_feed.py
@@ -77,3 +77,63 @@
         first.node.directory.lose_store()
         store.put("op/config", make_document(8))
         await until(lambda: first.node.directory.document.version == 8, 3.0)
+
+
+async def wait_for_readers(machines, count=2):
+    await until(lambda: count_readers(machines) == count, 8.0)
+
+
+def count_readers(machines):
+    return sum(m.node._feed.is_up for m in machines)
+
+
+async def test_two_nodes_of_a_domain_read_and_tell_the_others():
+    """Every node used to take every version over its own link."""
+    async with run_mesh(4) as (store, machines):
+        await wait_for_readers(machines)
+        calls = store.calls
+        store.put("op/config", make_document(7, {"r": make_route("/new/")}))
+        store.delete("servers/i-4")
+        await until(
+            lambda: all(
+                m.node.directory.document.version == 7 and len(m.node.directory) == 3
+                for m in machines
+            ),
+            2.0,
+        )
+        assert store.calls - calls <= 4
+        assert all([(await m.call("/new/x")).status == 200 for m in machines])
+
+
+async def test_change_reaches_the_others_after_both_readers_are_gone():
+    """A change has to be in force 2 s after the store has taken it."""
+    async with run_mesh(4) as (store, machines):
+        await wait_for_readers(machines)
+        readers = [m for m in machines if m.node._feed.is_up]
+        others = [m for m in machines if m not in readers]
+        for machine in readers:
+            await machine.node.abort()
+        store.put("op/config", make_document(7))
+        await until(
+            lambda: all(m.node.directory.document.version == 7 for m in others), 2.0
+        )
+
+
+async def test_nodes_that_both_tell_the_others_do_not_answer_each_other():
+    """Right after the start each node takes itself for the one that tells."""
+    async with run_mesh(3) as (store, machines):
+        store.put("servers/i-9", make_entry("127.0.0.9", 1))
+        await until(lambda: all(len(m.node.directory) == 4 for m in machines))
+        await asyncio.sleep(0.5)
+        for machine in machines:
+            assert len(machine.find("instances_applied")) <= 12
+
+
+async def test_each_failure_domain_has_readers_of_its_own():
+    async with run_mesh(4, zones=("a", "b")) as (store, machines):
+        await asyncio.sleep(2.0)
+        assert count_readers(machines) == 4
+        store.put("op/config", make_document(7))
+        await until(
+            lambda: all(m.node.directory.document.version == 7 for m in machines), 2.0
+        )
--- a/tests/mesh/test_readers.py
+++ b/tests/mesh/test_readers.py
@@ -17,6 +17,7 @@
     ReaderReport,
 )
 from mangowell_core.mesh.changes import KEPT_VERSIONS, apply_delta, make_delta
+from mangowell_core.mesh.model import ChangeNotice
 from mangowell_core.mesh.readers import FRESH_S, READERS_PER_DOMAIN, RELEASE_S
 
 STEP_S = 0.1
@@ -195,6 +196,18 @@
     )
 
 
+def test_repeated_changes_are_no_news():
+    """Two nodes that both told the others answered each other without end."""
+    directory, publication = Directory(), Publication()
+    directory.load([make_endpoint("1", 3)], 3, 0.0)
+    collect(directory, publication)
+    changes = ChangeNotice(3, 3, 0, None, (make_endpoint("1", 3),), ())
+    epoch = directory.epoch
+    assert directory.take_changes(changes, 1.0)
+    assert directory.epoch == epoch
+    assert collect(directory, publication) is None
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_follower_ends_with_the_state_of_the_reader(seed):
     """Notices get lost, come from two readers and lag behind fetched states."""
