Release readers after 1 s, and let the best ones return

A fast reader that lost the store for a while never came back once two slow ones had taken over. Change: two reports of both better readers are enough; one of the two best tries again 5 s after it stopped.

--- a/packages/core/src/mangowell_core/mesh/readers.py
+++ b/packages/core/src/mangowell_core/mesh/readers.py
@@ -18,8 +18,11 @@
 # Time between the turns of two nodes that could take over, seconds: the status
 # of the first arrives in it, so that a store which is away is not asked by all.
 STAGE_S = 0.3
-# Time for which two better readers must have been seen before one stops.
-RELEASE_S = 2.0
+# Time for which two better readers must have been seen before one stops: two
+# reports of each.
+RELEASE_S = 1.0
+# Time after which one of the two best tries again, after others took over.
+RETURN_S = 5.0
 
 
 class ReaderReport(NamedTuple):
@@ -55,6 +58,7 @@
         "_link_mbps",
         "_reports",
         "_short_since",
+        "_stopped_at",
         "is_reading",
     )
 
@@ -66,6 +70,7 @@
         self.is_reading = True
         self._enough_since: float | None = None
         self._short_since: float | None = None
+        self._stopped_at = 0.0
 
     def note(self, instance: str, report: ReaderReport, now: float) -> None:
         """Take the report of another node of the domain."""
@@ -92,13 +97,17 @@
                 self._enough_since = now
             elif now - self._enough_since >= RELEASE_S:
                 self.is_reading = False
+                self._stopped_at = now
                 self._enough_since = self._short_since = None
             return self.is_reading
         serving = sum(report.is_reading for report in others.values())
         missing = READERS_PER_DOMAIN - serving
         if missing <= 0:
             self._short_since = None
-            return False
+            better = self._count_better(others, serving=True)
+            is_due = now - self._stopped_at >= RETURN_S
+            self.is_reading = is_due and better < READERS_PER_DOMAIN
+            return self.is_reading
         if self._short_since is None:
             self._short_since = now
         turn = max(0, self._count_better(others, serving=False) - missing + 1)
