--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import json
+import os
 
 from mangowell_core.mesh import MeshSettings
 from mangowell_core.mesh.settings import Address
+from mangowell_node.event_log import EventLog
 from mangowell_node.mesh.node import MeshNode
 from mangowell_node.telemetry import Telemetry
 from mangowell_standins.platform_store import PlatformStore
@@ -79,7 +81,7 @@
 class Machine:
     """One machine: a scripted worker and the node beside it."""
 
-    def __init__(self, number, link_port, store_port, zone="z"):
+    def __init__(self, number, link_port, store_port, zone="z", logs=None):
         self.number = number
         self.host = f"127.0.0.{number + 1}"
         self.id = f"i-{number}"
@@ -89,6 +91,7 @@
         self.store_port = store_port
         self.settings: MeshSettings | None = None
         self.node: MeshNode | None = None
+        self.log_path = None if logs is None else logs / f"node-{number}.log"
 
     async def start(self):
         if not self.worker.port:
@@ -109,7 +112,11 @@
             retry_floor=100,
             retry_window_s=10.0,
         )
-        self.telemetry = Telemetry(self.settings.instance, level="error")
+        sink = None
+        if self.log_path is not None:
+            descriptor = os.open(self.log_path, os.O_CREAT | os.O_WRONLY)
+            sink = EventLog(self.settings.instance, descriptor).write
+        self.telemetry = Telemetry(self.settings.instance, level="error", sink=sink)
         self.node = MeshNode.from_settings(self.settings, self.telemetry)
         await self.node.start()
 
@@ -153,13 +160,13 @@
 
 
 @contextlib.asynccontextmanager
-async def run_mesh(count=1, document=None, zones=("z",)):
+async def run_mesh(count=1, document=None, zones=("z",), logs=None):
     """Run a store and machines that are all listed and ready."""
     store = await PlatformStore().start()
     store.put("op/config", document or make_document())
     link_port = find_port()
     machines = [
-        Machine(n + 1, link_port, store.port, zones[n % len(zones)])
+        Machine(n + 1, link_port, store.port, zones[n % len(zones)], logs)
         for n in range(count)
     ]
     try:
