--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 from time import monotonic
 
-import msgspec
-
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import (
     CrashLedger,
@@ -23,7 +21,6 @@
     ChangeNotice,
     CrashNotice,
     FetchNotice,
-    Notice,
     StateNotice,
     StatusNotice,
 )
@@ -33,6 +30,11 @@
 from mangowell_node.link import LinkPool, LinkServer
 from mangowell_node.link.connection import Link
 from mangowell_node.mesh.feed import StateFeed
+from mangowell_node.mesh.notices import (
+    NoticeFormatError,
+    decode_notice,
+    encode_notice,
+)
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.mesh.tasks import start_loop
 
@@ -64,9 +66,6 @@
 # Time between two fetches of a state, seconds.
 FETCH_INTERVAL_S = 0.5
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Notice)
-
 
 class Gossip:
     """Keeps links to the other nodes and exchanges notices on them.
@@ -153,7 +152,7 @@
         everywhere : bool
             Also to other failure domains.
         """
-        payload = _encoder.encode(self._make_status())
+        payload = encode_notice(self._make_status())
         for link in list(self._server.links):
             if not link.peer_is_known or link.closed:
                 continue
@@ -172,7 +171,7 @@
         notice = CrashNotice(crash, fingerprints)
         self._take_crash(notice)
         self._crashes.append((monotonic() + CRASH_REPEAT_S, notice))
-        self._send_all(_encoder.encode(notice))
+        self._send_all(encode_notice(notice))
 
     def _send_all(self, payload: bytes) -> None:
         for link in (*self._links.links, *self._server.links):
@@ -184,7 +183,7 @@
         while self._crashes and self._crashes[0][0] <= now:
             self._crashes.popleft()
         for _, notice in self._crashes:
-            self._send_all(_encoder.encode(notice))
+            self._send_all(encode_notice(notice))
 
     def _take_crash(self, notice: CrashNotice) -> None:
         now = monotonic()
@@ -231,7 +230,7 @@
         )
         if changes is None:
             return
-        payload = _encoder.encode(changes)
+        payload = encode_notice(changes)
         for link in list(self._server.links):
             if link.peer_is_known and not link.closed and self._is_near(link):
                 link.send_notice(payload)
@@ -354,8 +353,8 @@
 
     def _receive(self, link: Link, payload: bytes) -> None:
         try:
-            notice = _decoder.decode(payload)
-        except msgspec.DecodeError as exc:
+            notice = decode_notice(payload)
+        except NoticeFormatError as exc:
             fields = {"peer": link.peer, "reason": str(exc)}
             self._emit(Event(EventCode.PEER_MESSAGE_DROPPED, fields))
             return
@@ -364,7 +363,7 @@
                 self._take_status(link, notice)
             case FetchNotice():
                 state = self._directory.export(notice.version)
-                link.send_notice(_encoder.encode(state))
+                link.send_notice(encode_notice(state))
             case StateNotice():
                 self._take_state(link, notice)
             case ChangeNotice():
@@ -390,7 +389,7 @@
         own = self._directory.revision
         if notice.needs_state and notice.revision < own:
             # It asks for the state once it knows that there is a newer one.
-            link.send_notice(_encoder.encode(self._make_status()))
+            link.send_notice(encode_notice(self._make_status()))
         elif notice.revision > own:
             self._note_behind(link, now)
         else:
@@ -410,7 +409,7 @@
             self._fetched_at = now
             document = self._directory.document
             version = 0 if document is None else document.version
-            link.send_notice(_encoder.encode(FetchNotice(version)))
+            link.send_notice(encode_notice(FetchNotice(version)))
 
     def _take_state(self, link: Link, notice: StateNotice) -> None:
         now = monotonic()
--- a/packages/node/src/mangowell_node/platform/document.py
+++ b/packages/node/src/mangowell_node/platform/document.py
@@ -1,5 +1,7 @@
 """Values that the operators and the workers write to the store."""
 
+from typing import Any
+
 import msgspec
 
 from mangowell_core.mesh.model import (
@@ -49,10 +51,23 @@
     idle_timeout: str
 
 
+class _Table(msgspec.Struct):
+    columns: list[str]  # names of the fields, one of them `name`
+    rows: list[list[Any]]
+
+    def convert(self, kind: type) -> dict[str, Any]:
+        """Return the rows as values of a type, by name."""
+        at = self.columns.index("name")
+        return {
+            row[at]: msgspec.convert(dict(zip(self.columns, row, strict=True)), kind)
+            for row in self.rows
+        }
+
+
 class _Document(msgspec.Struct):
     version: int
-    routes: dict[str, _Route]
-    services: dict[str, _Service]
+    routes: _Table
+    services: _Table
     limits: _Limits
 
 
@@ -88,19 +103,22 @@
     """
     try:
         raw = _documents.decode(value)
-        routes = tuple(_make_route(name, r) for name, r in raw.routes.items())
+        routes = tuple(
+            _make_route(name, route)
+            for name, route in raw.routes.convert(_Route).items()
+        )
+        services = tuple(
+            MeshService(name, service.max_connections)
+            for name, service in raw.services.convert(_Service).items()
+        )
         limits = CallerLimits(
             raw.limits.max_header_bytes,
             raw.limits.max_body_bytes,
             parse_duration(raw.limits.header_timeout),
             parse_duration(raw.limits.idle_timeout),
         )
-    except (msgspec.DecodeError, ValueError, KeyError) as exc:
+    except (msgspec.DecodeError, ValueError, KeyError, TypeError) as exc:
         raise PlatformFormatError(f"document: {exc}") from exc
-    services = tuple(
-        MeshService(name, service.max_connections)
-        for name, service in raw.services.items()
-    )
     return MeshDocument(raw.version, routes, services, limits)
 
 
--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -20,12 +20,15 @@
     return json.dumps(
         {
             "version": version,
-            "routes": routes
-            or {"r1": make_route(), "r2": make_route("/pay/", "unsafe")},
-            "services": {
-                name: {"health-path": "/healthz", "max-connections": 60}
-                for name in services
-            },
+            "routes": make_table(
+                routes or {"r1": make_route(), "r2": make_route("/pay/", "unsafe")}
+            ),
+            "services": make_table(
+                {
+                    name: {"health-path": "/healthz", "max-connections": 60}
+                    for name in services
+                }
+            ),
             "limits": {
                 "max-header-bytes": 16384,
                 "max-body-bytes": 1_000_000,
@@ -37,6 +40,17 @@
     ).encode()
 
 
+def make_table(items):
+    columns = ["name"]
+    for item in items.values():
+        columns += [field for field in item if field not in columns]
+    rows = [
+        [name, *(item.get(field) for field in columns[1:])]
+        for name, item in items.items()
+    ]
+    return {"columns": columns, "rows": rows}
+
+
 def make_route(prefix="/", kind="safe", **fields):
     return {
         "hostname": HOST,
