Offer a request to four busy workers at most

Ruled out: the processor (0.06 of a core a node). Change: core module mesh/offers.py: after four refusals, or half of the objective, the request is refused with the time after which it may return. Services of four workers and fewer are served as before.

--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from http import HTTPStatus
 from time import monotonic
 
 from mangowell_core.events import Event, EventCode
@@ -14,6 +15,7 @@
     Placement,
     RetryBudget,
 )
+from mangowell_core.mesh.offers import may_offer
 from mangowell_core.mesh.placement import LoadReport
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause, Outcome, Refusal
@@ -69,6 +71,7 @@
         "has_cleared",
         "head",
         "may_have_run",
+        "refusals",
         "route",
         "service",
     )
@@ -82,6 +85,8 @@
         self.excluded: set[str] = set()
         # Attempts that may have reached a worker.
         self.attempts = 0
+        # Workers that were too busy.
+        self.refusals = 0
         self.has_cleared = False
         self.may_have_run = False
         self.answer: Answer | None = None
@@ -166,6 +171,9 @@
                         )
                     )
                 return
+            elapsed_s = now - state.call.arrived
+            if not may_offer(state.refusals, elapsed_s, state.route.objective_s):
+                return
             if state.may_have_run or state.attempts:
                 if not self._may_repeat(state, now):
                     return
@@ -230,6 +238,7 @@
         except AttemptError as exc:
             self._learn_error(endpoint, exc)
             is_unsent = exc.refusal.outcome is Outcome.NOT_RUN
+            state.refusals += exc.refusal.cause is Cause.OVERLOADED
             if is_unsent:
                 state.attempts -= 1
                 state.may_have_run = ran_before
@@ -244,6 +253,7 @@
             placement.note_load(endpoint, load, now)
         if answer.head.is_not_run:
             placement.note_failure(endpoint, now)
+            state.refusals += answer.head.status != HTTPStatus.MISDIRECTED_REQUEST
             state.may_have_run = ran_before
             state.answer = answer
             return False
--- a/tests/mesh/test_decisions.py
+++ b/tests/mesh/test_decisions.py
@@ -16,6 +16,7 @@
     Verdict,
 )
 from mangowell_core.mesh.model import CallerLimits, MeshDocument
+from mangowell_core.mesh.offers import MAX_REFUSALS, may_offer
 from mangowell_core.mesh.placement import LoadReport, find_late_chance
 from mangowell_core.mesh.routes import PartChooser, RouteTable
 
@@ -433,3 +434,20 @@
     ledger.clear("r")
     ledger.note("r", "w2/1", 1.0)
     assert not ledger.is_refused("r", 1.0)
+
+
+# Offers
+
+
+def test_full_service_is_not_gone_round():
+    """Each refused offer costs a round trip on links that are full as well."""
+    assert may_offer(0, 9.0, 0.5)
+    offers = 1
+    while may_offer(offers, offers * 0.01, 0.5):
+        offers += 1
+    assert offers == MAX_REFUSALS
+
+
+def test_offer_that_comes_too_late_is_not_made():
+    assert may_offer(1, 0.2, 0.5)
+    assert not may_offer(1, 0.3, 0.5)
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from mangowell_core.mesh.offers import MAX_REFUSALS
 from mesh.support_mesh import (
     answer_with_id,
     make_document,
@@ -495,3 +496,36 @@
         seen = play_in_turn(machines, close, shed_request)
         answer = await machines[0].call()
         assert (answer.status, len(seen)) == (502, 2)
+
+
+async def test_overload_of_many_workers_is_refused_after_a_few_offers():
+    """A request went round 16 of 31 full workers until its time limit."""
+    gate = asyncio.Event()
+
+    async def hold(request):
+        await gate.wait()
+        return await answer_with_id()(request)
+
+    async with run_mesh(7) as (_, machines):
+        first = machines[0]
+        for machine in machines:
+            machine.worker.handler = hold
+            machine.node.runner.admission.limit = 1
+        held = [
+            asyncio.create_task(first.call(request=f"held-{n}", timeout_ms=5000))
+            for n in range(40)
+        ]
+        await until(lambda: sum(t.done() for t in held) > 5)
+        started = time.monotonic()
+        answer = await first.call(request="late")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert time.monotonic() - started < 0.75  # half of its time limit
+        (refused,) = [
+            e["fields"]
+            for e in first.find("call_refused")
+            if e["fields"]["request"] == "late"
+        ]
+        assert len(refused["tried"].split(",")) <= MAX_REFUSALS
+        gate.set()
+        await asyncio.gather(*held)
