--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -250,7 +250,7 @@
             self._on_change()
 
     def _report_changes(self, link: Link, changes: ChangeNotice) -> None:
-        fields = {"revision": changes.revision, "peer": link.peer}
+        fields = {"revision": changes.revision, "peer": link.address[0]}
         if changes.delta is not None:
             version = {"version": changes.delta.version}
             self._emit(Event(EventCode.VERSION_APPLIED, version | fields))
@@ -355,7 +355,7 @@
         try:
             notice = decode_notice(payload)
         except NoticeFormatError as exc:
-            fields = {"peer": link.peer, "reason": str(exc)}
+            fields = {"peer": link.address[0], "reason": str(exc)}
             self._emit(Event(EventCode.PEER_MESSAGE_DROPPED, fields))
             return
         match notice:
@@ -417,7 +417,7 @@
         if not self._directory.adopt(notice, now):
             return
         self._behind_since = 0.0
-        fields = {"peer": link.peer, "revision": notice.state.revision}
+        fields = {"peer": link.address[0], "revision": notice.state.revision}
         self._emit(Event(EventCode.REPAIR_FETCH, fields))
         self._on_change()
         if not was_away:
--- a/tests/mesh/test_feed.py
+++ b/tests/mesh/test_feed.py
@@ -102,6 +102,10 @@
             2.0,
         )
         assert store.calls - calls <= 4
+        # Operators find by this who told a node what it runs.
+        told = [m for m in machines if not m.node._feed.is_up]
+        peers = {m.find("version_applied")[-1]["fields"]["peer"] for m in told}
+        assert peers <= {m.host for m in machines}
         assert all([(await m.call("/new/x")).status == 200 for m in machines])
 
 
