Tell other domains of new revisions at once, and catch up in 0.6 s

Other zones' revisions came every 2 s only, and a status of an equally old node reset the time that a node had been behind. Change: the node that tells its domain tells the others its new revision; a node that stays behind a seen revision for 0.6 s asks who has it. A test with two silent stores failed before and passes.

--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -119,6 +119,10 @@
         self._opening: dict[str, asyncio.Task] = {}
         # Failure domains by host, also of nodes whose worker is not listed.
         self._domains: dict[str, str] = {}
+        # Highest revision that another node was seen at, by which link, and since
+        # when this node has been behind.
+        self._seen_revision = 0
+        self._ahead: Link | None = None
         self._behind_since = 0.0
         self._fetched_at = float("-inf")
         # The own worker's crashes, each with the time until which it is repeated.
@@ -231,9 +235,12 @@
         if changes is None:
             return
         payload = encode_notice(changes)
+        # Other domains hear the revision only: both of their readers may follow
+        # a store that is silent to them.
+        status = encode_notice(self._make_status())
         for link in list(self._server.links):
-            if link.peer_is_known and not link.closed and self._is_near(link):
-                link.send_notice(payload)
+            if link.peer_is_known and not link.closed:
+                link.send_notice(payload if self._is_near(link) else status)
 
     def _take_changes(self, link: Link, changes: ChangeNotice) -> None:
         directory = self._directory
@@ -295,6 +302,7 @@
             self._links.check(monotonic())
             self.keep_links()
             self._elect()
+            self._catch_up(monotonic())
 
     def keep_links(self) -> None:
         """Open the links to listed nodes that are not open."""
@@ -391,17 +399,25 @@
             # It asks for the state once it knows that there is a newer one.
             link.send_notice(encode_notice(self._make_status()))
         elif notice.revision > own:
-            self._note_behind(link, now)
-        else:
-            self._behind_since = 0.0
+            self._note_behind(link, notice.revision, now)
 
-    def _note_behind(self, link: Link, now: float) -> None:
-        if not self._behind_since:
+    def _note_behind(self, link: Link, revision: int, now: float) -> None:
+        """Learn that another node knows more."""
+        if self._directory.revision >= self._seen_revision:
+            # This node had caught up with what was seen before.
             self._behind_since = now
-        is_late = now - self._behind_since >= BEHIND_S
-        if is_late or not self._has_state:
+        self._seen_revision = max(self._seen_revision, revision)
+        self._ahead = link
+        if not self._has_state:
             self._fetch(link)
 
+    def _catch_up(self, now: float) -> None:
+        """Ask the node that knows more, if no reader has told it in time."""
+        if self._ahead is None or self._directory.revision >= self._seen_revision:
+            return
+        if now - self._behind_since >= BEHIND_S and not self._ahead.closed:
+            self._fetch(self._ahead)
+
     def _fetch(self, link: Link) -> None:
         """Ask another node for the state, unless one was asked a moment ago."""
         now = monotonic()
@@ -416,7 +432,6 @@
         was_away = self._directory.is_away
         if not self._directory.adopt(notice, now):
             return
-        self._behind_since = 0.0
         fields = {"peer": link.address[0], "revision": notice.state.revision}
         self._emit(Event(EventCode.REPAIR_FETCH, fields))
         self._on_change()
--- a/tests/mesh/test_feed.py
+++ b/tests/mesh/test_feed.py
@@ -141,3 +141,30 @@
         await until(
             lambda: all(m.node.directory.document.version == 7 for m in machines), 2.0
         )
+
+
+async def test_domain_whose_readers_hear_nothing_is_told_by_another_domain():
+    """The store was silent to both readers of a domain, and served the others."""
+    async with run_mesh(7, zones=("a", "b")) as (store, machines):
+        await wait_for_readers(machines, 4)
+        readers = [m for m in machines if m.node._feed.is_up]
+        silent = [m for m in readers if m.zone == "b"]
+        others = [m for m in machines if m not in silent]
+        stores = [SilentStore() for _ in silent]
+        for machine, silent_store in zip(silent, stores, strict=True):
+            machine.node._feed._store = silent_store
+        await until(lambda: all(s.is_watched for s in stores))
+        store.put("op/config", make_document(7))
+        await until(
+            lambda: all(m.node.directory.document.version == 7 for m in others), 2.0
+        )
+
+
+class SilentStore:
+    """Store that answers a watch no more."""
+
+    is_watched = False
+
+    async def watch(self, revision):
+        self.is_watched = True
+        await asyncio.sleep(3600)
