Hand out test ports that are free on every loopback address

Cause: two of 48 runs of mesh tests, four side by side, ended with 'address already in use' on 127.0.0.2. find_port asked 127.0.0.1 only, while the nodes of a mesh listen on 127.0.0.2 and above. Change: the port has to be free on all addresses. No code of the node changes. Measured: a test with a listener on 127.0.0.2 failed before and passes.

--- a/tests/node/support_calls.py
+++ b/tests/node/support_calls.py
@@ -69,7 +69,8 @@
 def find_port() -> int:
     for port in _ports:
         with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
+            # All addresses: nodes of a mesh listen on several of loopback.
+            sock.bind(("", port))
             return port
     raise AssertionError("no free port")
 
--- a/tests/node/test_standins.py
+++ b/tests/node/test_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 
 import aiohttp
 
@@ -14,6 +15,8 @@
 from mangowell_standins.callers import Callers, CallKind
 from mangowell_standins.config_service import ConfigService, RateLimit, SourceFault
 from mangowell_standins.reach import DomainReach, Partition, address_of
+from node import support_calls
+from node.support_calls import find_port
 
 
 async def read(session, url, key="documents/test", after="", wait_ms=0):
@@ -147,3 +150,13 @@
         async with new.get(url) as response:
             assert response.status == 200
     await server.stop()
+
+
+def test_port_in_use_on_another_loopback_address_is_not_handed_out(monkeypatch):
+    """Runs side by side met "address already in use" on 127.0.0.2."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.2", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        monkeypatch.setattr(support_calls, "_ports", iter([port, find_port()]))
+        assert find_port() != port
