Claim a block of ports for each test run

Runs with near process numbers walked the same ports in step, and met between the check of a port and its use. Change: a run claims 1,800 ports by a socket that ends with its process. No code of the node changes.

--- a/tests/node/support_calls.py
+++ b/tests/node/support_calls.py
@@ -3,10 +3,10 @@
 import asyncio
 import contextlib
 import itertools
-import os
 import random
 import re
 import socket
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from mangowell_core.distribution.io import Peer
@@ -63,7 +63,27 @@
 QUIET_S = 2 * SETTLE_S
 ASKING_S = (START_HOLD_S + SETTLE_S) / 2
 # Below the range from which the system takes ports of outgoing connections.
-_ports = itertools.cycle(range(12_000 + os.getpid() % 1000 * 17, 30_000))
+PORTS = range(12_000, 30_000)
+BLOCK = 1800  # ports of one process; about ten test runs may go on at once
+
+
+def claim_ports() -> tuple[socket.socket, Iterator[int]]:
+    """Claim a block of ports that no other test run uses.
+
+    The claim is a socket of the abstract namespace, which ends with the process.
+    """
+    for first in PORTS[::BLOCK]:
+        claim = socket.socket(socket.AF_UNIX)
+        try:
+            claim.bind(f"\0mangowell-tests-{first}")
+        except OSError:
+            claim.close()
+            continue
+        return claim, itertools.cycle(range(first, first + BLOCK))
+    raise AssertionError("every block of ports is claimed by another test run")
+
+
+_claim, _ports = claim_ports()
 
 
 def find_port() -> int:
--- a/tests/node/test_standins.py
+++ b/tests/node/test_standins.py
@@ -160,3 +160,12 @@
         port = taken.getsockname()[1]
         monkeypatch.setattr(support_calls, "_ports", iter([port, find_port()]))
         assert find_port() != port
+
+
+def test_runs_side_by_side_take_different_ports():
+    """Two suites walked the same ports in step and met between check and use."""
+    claim, ports = support_calls.claim_ports()
+    with claim:
+        others = {next(ports) for _ in range(support_calls.BLOCK)}
+    own = {next(support_calls._ports) for _ in range(support_calls.BLOCK)}
+    assert not own & others
