--- a/packages/core/src/mangowell_core/mesh/retry_budget.py
+++ b/packages/core/src/mangowell_core/mesh/retry_budget.py
@@ -101,7 +101,7 @@
     ----------
     ratio : float
         Allowed arrivals beyond the first, as a share of the requests.
-    floor : int
+    floor : float
         Arrivals allowed in each window in addition to that share.
     window_s : float
         Length of the window, in seconds.
@@ -118,7 +118,7 @@
         "_rng",
     )
 
-    def __init__(self, ratio: float, floor: int, window_s: float, rng):
+    def __init__(self, ratio: float, floor: float, window_s: float, rng):
         self._rng = rng
         self._assigned_ratio = ratio * ASSIGNED_SHARE
         self._assigned_floor_per_s = floor * ASSIGNED_SHARE / window_s
--- a/packages/core/src/mangowell_core/mesh/settings.py
+++ b/packages/core/src/mangowell_core/mesh/settings.py
@@ -1,7 +1,9 @@
 """Settings of a node on the platform, read from an INI file.
 
 The platform generates the file from a template in ``deploy/`` at each start and
-whenever a value changes.
+whenever a value changes. Names and addresses are required. Any other value that
+cannot be used is replaced by a default that keeps the platform's bounds, because a
+fleet that does not start serves nothing.
 """
 
 import configparser
@@ -10,6 +12,12 @@
 import msgspec
 from result import Err, Ok, Result
 
+# Replaces an unusable grace period, in seconds. A node that stops too early finishes
+# fewer requests; one that stops too late is killed with all that are open.
+DEFAULT_GRACE_S = 5.0
+# Replaces an unusable window of the retry budget, in seconds.
+DEFAULT_RETRY_WINDOW_S = 10.0
+
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _UNIT_S = {"ms": 0.001, "s": 1.0}
 
@@ -44,10 +52,12 @@
         Time between SIGTERM and SIGKILL, in seconds.
     retry_ratio : float
         Retries allowed to all nodes, as a share of the requests.
-    retry_floor : int
+    retry_floor : float
         Retries allowed to all nodes in each window in addition to that share.
     retry_window_s : float
         Length of the window, in seconds.
+    warnings : tuple of str
+        One message for each value that was replaced by its default.
     """
 
     instance: str
@@ -62,8 +72,9 @@
     link_mbps: float
     grace_s: float
     retry_ratio: float
-    retry_floor: int
+    retry_floor: float
     retry_window_s: float
+    warnings: tuple[str, ...] = ()
 
 
 def parse_mesh_settings(text: str, filename: str) -> Result[MeshSettings, list[str]]:
@@ -88,18 +99,28 @@
         return Err([f"{filename}: {exc}"])
     values = {}
     errors = []
-    for field, (section, parse) in _FIELDS.items():
-        raw = parser.get(section, field, fallback=None)
-        if raw is None or not raw.strip():
-            errors.append(f"{filename}: [{section}] {field}: missing")
-            continue
+    warnings = []
+    for field, (section, parse, default) in _FIELDS.items():
+        raw = parser.get(section, field, fallback="").strip()
         try:
-            values[field] = parse(raw.strip())
+            values[field] = parse(raw)
         except ValueError as exc:
-            errors.append(f"{filename}: [{section}] {field}={raw!r}: {exc}")
+            shown = f"{field}={raw!r}: {exc}" if raw else f"{field}: missing"
+            message = f"{filename}: [{section}] {shown}"
+            if default is None:
+                errors.append(message)
+            else:
+                values[field] = default
+                warnings.append(f"{message}; {default} is used")
     if errors:
         return Err(errors)
-    return Ok(MeshSettings(**values))
+    return Ok(MeshSettings(**values, warnings=tuple(warnings)))
+
+
+def _parse_name(text: str) -> str:
+    if not text:
+        raise ValueError("must not be empty")
+    return text
 
 
 def _parse_address(text: str) -> Address:
@@ -123,6 +144,13 @@
     return float(match[1]) * _UNIT_S[match[2]]
 
 
+def _parse_window(text: str) -> float:
+    window_s = parse_duration(text)
+    if not window_s:
+        raise ValueError("must be longer than 0")
+    return window_s
+
+
 def _parse_count(text: str) -> int:
     value = int(text)
     if value < 0:
@@ -137,19 +165,21 @@
     return value
 
 
+# Section, parser and default of each field; a field without a default is required.
+# Without a usable bound of the retries, none are made.
 _FIELDS = {
-    "instance": ("node", str),
-    "failure_domain": ("node", str),
-    "service": ("node", str),
-    "callers": ("listen", _parse_address),
-    "ready": ("listen", _parse_address),
-    "link": ("listen", _parse_address),
-    "metrics_port": ("listen", _parse_count),
-    "link_mbps": ("node", _parse_number),
-    "worker": ("worker", _parse_address),
-    "store": ("store", _parse_address),
-    "grace_s": ("bounds", parse_duration),
-    "retry_ratio": ("retries", _parse_number),
-    "retry_floor": ("retries", _parse_count),
-    "retry_window_s": ("retries", parse_duration),
+    "instance": ("node", _parse_name, None),
+    "failure_domain": ("node", _parse_name, None),
+    "service": ("node", _parse_name, None),
+    "callers": ("listen", _parse_address, None),
+    "ready": ("listen", _parse_address, None),
+    "link": ("listen", _parse_address, None),
+    "metrics_port": ("listen", _parse_count, None),
+    "link_mbps": ("node", _parse_number, 0.0),
+    "worker": ("worker", _parse_address, None),
+    "store": ("store", _parse_address, None),
+    "grace_s": ("bounds", parse_duration, DEFAULT_GRACE_S),
+    "retry_ratio": ("retries", _parse_number, 0.0),
+    "retry_floor": ("retries", _parse_number, 0.0),
+    "retry_window_s": ("retries", _parse_window, DEFAULT_RETRY_WINDOW_S),
 }
--- a/packages/node/src/mangowell_node/mesh/program.py
+++ b/packages/node/src/mangowell_node/mesh/program.py
@@ -62,6 +62,7 @@
         match parse_mesh_settings(text, str(self._path)):
             case Ok(settings) if settings != self._settings:
                 self._settings = settings
+                emit_replaced_settings(settings, self._telemetry)
                 self._node.reload(settings)
             case Err(errors):
                 self._emit_refused("; ".join(errors))
@@ -78,11 +79,18 @@
             return 0
 
 
+def emit_replaced_settings(settings: MeshSettings, telemetry: Telemetry) -> None:
+    """Emit an event for each value that was replaced by its default."""
+    for reason in settings.warnings:
+        telemetry.emit(Event(EventCode.SETTING_REPLACED, {"reason": reason}))
+
+
 async def run(path: Path) -> None:
     """Run the node until SIGTERM or SIGINT."""
     settings = load_settings(path, parse_mesh_settings)
     log = EventLog(settings.instance)
     telemetry = Telemetry(settings.instance, EVENTS_KEPT, sink=log.write)
+    emit_replaced_settings(settings, telemetry)
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, ctx: _emit_fault(telemetry, ctx))
     node = MeshNode.from_settings(settings, telemetry)
