--- a/packages/core/src/mangowell_core/mesh/admission.py
+++ b/packages/core/src/mangowell_core/mesh/admission.py
@@ -144,6 +144,58 @@
             The last is the time in seconds after which a refused request may be
             sent again, and 0 for other requests.
         """
+        ticket, latest_start_on_arrival = self._make_ticket(
+            request, route, rank, objective_s, deadline, now
+        )
+        self._offer_count += 1
+        decision, delay_s = self._decide(ticket, latest_start_on_arrival, deadline, now)
+        match decision:
+            case AdmissionDecision.RUN:
+                self._start(ticket, now)
+            case AdmissionDecision.WAIT:
+                insort(self._queue, ticket)
+                delay_s = 0.0
+        return decision, ticket, delay_s
+
+    def predict(
+        self, route: str, rank: int, objective_s: float, deadline: float, now: float
+    ) -> tuple[AdmissionDecision, float]:
+        """Return what `offer` would decide, without admitting the request.
+
+        Takes the parameters of `offer`.
+
+        Returns
+        -------
+        AdmissionDecision, float
+            The last is the expected wait of an admitted request, or the time
+            after which a refused one may be sent again, in seconds.
+        """
+        ticket, latest_start_on_arrival = self._make_ticket(
+            "", route, rank, objective_s, deadline, now
+        )
+        return self._decide(ticket, latest_start_on_arrival, deadline, now)
+
+    def estimate_work(self, route: str, now: float) -> float:
+        """Return the mean work of a request of `route` here, in seconds.
+
+        A worker that has stopped answering completes nothing, so its mean stays low.
+        The age of the requests that it runs is therefore a lower bound.
+
+        Returns
+        -------
+        float
+            0 if no request of the route has been completed yet.
+        """
+        work_s = self._mean_work_s.get(route, 0.0)
+        if not self._running:
+            return work_s
+        age_s = sum(now - ticket.started for ticket in self._running)
+        return max(work_s, age_s / len(self._running))
+
+    def _make_ticket(
+        self, request, route, rank, objective_s, deadline, now
+    ) -> tuple[Ticket, float]:
+        """Build the ticket of a request, and its latest start if it has to wait."""
         work_s = self._mean_work_s.get(route, INITIAL_WORK_S)
         latest_start_on_arrival = latest_start_in_queue = deadline - work_s
         if objective_s > 0:
@@ -157,23 +209,24 @@
                 latest_start_in_queue,
                 now + max(slack_s * QUEUED_WAIT_SHARE, min_wait_s),
             )
-        self._offer_count += 1
         sort_key = (rank, self._offer_count)
         ticket = Ticket(request, route, sort_key, latest_start_in_queue, work_s, now)
+        return ticket, latest_start_on_arrival
+
+    def _decide(
+        self, ticket: Ticket, latest_start: float, deadline: float, now: float
+    ) -> tuple[AdmissionDecision, float]:
+        """Decide on a new request; the delay is that of `predict`."""
         if now >= deadline:
-            return AdmissionDecision.REFUSED, ticket, MIN_RETRY_AFTER_S
+            return AdmissionDecision.REFUSED, MIN_RETRY_AFTER_S
         if len(self._running) < self.limit and not self._queue:
-            self._start(ticket, now)
-            return AdmissionDecision.RUN, ticket, 0.0
-        expected_start = now + self._estimate_wait(ticket)
-        if expected_start > latest_start_on_arrival:
-            return (
-                AdmissionDecision.REFUSED,
-                ticket,
-                _clamp_retry_after(expected_start - latest_start_on_arrival),
+            return AdmissionDecision.RUN, 0.0
+        wait_s = self._estimate_wait(ticket)
+        if now + wait_s > latest_start:
+            return AdmissionDecision.REFUSED, _clamp_retry_after(
+                now + wait_s - latest_start
             )
-        insort(self._queue, ticket)
-        return AdmissionDecision.WAIT, ticket, 0.0
+        return AdmissionDecision.WAIT, wait_s
 
     def finish(self, ticket: Ticket, has_run: bool, now: float) -> list[Ticket]:
         """Release the slot of a request; return the requests that start now.
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -284,4 +284,72 @@
     fingerprints: tuple[str, ...]
 
 
-Notice = StatusNotice | FetchNotice | StateNotice | ChangeNotice | CrashNotice
+class ProbeNotice(msgspec.Struct, frozen=True, tag=True):
+    """Question to the node beside a worker when a request would start there.
+
+    Parameters
+    ----------
+    probe : int
+        Number that the answer repeats; unique at the sender.
+    instance : str
+        Id of the worker.
+    route : str
+        Name of the request's route.
+    priority : int
+        Priority of the request.
+    objective_s : float
+        Time within which an answer has its full value, in seconds.
+    remaining_s : float
+        Time until the deadline of the request, in seconds.
+    is_call : bool
+        Whether a worker made the request while running another one.
+    """
+
+    probe: int
+    instance: str
+    route: str
+    priority: int
+    objective_s: float
+    remaining_s: float
+    is_call: bool
+
+
+class ProbeReply(msgspec.Struct, frozen=True, tag=True):
+    """Prediction for one request by the node beside a worker.
+
+    Parameters
+    ----------
+    probe : int
+        Number of the probe.
+    accepted : bool
+        Whether the request would run or wait; otherwise it would be refused.
+    delay_s : float
+        Expected wait for a slot, or if refused the time after which the request
+        may be sent again, in seconds.
+    work_s : float
+        Mean time that the worker takes for a request of the route, in seconds;
+        0 if it has not completed any.
+    failure_rate : float
+        Share of the latest requests that the worker has failed.
+    pending, limit : int
+        Requests that run or wait at the worker, and its number of slots.
+    """
+
+    probe: int
+    accepted: bool
+    delay_s: float
+    work_s: float
+    failure_rate: float
+    pending: int
+    limit: int
+
+
+Notice = (
+    StatusNotice
+    | FetchNotice
+    | StateNotice
+    | ChangeNotice
+    | CrashNotice
+    | ProbeNotice
+    | ProbeReply
+)
--- a/packages/core/src/mangowell_core/mesh/placement.py
+++ b/packages/core/src/mangowell_core/mesh/placement.py
@@ -16,16 +16,14 @@
 
 import math
 from collections.abc import Callable, Iterable
+from heapq import nsmallest
 
-from mangowell_core.mesh.model import Endpoint
+from mangowell_core.mesh.failure_rate import FailureRate
+from mangowell_core.mesh.model import Endpoint, ProbeReply
 
 # Weight of the newest observation in each exponential moving average.
 WORK_GAIN = 0.05
 SLOWNESS_GAIN = 0.1
-FAILURE_GAIN = 0.15
-# Time constant of the decay of a worker's failure rate, seconds: after this time
-# the rate has lost about two thirds of its value.
-FAILURE_TIME_CONSTANT_S = 4.0
 # Work assumed for a service without an answer so far, seconds.
 INITIAL_WORK_S = 0.1
 # Bounds of a worker's slowness, which is its work relative to the route's mean.
@@ -52,6 +50,9 @@
 # Backoff after a failed connection, doubled at each further failure, seconds.
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.6
+# Lower bound of the objective in the scale of a sample, so that requests without an
+# objective explore too, in seconds.
+MIN_EXPLORED_OBJECTIVE_S = 0.1
 # Age above which a load report is ignored, seconds.
 MAX_LOAD_AGE_S = 1.0
 
@@ -102,7 +103,6 @@
         "backoff_until",
         "born_ms",
         "failure_rate",
-        "failure_rate_updated_at",
         "in_flight",
         "in_flight_at_report",
         "limit",
@@ -121,18 +121,10 @@
         self.limit = max(1, slots)
         self.reported_at = float("-inf")
         self.slowness = 1.0
-        self.failure_rate = 0.0
-        self.failure_rate_updated_at = 0.0
+        self.failure_rate = FailureRate()
         self.backoff_until = 0.0
         self.backoff_s = FIRST_BACKOFF_S
 
-    def estimate_failure_rate(self, now: float) -> float:
-        if self.failure_rate < 0.01:
-            return 0.0
-        return self.failure_rate * math.exp(
-            (self.failure_rate_updated_at - now) / FAILURE_TIME_CONSTANT_S
-        )
-
     def estimate_pending(self, now: float) -> int:
         if now - self.reported_at > MAX_LOAD_AGE_S:
             return self.in_flight
@@ -212,8 +204,61 @@
         Endpoint or None
             None if there is no eligible worker.
         """
-        best = None
-        best_cost = math.inf
+        costs = self._estimate_costs(
+            endpoints, route, objective_s, excluded, now, get_suspicion
+        )
+        return min(
+            costs,
+            key=lambda pair: pair[0] * (1.0 + 0.02 * self._rng.random()),
+            default=(0.0, None),
+        )[1]
+
+    def sample_workers(
+        self,
+        endpoints: Iterable[Endpoint],
+        route: str,
+        objective_s: float,
+        excluded: set[str],
+        now: float,
+        get_suspicion: Callable[[str], bool | None],
+        count: int,
+        exploration: float,
+    ) -> list[Endpoint]:
+        """Return different workers at random, preferably those of low cost.
+
+        All nodes that know equally little would otherwise ask the same few workers.
+
+        Parameters
+        ----------
+        endpoints, route, objective_s, excluded, now, get_suspicion
+            As in `select_worker`.
+        count : int
+            Maximum number of workers.
+        exploration : float
+            Difference of cost, in objectives, at which the chance to be drawn
+            falls to 1/e.
+
+        Returns
+        -------
+        list of Endpoint
+        """
+        # The lowest values of cost less Gumbel noise are a sample without
+        # replacement whose weights fall exponentially with the cost.
+        scale = exploration * max(objective_s, MIN_EXPLORED_OBJECTIVE_S)
+        costs = self._estimate_costs(
+            endpoints, route, objective_s, excluded, now, get_suspicion
+        )
+        noisy = (
+            (cost + scale * math.log(self._rng.expovariate(1.0)), index, endpoint)
+            for index, (cost, endpoint) in enumerate(costs)
+        )
+        return [endpoint for _, _, endpoint in nsmallest(count, noisy)]
+
+    def _estimate_costs(
+        self, endpoints, route, objective_s, excluded, now, get_suspicion
+    ) -> list[tuple[float, Endpoint]]:
+        """Return the cost of each eligible worker."""
+        costs = []
         for endpoint in endpoints:
             if endpoint.draining or endpoint.id in excluded:
                 continue
@@ -223,10 +268,8 @@
             cost = self.estimate_cost(endpoint, route, objective_s, now)
             if is_suspect:
                 cost += SUSPECT_COST * objective_s
-            cost *= 1.0 + 0.02 * self._rng.random()
-            if cost < best_cost:
-                best, best_cost = endpoint, cost
-        return best
+            costs.append((cost, endpoint))
+        return costs
 
     def estimate_cost(
         self, endpoint: Endpoint, route: str, objective_s: float, now: float
@@ -246,8 +289,54 @@
         cost = route_work_s * slowness
         cost += slowness * service_work_s * queued / limit
         cost += slowness * service_work_s * UTILIZATION_COST * min(1.0, pending / limit)
+        failure_rate = stats.failure_rate.estimate(now)
+        return self._add_risks(endpoint, stats, cost, failure_rate, objective_s, now)
+
+    def estimate_probed_cost(
+        self,
+        endpoint: Endpoint,
+        reply: ProbeReply,
+        route: str,
+        objective_s: float,
+        now: float,
+    ) -> float:
+        """Return the predicted cost of an attempt on a worker that was just probed.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            Worker.
+        reply : ProbeReply
+            Prediction of the node beside the worker, which accepts the request.
+        route, objective_s, now
+            As in `select_worker`.
+
+        Returns
+        -------
+        float
+            Cost, in seconds.
+        """
+        stats = self._stats_by_id.get(endpoint.id)
+        if stats is None:
+            stats = self._add_stats(endpoint, now)
+        work_s = reply.work_s
+        if not work_s:
+            work_s = self.estimate_work(route, endpoint.service) * stats.slowness
+            if now < stats.warmup_ends_at:
+                work_s *= WARMUP_SLOWDOWN
+        utilization = min(1.0, reply.pending / max(1, reply.limit))
+        cost = work_s * (1.0 + UTILIZATION_COST * utilization) + reply.delay_s
+        # Failures of links are known only here, those of the worker better there.
+        failure_rate = max(reply.failure_rate, stats.failure_rate.estimate(now))
+        return self._add_risks(endpoint, stats, cost, failure_rate, objective_s, now)
+
+    def _add_risks(
+        self, endpoint, stats, time_s, failure_rate, objective_s, now
+    ) -> float:
+        """Add to a predicted time the costs of the path, of lateness and failure."""
+        cost = time_s
         cost += LATE_COST * objective_s * estimate_late_probability(cost, objective_s)
-        cost += FAILURE_COST * objective_s * stats.estimate_failure_rate(now)
+        cost += FAILURE_COST * objective_s * failure_rate
         if endpoint.failure_domain != self._failure_domain:
             cost += CROSS_DOMAIN_COST * objective_s
         elif endpoint.host != self._host:
@@ -278,8 +367,7 @@
             return
         stats.backoff_until = 0.0
         stats.backoff_s = FIRST_BACKOFF_S
-        stats.failure_rate = stats.estimate_failure_rate(now) * (1 - FAILURE_GAIN)
-        stats.failure_rate_updated_at = now
+        stats.failure_rate.record(False, now)
         route_mean_s = self._route_work_s.get(route)
         if route_mean_s is None:
             route_mean_s = self._route_work_s[route] = work_s
@@ -305,9 +393,7 @@
         """Record an attempt that the worker failed or refused."""
         stats = self._stats_by_id.get(endpoint.id)
         if stats is not None:
-            rate = stats.estimate_failure_rate(now)
-            stats.failure_rate = rate + FAILURE_GAIN * (1 - rate)
-            stats.failure_rate_updated_at = now
+            stats.failure_rate.record(True, now)
 
     def record_unreachable(self, endpoint: Endpoint, now: float) -> None:
         """Record that the worker or the node beside it is unreachable."""
--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -110,6 +110,13 @@
         """Whether no stream is open."""
         return not self._streams
 
+    def check_alive(self) -> None:
+        """Ping the peer, so that silence is found while no stream is open."""
+        if self.closed or self._check_timer is not None:
+            return
+        self._start_silence_check()
+        self._ping(monotonic())
+
     def abandon(self, reason: str) -> None:
         """Close a link that did not open, and retrieve the error of `ready`."""
         self.close(reason)
--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -326,12 +326,15 @@
         if now - self._silent_since >= REPEATABLE_SILENT_AFTER_S:
             self._fail_repeatable_streams()
         if now - self._silent_since >= PING_INTERVAL_S and not self.is_suspect:
-            self.send(FrameType.PING)
-            self._last_ping_at = now
+            self._ping(now)
         # The last check is due exactly when the silence reaches the limit.
         delay = min(PING_INTERVAL_S, self._silent_since + SILENT_AFTER_S - now)
         self._check_timer = self.loop.call_later(max(0.01, delay), self._check_silence)
 
+    def _ping(self, now: float) -> None:
+        self.send(FrameType.PING)
+        self._last_ping_at = now
+
     def _on_ping(self, stream_id: int, payload: bytes) -> None:
         self.send(FrameType.PONG)
 
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -10,23 +10,18 @@
     CrashCounter,
     Directory,
     Endpoint,
-    MeshRoute,
     MeshSettings,
     Placement,
     RetryBudget,
 )
 from mangowell_core.mesh.offers import may_offer_again
 from mangowell_core.mesh.placement import LoadReport
-from mangowell_core.policy.outcome import Stage, refuse
-from mangowell_core.policy.types import Cause, Outcome, Refusal
-from mangowell_node.exchange import (
-    Answer,
-    AttemptError,
-    RequestHead,
-    compute_fingerprint,
-)
-from mangowell_node.ingress import IncomingCall
+from mangowell_core.policy.outcome import refuse
+from mangowell_core.policy.types import Cause, Outcome
+from mangowell_node.exchange import Answer, AttemptError, compute_fingerprint
 from mangowell_node.link import Contact, LinkPool
+from mangowell_node.mesh.prober import Prober
+from mangowell_node.mesh.request_state import RequestState
 from mangowell_node.mesh.runner import WorkerRunner
 
 # Retry-After value if no worker can be reached, in seconds.
@@ -55,61 +50,6 @@
 )
 
 
-class RequestState:
-    """State of one request over all of its attempts.
-
-    Parameters
-    ----------
-    call : IncomingCall
-        Request as the caller sent it.
-    route : MeshRoute
-        Route that matches the request.
-    service : str
-        Service of the route that was selected for the request.
-    """
-
-    __slots__ = (
-        "answer",
-        "attempts",
-        "call",
-        "deadline",
-        "error",
-        "excluded",
-        "has_reset_exclusions",
-        "head",
-        "may_have_run",
-        "refusals",
-        "route",
-        "service",
-    )
-
-    def __init__(self, call: IncomingCall, route: MeshRoute, service: str):
-        self.call = call
-        self.route = route
-        self.service = service
-        self.head: RequestHead | None = None
-        self.deadline = 0.0
-        self.excluded: set[str] = set()
-        # Number of attempts that may have reached a worker.
-        self.attempts = 0
-        # Number of workers that refused the request because they were overloaded.
-        self.refusals = 0
-        self.has_reset_exclusions = False
-        self.may_have_run = False
-        self.answer: Answer | None = None
-        self.error: AttemptError | None = None
-
-    def make_refusal(self) -> Refusal:
-        """Return the refusal for a request that no worker has answered."""
-        if self.error is None:
-            return refuse(Cause.CONNECTION_LOST, "outcome unknown", stage=Stage.SENT)
-        refusal = self.error.refusal
-        if self.may_have_run and refusal.outcome is Outcome.NOT_RUN:
-            # An earlier attempt may have run, so the outcome is unknown.
-            return refuse(Cause.CONNECTION_LOST, refusal.reason, stage=Stage.SENT)
-        return refusal
-
-
 class AttemptLoop:
     """Serves the platform: sends a request to workers until there is an answer.
 
@@ -150,6 +90,9 @@
         self._crash_counter = crash_counter
         self._emit = emit
         self.placement = Placement(settings.worker.host, settings.failure_domain, rng)
+        self.prober = Prober(
+            settings, directory, runner, links, self.placement, self._is_suspect
+        )
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_floor, settings.retry_window_s, rng
         )
@@ -167,17 +110,16 @@
 
     async def run(self, state: RequestState) -> None:
         """Make attempts until there is an answer or no further attempt is allowed."""
-        route = state.route
         while True:
             now = monotonic()
-            endpoint = self.placement.select_worker(
-                self._directory.look_up_service(state.service),
-                route.name,
-                route.objective_s,
-                state.excluded,
-                now,
-                self._is_suspect,
-            )
+            elapsed_s = now - state.call.arrived_at
+            if not may_offer_again(state.refusals, elapsed_s, state.route.objective_s):
+                return
+            try:
+                endpoint = await self.prober.select_worker(state)
+            except AttemptError as exc:
+                state.error = _select_error(state.error, exc)
+                return
             if endpoint is None and self._may_reset_exclusions(state):
                 # If there is only one worker, it may have lost just a connection.
                 state.excluded.clear()
@@ -192,11 +134,8 @@
                         )
                     )
                 return
-            elapsed_s = now - state.call.arrived_at
-            if not may_offer_again(state.refusals, elapsed_s, state.route.objective_s):
-                return
             if state.may_have_run or state.attempts:
-                if not self._may_retry(state, now):
+                if not self._may_retry(state, monotonic()):
                     return
                 self._emit(
                     Event(
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -31,7 +31,8 @@
 )
 from mangowell_node.ingress import REASON_PHRASES, IncomingCall, Reply
 from mangowell_node.link import LinkPool
-from mangowell_node.mesh.attempts import AttemptLoop, RequestState
+from mangowell_node.mesh.attempts import AttemptLoop
+from mangowell_node.mesh.request_state import RequestState
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.platform import (
     PlatformDialect,
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -25,6 +25,8 @@
     ChangeNotice,
     CrashNotice,
     FetchNotice,
+    ProbeNotice,
+    ProbeReply,
     StateNotice,
     StatusNotice,
 )
@@ -39,6 +41,7 @@
     decode_notice,
     encode_notice,
 )
+from mangowell_node.mesh.prober import Prober
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.mesh.tasks import start_loop
 
@@ -87,6 +90,8 @@
         Reports the load and the crashes of the local worker.
     placement : Placement
         Receives the load of other workers.
+    prober : Prober
+        Receives probes and their replies.
     budget : RetryBudget
         Receives the demand of other nodes.
     links : LinkPool
@@ -109,6 +114,7 @@
         directory: Directory,
         runner: WorkerRunner,
         placement: Placement,
+        prober: Prober,
         budget: RetryBudget,
         links: LinkPool,
         server: LinkServer,
@@ -121,6 +127,7 @@
         self._directory = directory
         self._runner = runner
         self._placement = placement
+        self._prober = prober
         self._budget = budget
         self._links = links
         self._server = server
@@ -409,6 +416,10 @@
             self._emit(Event(EventCode.PEER_MESSAGE_DROPPED, fields))
             return
         match notice:
+            case ProbeNotice():
+                self._prober.answer_probe(link, notice)
+            case ProbeReply():
+                self._prober.record_reply(notice)
             case StatusNotice():
                 self._handle_status(link, notice)
             case FetchNotice():
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -75,6 +75,7 @@
             directory,
             self.runner,
             self.gateway.attempts.placement,
+            self.gateway.attempts.prober,
             self.gateway.attempts.budget,
             self._links,
             self._link_server,
--- /dev/null
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -0,0 +1,225 @@
+"""Asks the nodes beside a few workers for their load before a request is sent."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from time import monotonic
+
+from mangowell_core.mesh import Directory, Endpoint, MeshSettings, Placement
+from mangowell_core.mesh.model import ProbeNotice, ProbeReply
+from mangowell_core.mesh.placement import LoadReport
+from mangowell_core.mesh.probing import (
+    MAX_REPLY_WAIT_S,
+    MAX_REPLY_WAIT_WHEN_FREE_S,
+    PROBE_ROUNDS,
+    ProbePlan,
+    ProbeResults,
+)
+from mangowell_core.policy.outcome import refuse
+from mangowell_core.policy.types import Cause
+from mangowell_node.exchange import AttemptError
+from mangowell_node.link import LinkPool
+from mangowell_node.link.connection import Link
+from mangowell_node.mesh.notices import encode_notice
+from mangowell_node.mesh.request_state import RequestState
+from mangowell_node.mesh.runner import WorkerRunner
+
+
+class _Round:
+    """Probes of one request that are waiting for replies.
+
+    Parameters
+    ----------
+    results : ProbeResults
+        Receives the replies.
+    """
+
+    __slots__ = ("_end", "_loop", "_timer", "results", "unanswered")
+
+    def __init__(self, results: ProbeResults):
+        self._loop = asyncio.get_running_loop()
+        self._end = self._loop.create_future()
+        self._timer = self._loop.call_later(MAX_REPLY_WAIT_S, self._finish)
+        self.results = results
+        self.unanswered: dict[int, tuple[Endpoint, Link]] = {}
+
+    def update(self) -> None:
+        """Adapt the wait to the replies that have arrived."""
+        if not self.unanswered:
+            self._finish()
+        elif self.results.has_free_worker:
+            self._timer.cancel()
+            self._timer = self._loop.call_later(
+                MAX_REPLY_WAIT_WHEN_FREE_S, self._finish
+            )
+
+    async def wait(self) -> None:
+        """Wait until enough replies have arrived or the time for them is over."""
+        try:
+            await self._end
+        finally:
+            self._timer.cancel()
+
+    def _finish(self) -> None:
+        if not self._end.done():
+            self._end.set_result(None)
+
+
+class Prober:
+    """Serves the platform: selects the worker of a request by probes.
+
+    Parameters
+    ----------
+    settings : MeshSettings
+        Settings of the local node.
+    directory : Directory
+        Listed workers.
+    runner : WorkerRunner
+        Predicts for the local worker.
+    links : LinkPool
+        Links to the other nodes.
+    placement : Placement
+        Predicts the cost of an attempt.
+    get_suspicion : callable
+        See `Placement.select_worker`.
+    """
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        directory: Directory,
+        runner: WorkerRunner,
+        links: LinkPool,
+        placement: Placement,
+        get_suspicion: Callable[[str], bool | None],
+    ):
+        self._settings = settings
+        self._directory = directory
+        self._runner = runner
+        self._links = links
+        self._placement = placement
+        self._get_suspicion = get_suspicion
+        self._numbers = itertools.count(1)
+        self._rounds: dict[int, _Round] = {}
+
+    async def select_worker(self, state: RequestState) -> Endpoint | None:
+        """Return the worker for the next attempt of a request.
+
+        Returns
+        -------
+        Endpoint or None
+            None if there is no eligible worker.
+
+        Raises
+        ------
+        AttemptError
+            If all workers that were asked would refuse the request.
+        """
+        likely = self._select_unprobed(state, state.excluded)
+        if likely is None or self._is_free_here(state, likely):
+            return likely
+        results = ProbeResults()
+        for plan in PROBE_ROUNDS:
+            await self._run_round(state, results, plan)
+            if results.has_free_worker:
+                break
+        route = state.route
+        selected = results.select(
+            self._placement, route.name, route.objective_s, monotonic()
+        )
+        if selected is not None:
+            return selected
+        if results.asked and results.are_all_refused:
+            reason = f"{len(results.asked)} workers are full"
+            refusal = refuse(
+                Cause.OVERLOADED, reason, retry_after_s=results.shortest_retry_s
+            )
+            raise AttemptError(refusal)
+        return self._select_unprobed(state, state.excluded | results.asked) or likely
+
+    def _select_unprobed(
+        self, state: RequestState, excluded: set[str]
+    ) -> Endpoint | None:
+        return self._placement.select_worker(
+            self._directory.look_up_service(state.service),
+            state.route.name,
+            state.route.objective_s,
+            excluded,
+            monotonic(),
+            self._get_suspicion,
+        )
+
+    def _is_free_here(self, state: RequestState, endpoint: Endpoint) -> bool:
+        """Return whether the worker is the local one and starts the request at once."""
+        if endpoint.host != self._settings.worker.host:
+            return False
+        reply = self._runner.predict(self._make_probe(state, endpoint))
+        return reply.accepted and not reply.delay_s
+
+    def _make_probe(self, state: RequestState, endpoint: Endpoint) -> ProbeNotice:
+        route = state.route
+        return ProbeNotice(
+            next(self._numbers),
+            endpoint.id,
+            route.name,
+            route.priority,
+            route.objective_s,
+            state.deadline - monotonic(),
+            state.head.is_call,
+        )
+
+    async def _run_round(
+        self, state: RequestState, results: ProbeResults, plan: ProbePlan
+    ) -> None:
+        """Ask further workers and wait for their replies."""
+        endpoints = self._placement.sample_workers(
+            self._directory.look_up_service(state.service),
+            state.route.name,
+            state.route.objective_s,
+            state.excluded | results.asked,
+            monotonic(),
+            self._get_suspicion,
+            plan.count,
+            plan.exploration,
+        )
+        pending = _Round(results)
+        for endpoint in endpoints:
+            self._send_probe(state, endpoint, pending)
+        pending.update()
+        try:
+            await pending.wait()
+        finally:
+            for number, (_, link) in pending.unanswered.items():
+                self._rounds.pop(number, None)
+                link.check_alive()
+
+    def _send_probe(
+        self, state: RequestState, endpoint: Endpoint, pending: _Round
+    ) -> None:
+        probe = self._make_probe(state, endpoint)
+        if endpoint.host == self._settings.worker.host:
+            pending.results.start_probe(endpoint)
+            pending.results.record_reply(endpoint, self._runner.predict(probe))
+            return
+        link = self._links.get_link(endpoint.host, self._settings.link.port)
+        if link is None or not link.is_usable:
+            return
+        pending.results.start_probe(endpoint)
+        pending.unanswered[probe.probe] = endpoint, link
+        self._rounds[probe.probe] = pending
+        link.send_notice(encode_notice(probe))
+
+    def answer_probe(self, link: Link, probe: ProbeNotice) -> None:
+        """Answer the probe of another node."""
+        link.send_notice(encode_notice(self._runner.predict(probe)))
+
+    def record_reply(self, reply: ProbeReply) -> None:
+        """Record the reply to a probe; one that comes too late is ignored."""
+        pending = self._rounds.pop(reply.probe, None)
+        if pending is None:
+            return
+        endpoint, _ = pending.unanswered.pop(reply.probe)
+        pending.results.record_reply(endpoint, reply)
+        load = LoadReport(reply.pending, reply.limit)
+        self._placement.record_load(endpoint, load, monotonic())
+        pending.update()
--- /dev/null
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -0,0 +1,62 @@
+"""State of one request on the platform's request path."""
+
+from mangowell_core.mesh import MeshRoute
+from mangowell_core.policy.outcome import Stage, refuse
+from mangowell_core.policy.types import Cause, Outcome, Refusal
+from mangowell_node.exchange import Answer, AttemptError, RequestHead
+from mangowell_node.ingress import IncomingCall
+
+
+class RequestState:
+    """State of one request over all of its attempts.
+
+    Parameters
+    ----------
+    call : IncomingCall
+        Request as the caller sent it.
+    route : MeshRoute
+        Route that matches the request.
+    service : str
+        Service of the route that was selected for the request.
+    """
+
+    __slots__ = (
+        "answer",
+        "attempts",
+        "call",
+        "deadline",
+        "error",
+        "excluded",
+        "has_reset_exclusions",
+        "head",
+        "may_have_run",
+        "refusals",
+        "route",
+        "service",
+    )
+
+    def __init__(self, call: IncomingCall, route: MeshRoute, service: str):
+        self.call = call
+        self.route = route
+        self.service = service
+        self.head: RequestHead | None = None
+        self.deadline = 0.0
+        self.excluded: set[str] = set()
+        # Number of attempts that may have reached a worker.
+        self.attempts = 0
+        # Number of workers that refused the request because they were overloaded.
+        self.refusals = 0
+        self.has_reset_exclusions = False
+        self.may_have_run = False
+        self.answer: Answer | None = None
+        self.error: AttemptError | None = None
+
+    def make_refusal(self) -> Refusal:
+        """Return the refusal for a request that no worker has answered."""
+        if self.error is None:
+            return refuse(Cause.CONNECTION_LOST, "outcome unknown", stage=Stage.SENT)
+        refusal = self.error.refusal
+        if self.may_have_run and refusal.outcome is Outcome.NOT_RUN:
+            # An earlier attempt may have run, so the outcome is unknown.
+            return refuse(Cause.CONNECTION_LOST, refusal.reason, stage=Stage.SENT)
+        return refusal
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -12,7 +12,8 @@
     MeshSettings,
 )
 from mangowell_core.mesh.admission import Ticket
-from mangowell_core.mesh.model import Endpoint
+from mangowell_core.mesh.failure_rate import FailureRate
+from mangowell_core.mesh.model import Endpoint, ProbeNotice, ProbeReply
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause
 from mangowell_node.backend import BackendConnection, BackendPool
@@ -40,6 +41,8 @@
 DEFAULT_CONNECTIONS = 60
 # Time within which all connections of a crashed worker are lost, in seconds.
 CRASH_WINDOW_S = 0.05
+# Retry-After value if another worker is listed here, in seconds.
+NO_INSTANCE_RETRY_AFTER_S = 0.2
 # Calls of running requests precede new requests of any priority.
 CALL_RANK = -1
 
@@ -73,6 +76,7 @@
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
         self.admission = Admission(DEFAULT_SLOTS)
+        self._failure_rate = FailureRate()
         self.pool = BackendPool(
             settings.worker.host,
             settings.worker.port,
@@ -137,7 +141,10 @@
         local_worker = self._local_worker
         if local_worker is None or local_worker.id != head.instance:
             reason = "another worker is listed here"
-            raise AttemptError(refuse(Cause.NO_INSTANCE, reason, retry_after_s=0.2))
+            refusal = refuse(
+                Cause.NO_INSTANCE, reason, retry_after_s=NO_INSTANCE_RETRY_AFTER_S
+            )
+            raise AttemptError(refusal)
         if local_worker.draining:
             raise AttemptError(refuse(Cause.LEAVING, "worker is draining"))
         ticket = await self._admit(head, deadline)
@@ -147,8 +154,12 @@
             self._running_ids.add(head.request)
             answer = await self._exchange(head, body, deadline)
             has_run = not answer.head.is_not_run and answer.head.status < 500
+            self._failure_rate.record(not has_run, monotonic())
             answer.head.work_s = monotonic() - started
             return answer
+        except AttemptError:
+            self._failure_rate.record(True, monotonic())
+            raise
         finally:
             self._running_ids.discard(head.request)
             self._release(ticket, has_run)
@@ -157,9 +168,35 @@
 
     # Admission
 
+    def predict(self, probe: ProbeNotice) -> ProbeReply:
+        """Predict what the admission of a request would decide."""
+        now = monotonic()
+        admission = self.admission
+        local_worker = self._local_worker
+        if (
+            local_worker is None
+            or local_worker.id != probe.instance
+            or local_worker.draining
+        ):
+            accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
+        else:
+            rank, objective_s = _rank(probe.is_call, probe.priority, probe.objective_s)
+            decision, delay_s = admission.predict(
+                probe.route, rank, objective_s, now + probe.remaining_s, now
+            )
+            accepted = decision is not AdmissionDecision.REFUSED
+        return ProbeReply(
+            probe.probe,
+            accepted,
+            delay_s,
+            admission.estimate_work(probe.route, now),
+            self._failure_rate.estimate(now),
+            self.pending,
+            admission.limit,
+        )
+
     async def _admit(self, head: RequestHead, deadline: float) -> Ticket:
-        rank = CALL_RANK if head.is_call else head.priority
-        objective_s = 0.0 if head.is_call else head.objective_s
+        rank, objective_s = _rank(head.is_call, head.priority, head.objective_s)
         decision, ticket, retry_after_s = self.admission.offer(
             head.request, head.route, rank, objective_s, deadline, monotonic()
         )
@@ -283,6 +320,14 @@
         self.pool.close()
 
 
+def _rank(is_call: bool, priority: int, objective_s: float) -> tuple[int, float]:
+    """Return rank and objective of a request for the admission.
+
+    A late call still lets its parent complete, so it has no objective of its own.
+    """
+    return (CALL_RANK, 0.0) if is_call else (priority, objective_s)
+
+
 def _ignore_crash(crash: str, fingerprints: tuple[str, ...]) -> None:
     """Ignore a crash; replaced by `Gossip`."""
 
