Ask other failure domains only as often as it pays off

Change: three local workers are asked; two others only if none of these is free, one of them could be better, and such questions were useful of late.

--- a/packages/core/src/mangowell_core/mesh/placement.py
+++ b/packages/core/src/mangowell_core/mesh/placement.py
@@ -210,7 +210,7 @@
         return min(
             costs,
             key=lambda pair: pair[0] * (1.0 + 0.02 * self._rng.random()),
-            default=(0.0, None),
+            default=(math.inf, None),
         )[1]
 
     def sample_workers(
@@ -223,7 +223,7 @@
         get_suspicion: Callable[[str], bool | None],
         count: int,
         exploration: float,
-    ) -> list[Endpoint]:
+    ) -> list[tuple[float, Endpoint]]:
         """Return different workers at random, preferably those of low cost.
 
         All nodes that know equally little would otherwise ask the same few workers.
@@ -240,7 +240,8 @@
 
         Returns
         -------
-        list of Endpoint
+        list of (float, Endpoint)
+            Predicted costs in seconds, and the workers.
         """
         # The lowest values of cost less Gumbel noise are a sample without
         # replacement whose weights fall exponentially with the cost.
@@ -249,10 +250,10 @@
             endpoints, route, objective_s, excluded, now, get_suspicion
         )
         noisy = (
-            (cost + scale * math.log(self._rng.expovariate(1.0)), index, endpoint)
-            for index, (cost, endpoint) in enumerate(costs)
+            (cost + scale * math.log(self._rng.expovariate(1.0)), index)
+            for index, (cost, _) in enumerate(costs)
         )
-        return [endpoint for _, _, endpoint in nsmallest(count, noisy)]
+        return [costs[index] for _, index in nsmallest(count, noisy)]
 
     def _estimate_costs(
         self, endpoints, route, objective_s, excluded, now, get_suspicion
--- a/packages/core/src/mangowell_core/mesh/probing.py
+++ b/packages/core/src/mangowell_core/mesh/probing.py
@@ -8,34 +8,57 @@
 is rarely full, and a refusal by all of them is known at once.
 """
 
-from typing import NamedTuple
+import math
+from operator import itemgetter
 
 from mangowell_core.mesh.model import Endpoint, ProbeReply
 from mangowell_core.mesh.placement import Placement
 
+# Number of workers that are asked in the local failure domain, and in the others if
+# none of the former would start the request at once.
+LOCAL_PROBES = 3
+REMOTE_PROBES = 2
+# See `Placement.sample_workers`, in objectives.
+EXPLORATION = 0.1
+# Longest time that a request waits for the replies of one round, in seconds.
+MAX_REPLY_WAIT_S = 0.03
+# The same once one worker would start the request at once.
+MAX_REPLY_WAIT_WHEN_FREE_S = 0.004
+# Weight of the newest observation in the share of remote probes that were useful.
+USEFUL_GAIN = 0.1
+# Chance of remote probes while none is useful, so that a change is noticed.
+MIN_REMOTE_CHANCE = 0.1
+# Ratio of the chance of remote probes to the share that was useful.
+REMOTE_CHANCE_RATIO = 2.0
+
+
+class RemoteProbing:
+    """Decides how often the workers of other failure domains are asked.
 
-class ProbePlan(NamedTuple):
-    """Size of one round of probes.
+    If a service is overloaded everywhere, its other workers are no better, and
+    asking them costs traffic between domains at each request.
 
     Parameters
     ----------
-    count : int
-        Number of workers.
-    exploration : float
-        See `Placement.sample_workers`.
+    rng : random.Random
+        Source of random numbers.
     """
 
-    count: int
-    exploration: float
+    __slots__ = ("_rng", "_useful_shares")
 
+    def __init__(self, rng):
+        self._rng = rng
+        self._useful_shares: dict[str, float] = {}
 
-# The second round follows if no worker of the first would start the request at
-# once. It looks further, also at other failure domains.
-PROBE_ROUNDS = (ProbePlan(3, 0.1), ProbePlan(4, 0.3))
-# Longest time that a request waits for the replies of one round, in seconds.
-MAX_REPLY_WAIT_S = 0.03
-# The same once one worker would start the request at once.
-MAX_REPLY_WAIT_WHEN_FREE_S = 0.004
+    def is_due(self, service: str) -> bool:
+        """Return whether to ask other domains for the next request of a service."""
+        useful = self._useful_shares.get(service, 1.0)
+        return self._rng.random() < max(MIN_REMOTE_CHANCE, REMOTE_CHANCE_RATIO * useful)
+
+    def record(self, service: str, was_useful: bool) -> None:
+        """Record whether a worker of another domain was selected."""
+        useful = self._useful_shares.get(service, 1.0)
+        self._useful_shares[service] = useful + USEFUL_GAIN * (was_useful - useful)
 
 
 class ProbeResults:
@@ -82,23 +105,22 @@
 
     def select(
         self, placement: Placement, route: str, objective_s: float, now: float
-    ) -> Endpoint | None:
+    ) -> tuple[float, Endpoint | None]:
         """Return the worker of the lowest predicted cost that accepts the request.
 
         Returns
         -------
-        Endpoint or None
-            None if no worker has accepted it.
+        float, Endpoint or None
+            Cost in seconds and worker; infinity and None if none has accepted it.
         """
         costs = [
             (
                 placement.estimate_probed_cost(
                     endpoint, reply, route, objective_s, now
                 ),
-                endpoint.id,
                 endpoint,
             )
             for endpoint, reply in self._replies
             if reply.accepted
         ]
-        return min(costs)[2] if costs else None
+        return min(costs, key=itemgetter(0), default=(math.inf, None))
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -91,7 +91,7 @@
         self._emit = emit
         self.placement = Placement(settings.worker.host, settings.failure_domain, rng)
         self.prober = Prober(
-            settings, directory, runner, links, self.placement, self._is_suspect
+            settings, directory, runner, links, self.placement, self._is_suspect, rng
         )
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_floor, settings.retry_window_s, rng
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -2,18 +2,22 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
+from itertools import filterfalse
 from time import monotonic
 
 from mangowell_core.mesh import Directory, Endpoint, MeshSettings, Placement
 from mangowell_core.mesh.model import ProbeNotice, ProbeReply
 from mangowell_core.mesh.placement import LoadReport
 from mangowell_core.mesh.probing import (
+    EXPLORATION,
+    LOCAL_PROBES,
     MAX_REPLY_WAIT_S,
     MAX_REPLY_WAIT_WHEN_FREE_S,
-    PROBE_ROUNDS,
-    ProbePlan,
+    REMOTE_PROBES,
     ProbeResults,
+    RemoteProbing,
 )
 from mangowell_core.policy.outcome import refuse
 from mangowell_core.policy.types import Cause
@@ -82,6 +86,8 @@
         Predicts the cost of an attempt.
     get_suspicion : callable
         See `Placement.select_worker`.
+    rng : random.Random
+        Source of random numbers.
     """
 
     def __init__(
@@ -92,6 +98,7 @@
         links: LinkPool,
         placement: Placement,
         get_suspicion: Callable[[str], bool | None],
+        rng: random.Random,
     ):
         self._settings = settings
         self._directory = directory
@@ -99,6 +106,7 @@
         self._links = links
         self._placement = placement
         self._get_suspicion = get_suspicion
+        self._remote_probing = RemoteProbing(rng)
         self._numbers = itertools.count(1)
         self._rounds: dict[int, _Round] = {}
 
@@ -119,14 +127,10 @@
         if likely is None or self._is_free_here(state, likely):
             return likely
         results = ProbeResults()
-        for plan in PROBE_ROUNDS:
-            await self._run_round(state, results, plan)
-            if results.has_free_worker:
-                break
-        route = state.route
-        selected = results.select(
-            self._placement, route.name, route.objective_s, monotonic()
-        )
+        await self._run_round(state, results, self._sample_local(state))
+        if not results.has_free_worker:
+            await self._probe_remote(state, results)
+        _, selected = self._select_probed(state, results)
         if selected is not None:
             return selected
         if results.asked and results.are_all_refused:
@@ -137,6 +141,52 @@
             raise AttemptError(refusal)
         return self._select_unprobed(state, state.excluded | results.asked) or likely
 
+    async def _probe_remote(self, state: RequestState, results: ProbeResults) -> None:
+        """Ask workers of other failure domains if one of them may be better."""
+        lowest_cost_s, _ = self._select_probed(state, results)
+        sample = self._sample_remote(state)
+        if all(cost_s >= lowest_cost_s for cost_s, _ in sample):
+            return
+        if results.asked and not self._remote_probing.is_due(state.service):
+            return
+        await self._run_round(state, results, sample)
+        _, selected = self._select_probed(state, results)
+        was_useful = selected is not None and not self._is_local(selected)
+        self._remote_probing.record(state.service, was_useful)
+
+    def _is_local(self, endpoint: Endpoint) -> bool:
+        return endpoint.failure_domain == self._settings.failure_domain
+
+    def _sample_local(self, state: RequestState) -> list[tuple[float, Endpoint]]:
+        workers = self._directory.look_up_service(state.service)
+        return self._sample(state, filter(self._is_local, workers), LOCAL_PROBES)
+
+    def _sample_remote(self, state: RequestState) -> list[tuple[float, Endpoint]]:
+        workers = self._directory.look_up_service(state.service)
+        return self._sample(state, filterfalse(self._is_local, workers), REMOTE_PROBES)
+
+    def _sample(
+        self, state: RequestState, workers: Iterable[Endpoint], count: int
+    ) -> list[tuple[float, Endpoint]]:
+        return self._placement.sample_workers(
+            workers,
+            state.route.name,
+            state.route.objective_s,
+            state.excluded,
+            monotonic(),
+            self._get_suspicion,
+            count,
+            EXPLORATION,
+        )
+
+    def _select_probed(
+        self, state: RequestState, results: ProbeResults
+    ) -> tuple[float, Endpoint | None]:
+        route = state.route
+        return results.select(
+            self._placement, route.name, route.objective_s, monotonic()
+        )
+
     def _select_unprobed(
         self, state: RequestState, excluded: set[str]
     ) -> Endpoint | None:
@@ -169,21 +219,14 @@
         )
 
     async def _run_round(
-        self, state: RequestState, results: ProbeResults, plan: ProbePlan
+        self,
+        state: RequestState,
+        results: ProbeResults,
+        sample: list[tuple[float, Endpoint]],
     ) -> None:
-        """Ask further workers and wait for their replies."""
-        endpoints = self._placement.sample_workers(
-            self._directory.look_up_service(state.service),
-            state.route.name,
-            state.route.objective_s,
-            state.excluded | results.asked,
-            monotonic(),
-            self._get_suspicion,
-            plan.count,
-            plan.exploration,
-        )
+        """Ask the workers of a sample and wait for their replies."""
         pending = _Round(results)
-        for endpoint in endpoints:
+        for _, endpoint in sample:
             self._send_probe(state, endpoint, pending)
         pending.update()
         try:
