Bound what a backend server sends without an answer

Cause: interim answers, chunk sizes and chunk extensions without end were read until the deadline and took a core of the node. Besides, an answer of many small chunks was never read to its end: the parser pauses above a number of chunks, and the bytes that it had kept were not parsed when reading resumed. Change: a limit on all heads of one exchange, and one on the framing of a body, which grows with the bytes of the body; paused bytes are parsed.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -26,7 +26,13 @@
     from mangowell_node.backend.pool import BackendPool
 
 READ_BUFFER_BYTES = 65_536  # reading pauses at twice this size
-MAX_HEAD_BYTES = 65_536  # limit of an answer's status line and fields
+# Limit of the heads of one exchange: status line and fields of the answer, of the
+# interim answers before it, and of late answers to earlier requests.
+MAX_HEAD_BYTES = 65_536
+# Limit of the chunk sizes, extensions and trailers of a body: a fixed number, and a
+# multiple of the body's bytes. Chunks of one byte take five bytes of framing each.
+MAX_FRAMING_BYTES = 65_536
+MAX_FRAMING_RATIO = 16
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
 _BODILESS_STATUSES = frozenset({204, 304})
 _HEAD_END = b"\r\n\r\n"
@@ -50,8 +56,10 @@
         "_body_bytes_left",
         "_expected_id",
         "_expects_body",
+        "_framing_bytes",
         "_head",
         "_head_bytes",
+        "_heads_bytes",
         "_is_aborted",
         "_is_repeatable",
         "_is_reusable",
@@ -81,6 +89,9 @@
         self._is_aborted = False
         self._is_repeatable = False
         self._head_bytes = bytearray()
+        # Bytes of all complete heads since the request, and of the framing of the body.
+        self._heads_bytes = 0
+        self._framing_bytes = 0
         # Body bytes of the current answer that have not arrived; -1 if only the
         # parser can find the end, None while no body is being read.
         self._body_bytes_left: int | None = None
@@ -149,6 +160,7 @@
         self._is_repeatable = head.idempotent
         self._expected_id = head.request
         self._head_bytes.clear()
+        self._heads_bytes = self._framing_bytes = 0
         self._body_bytes_left = None
         self._reads_until_eof = False
         waiter = self._waiter = self._loop.create_future()
@@ -316,7 +328,10 @@
 
         A backend server may send bytes after a complete answer. If the parser
         received both together, an error in the later bytes would fail the answer.
+        Without bytes, it continues with those that it kept while reading was paused.
         """
+        if not data and self._body_bytes_left is not None:
+            self._feed(data)
         while data:
             if self._body_bytes_left is None:
                 if self._waiter is None:
@@ -325,7 +340,7 @@
                     return
                 data = self._parse_head(data)
             elif self._body_bytes_left < 0:
-                self._feed(data)
+                self._feed_unframed(data)
                 return
             else:
                 part, data = (
@@ -343,11 +358,13 @@
         start = max(0, len(head) - len(_HEAD_END) + 1)
         head += data
         end = head.find(_HEAD_END, start)
+        size = len(head) if end < 0 else end + len(_HEAD_END)
+        if self._heads_bytes + size > MAX_HEAD_BYTES:
+            raise ValueError(f"answer heads of more than {MAX_HEAD_BYTES} bytes")
         if end < 0:
-            if len(head) > MAX_HEAD_BYTES:
-                raise ValueError(f"answer head of more than {MAX_HEAD_BYTES} bytes")
             return b""
-        end += len(_HEAD_END)
+        self._heads_bytes += size
+        end = size
         rest = bytes(head[end:])
         messages = self._feed(bytes(head[:end]))
         head.clear()
@@ -355,6 +372,20 @@
             self._handle_head(message, payload)
         return rest
 
+    def _feed_unframed(self, data: bytes) -> None:
+        """Parse a part of a body whose end only the parser can find.
+
+        The parser accepts a chunk size or extension of any length, so that a body
+        could keep the processor busy without making progress.
+        """
+        body = self._body
+        received = body.total_bytes
+        self._feed(data)
+        self._framing_bytes += len(data) - (body.total_bytes - received)
+        limit = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body.total_bytes
+        if self._framing_bytes > limit:
+            raise ValueError(f"chunk framing of more than {limit} bytes")
+
     def _feed(self, data: bytes):
         messages, upgraded, tail = self._parser.feed_data(data)
         if upgraded or tail:
