Weigh other failure domains by the bytes of a route, and ask five local workers

Besides, isolation was noticed the later the larger the fleet, though each node hears as often of others as in a small one; and the age of running requests made busy workers look slow.

--- a/packages/core/src/mangowell_core/mesh/admission.py
+++ b/packages/core/src/mangowell_core/mesh/admission.py
@@ -22,6 +22,9 @@
 WORK_GAIN = 0.1
 # Work assumed for a route without a completed request so far, seconds.
 INITIAL_WORK_S = 0.05
+# Ratio of the mean age of the running requests to the mean work above which the
+# worker counts as stuck.
+STUCK_AGE_RATIO = 3.0
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
 
@@ -179,7 +182,7 @@
         """Return the mean work of a request of `route` here, in seconds.
 
         A worker that has stopped answering completes nothing, so its mean stays low.
-        The age of the requests that it runs is therefore a lower bound.
+        The age of the requests that it runs takes its place once it is far above.
 
         Returns
         -------
@@ -190,7 +193,8 @@
         if not self._running:
             return work_s
         age_s = sum(now - ticket.started for ticket in self._running)
-        return max(work_s, age_s / len(self._running))
+        mean_age_s = age_s / len(self._running)
+        return mean_age_s if mean_age_s > STUCK_AGE_RATIO * work_s else work_s
 
     def _make_ticket(
         self, request, route, rank, objective_s, deadline, now
--- a/packages/core/src/mangowell_core/mesh/placement.py
+++ b/packages/core/src/mangowell_core/mesh/placement.py
@@ -30,8 +30,14 @@
 SLOWNESS_RANGE = (0.2, 20.0)
 # Approximate slowdown of a worker that is warming up, as the platform states.
 WARMUP_SLOWDOWN = 2.0
-# Cost of a worker in another failure domain, as a share of the route's objective.
-CROSS_DOMAIN_COST = 0.25
+# Cost of a worker in another failure domain, in objectives: a fixed part, a part for
+# each kilobyte of request and answer, and the maximum, which is also assumed for a
+# route whose size is not known yet.
+CROSS_DOMAIN_COST = 0.04
+CROSS_DOMAIN_COST_PER_KB = 0.03
+MAX_CROSS_DOMAIN_COST = 0.25
+# Weight of the newest size in the moving average of a route.
+SIZE_GAIN = 0.05
 # Cost of a worker on another host of the local domain, seconds for one hop.
 HOP_COST_S = 0.002
 # Cost of a failed attempt, in objectives.
@@ -147,6 +153,7 @@
         "_failure_domain",
         "_host",
         "_rng",
+        "_route_kilobytes",
         "_route_work_s",
         "_service_work_s",
         "_stats_by_id",
@@ -158,6 +165,7 @@
         self._rng = rng
         self._stats_by_id: dict[str, _WorkerStats] = {}
         self._route_work_s: dict[str, float] = {}
+        self._route_kilobytes: dict[str, float] = {}
         self._service_work_s: dict[str, float] = {}
 
     def sync(self, endpoints: Iterable[Endpoint], now: float) -> None:
@@ -291,7 +299,9 @@
         cost += slowness * service_work_s * queued / limit
         cost += slowness * service_work_s * UTILIZATION_COST * min(1.0, pending / limit)
         failure_rate = stats.failure_rate.estimate(now)
-        return self._add_risks(endpoint, stats, cost, failure_rate, objective_s, now)
+        return self._add_risks(
+            endpoint, stats, cost, failure_rate, route, objective_s, now
+        )
 
     def estimate_probed_cost(
         self,
@@ -329,17 +339,19 @@
         cost = work_s * (1.0 + UTILIZATION_COST * utilization) + reply.delay_s
         # Failures of links are known only here, those of the worker better there.
         failure_rate = max(reply.failure_rate, stats.failure_rate.estimate(now))
-        return self._add_risks(endpoint, stats, cost, failure_rate, objective_s, now)
+        return self._add_risks(
+            endpoint, stats, cost, failure_rate, route, objective_s, now
+        )
 
     def _add_risks(
-        self, endpoint, stats, time_s, failure_rate, objective_s, now
+        self, endpoint, stats, time_s, failure_rate, route, objective_s, now
     ) -> float:
         """Add to a predicted time the costs of the path, of lateness and failure."""
         cost = time_s
         cost += LATE_COST * objective_s * estimate_late_probability(cost, objective_s)
         cost += FAILURE_COST * objective_s * failure_rate
         if endpoint.failure_domain != self._failure_domain:
-            cost += CROSS_DOMAIN_COST * objective_s
+            cost += self._estimate_cross_domain_share(route) * objective_s
         elif endpoint.host != self._host:
             cost += HOP_COST_S
         if now < stats.backoff_until:
@@ -348,6 +360,18 @@
             cost += 100.0 + stats.backoff_until - now
         return cost
 
+    def _estimate_cross_domain_share(self, route: str) -> float:
+        """Return the cost of another failure domain, in objectives.
+
+        Traffic between domains is expensive by the byte. Moving a short answer is
+        cheaper than making it late.
+        """
+        kilobytes = self._route_kilobytes.get(route)
+        if kilobytes is None:
+            return MAX_CROSS_DOMAIN_COST
+        share = CROSS_DOMAIN_COST + CROSS_DOMAIN_COST_PER_KB * kilobytes
+        return min(MAX_CROSS_DOMAIN_COST, share)
+
     def start(self, endpoint: Endpoint, now: float) -> None:
         """Record the start of an attempt."""
         stats = self._stats_by_id.get(endpoint.id) or self._add_stats(endpoint, now)
@@ -390,6 +414,12 @@
             normalized_work_s - service_mean_s
         )
 
+    def record_size(self, route: str, size_bytes: int) -> None:
+        """Record the size of a request and its answer, in bytes."""
+        kilobytes = size_bytes / 1000
+        mean = self._route_kilobytes.get(route, kilobytes)
+        self._route_kilobytes[route] = mean + SIZE_GAIN * (kilobytes - mean)
+
     def record_failure(self, endpoint: Endpoint, now: float) -> None:
         """Record an attempt that the worker failed or refused."""
         stats = self._stats_by_id.get(endpoint.id)
--- a/packages/core/src/mangowell_core/mesh/probing.py
+++ b/packages/core/src/mangowell_core/mesh/probing.py
@@ -16,7 +16,7 @@
 
 # Number of workers that are asked in the local failure domain, and in the others if
 # none of the former would start the request at once.
-LOCAL_PROBES = 3
+LOCAL_PROBES = 5
 REMOTE_PROBES = 2
 # See `Placement.sample_workers`, in objectives.
 EXPLORATION = 0.1
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -18,7 +18,12 @@
 from mangowell_core.mesh.placement import LoadReport
 from mangowell_core.policy.outcome import refuse
 from mangowell_core.policy.types import Cause, Outcome
-from mangowell_node.exchange import Answer, AttemptError, compute_fingerprint
+from mangowell_node.exchange import (
+    Answer,
+    AttemptError,
+    RequestHead,
+    compute_fingerprint,
+)
 from mangowell_node.link import Contact, LinkPool
 from mangowell_node.mesh.prober import Prober
 from mangowell_node.mesh.request_state import RequestState
@@ -226,7 +231,9 @@
             placement.record_failure(endpoint, now)
             # A worker answers 504 at the time limit, so no time is left for another.
             return answer.head.status == 504
-        placement.record_answer(endpoint, state.route.name, answer.head.work_s, now)
+        route = state.route.name
+        placement.record_answer(endpoint, route, answer.head.work_s, now)
+        placement.record_size(route, _compute_size(head, answer))
         return True
 
     async def _send(self, state: RequestState, endpoint: Endpoint) -> Answer:
@@ -251,6 +258,12 @@
             self.placement.record_failure(endpoint, now)
 
 
+def _compute_size(head: RequestHead, answer: Answer) -> int:
+    """Return the bytes that a request and its answer take on a link."""
+    body_bytes = max(len(answer.head.body), answer.head.length)
+    return len(head.headers) + len(head.body) + len(answer.head.headers) + body_bytes
+
+
 def _select_error(known: AttemptError | None, new: AttemptError) -> AttemptError:
     """Return the error that gives the caller more information."""
     if known is None:
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -331,9 +331,9 @@
                 for endpoint in directory.look_up_host(link.address[0]):
                     self._placement.record_unreachable(endpoint, now)
         has_others = bool(directory.get_hosts() - {self._settings.link.host})
-        isolated = (
-            has_others and now - last_received_at > ISOLATION_TIMEOUT_S * intervals
-        )
+        # In a larger fleet each node sends less often, but more nodes send, so that
+        # something arrives as often as in a small one.
+        isolated = has_others and now - last_received_at > ISOLATION_TIMEOUT_S
         if isolated != self._is_isolated:
             self._is_isolated = isolated
             code = EventCode.NODE_ISOLATED if isolated else EventCode.NODE_REJOINED
--- a/tests/mesh/support_load.py
+++ b/tests/mesh/support_load.py
@@ -12,7 +12,7 @@
 DEADLINE_S = 0.8
 MEAN_WORK_S = 0.1
 WORK_LOG_STDDEV = 0.7
-WORKER_SPEEDS = (0.6, 1.0, 1.4)
+WORKER_SLOWNESS = (0.6, 1.0, 1.4)
 MAX_OFFERS = 4
 ROUND_TRIP_S = 0.002
 
@@ -35,8 +35,8 @@
             for n in range(workers)
         ]
         self.admissions = {e.id: Admission(slots) for e in self.endpoints}
-        self.speeds = {
-            e.id: WORKER_SPEEDS[n % len(WORKER_SPEEDS)]
+        self.slowness = {
+            e.id: WORKER_SLOWNESS[n % len(WORKER_SLOWNESS)]
             for n, e in enumerate(self.endpoints)
         }
         self.placements = [
@@ -44,7 +44,9 @@
         ]
         for placement in self.placements:
             placement.sync(self.endpoints, 0.0)
-        self.capacity_per_s = workers * slots / MEAN_WORK_S
+        self.capacity_per_s = sum(
+            slots / (MEAN_WORK_S * slowness) for slowness in self.slowness.values()
+        )
         self.in_time = self.late = self.refused = 0
         self.events = []
         self.numbers = iter(range(10**9))
@@ -100,7 +102,7 @@
 
     def _start(self, ticket, now):
         endpoint, _ = ticket.request
-        mean = MEAN_WORK_S * self.speeds[endpoint.id]
+        mean = MEAN_WORK_S * self.slowness[endpoint.id]
         work_s = self.rng.lognormvariate(
             math.log(mean) - WORK_LOG_STDDEV**2 / 2, WORK_LOG_STDDEV
         )
@@ -163,7 +165,7 @@
     return min(
         (e for e in replay.endpoints if e.id not in excluded),
         key=lambda e: (
-            (replay.admissions[e.id].running + replay.admissions[e.id].waiting)
-            / replay.speeds[e.id]
+            (replay.admissions[e.id].running + replay.admissions[e.id].waiting + 1)
+            * replay.slowness[e.id]
         ),
     )
