Doubt idle links that were last heard of just after a silent one

When a link had been silent for 0.8 s, an idle link that had received a byte in these 0.8 s was kept, although the silence may have begun after that byte. Under load the second link was heard of some milliseconds later, and a moved request waited on it. Change: the bound is the last byte of the silent link and one ping interval, within which a ping would have been answered.

--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -28,7 +28,6 @@
     MAX_STREAM_ID,
     NONCE_BYTES,
     PING_INTERVAL_S,
-    REPEATABLE_SILENT_AFTER_S,
     REQUEST_FRAME,
     WINDOW_UPDATE,
     FrameType,
@@ -500,14 +499,16 @@
         """Stop opening streams on links that may have gone silent together.
 
         Otherwise, a request that is retried after the silence of one link would
-        wait as long on the next one. Links that have received bytes recently
-        are not suspect.
+        wait as long on the next one. A busy link is pinged after `PING_INTERVAL_S`
+        without a byte, so the silence has begun at most that long after its last
+        one. Links that have received bytes later are not suspect.
         """
+        began_before = silent.last_received_at + PING_INTERVAL_S
         now = monotonic()
         for link in list(self._links.values()):
             if not link.is_idle:
                 link.is_suspect |= link.last_received_at < now - PING_INTERVAL_S
-            elif link.last_received_at < now - REPEATABLE_SILENT_AFTER_S:
+            elif link.last_received_at < began_before:
                 link.close(POSSIBLY_SILENT)
 
     def _emit_close_event(self, address: tuple[str, int], link: ClientLink) -> None:
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -22,7 +22,7 @@
     LinkServer,
     derive_link_key,
 )
-from mangowell_node.link.frames import REPEATABLE_SILENT_AFTER_S
+from mangowell_node.link.frames import PING_INTERVAL_S, REPEATABLE_SILENT_AFTER_S
 from node.support_calls import CutReach, find_port, until
 
 KEY = derive_link_key("secret")
@@ -409,6 +409,31 @@
         assert (await call(other.port)).head.body == b"/ok"
 
 
+@pytest.mark.parametrize(
+    ("heard_after_s", "is_kept"),
+    # All in the 0.8 s for which the first link has been silent.
+    [(0.001, False), (PING_INTERVAL_S * 0.9, False), (PING_INTERVAL_S * 2, True)],
+)
+async def test_idle_link_is_kept_only_if_heard_of_after_the_silence_began(
+    heard_after_s, is_kept
+):
+    """Links that go silent together were last heard of at different times.
+
+    An idle link that was heard of after the silent one, but before the silence can
+    have been noticed, used to be kept, and a moved request waited on it.
+    """
+    async with run_link_pair() as one, run_link_pair() as other:
+        pool = one.pool
+        for port in (one.port, other.port):
+            await pool.connect("127.0.0.1", port, monotonic() + 5)
+        silent = pool.get_link("127.0.0.1", one.port)
+        idle = pool.get_link("127.0.0.1", other.port)
+        silent.last_received_at = monotonic() - REPEATABLE_SILENT_AFTER_S
+        idle.last_received_at = silent.last_received_at + heard_after_s
+        pool._mark_suspect_links(silent)
+        assert idle.closed is not is_kept
+
+
 async def test_link_that_does_not_open_in_time_reports_that_nothing_was_sent():
     """The failure must not be reported as the deadline of the request.
 
