--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -24,6 +24,9 @@
 # Time for which callers still send requests after the node reports that it is not
 # ready, in seconds: two readiness checks one second apart, and a margin.
 READY_LINGER_S = 2.8
+# Largest part of the grace period for that, so that the requests that came last can
+# still be finished.
+MAX_LINGER_SHARE = 0.5
 # Part of the grace period that is reserved for closing, in seconds.
 STOP_MARGIN_S = 0.5
 METRICS_PATH = "/metrics"
@@ -123,7 +126,8 @@
     async def stop(self) -> None:
         """Stop gracefully: finish accepted requests and report not ready."""
         started = monotonic()
-        deadline = started + self._settings.grace_s - STOP_MARGIN_S
+        grace_s = self._settings.grace_s
+        deadline = started + grace_s - STOP_MARGIN_S
         self._draining = True
         self._telemetry.emit(Event(EventCode.STOP_STARTED, {"reason": "SIGTERM"}))
         self._ingress.draining = True
@@ -131,7 +135,7 @@
         self._gossip.announce()
         for link in list(self._link_server.links):
             link.send_goaway()
-        linger = min(started + READY_LINGER_S, deadline)
+        linger = started + min(READY_LINGER_S, MAX_LINGER_SHARE * grace_s)
         while monotonic() < linger:
             await asyncio.sleep(LINGER_POLL_S)
         self._ingress.close_idle()
--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+from time import monotonic
 
 from mangowell_core.mesh import MeshSettings
 from mangowell_core.mesh.settings import Address
@@ -197,6 +198,14 @@
         await store.stop()
 
 
+def fill_slots(machine, waiting=0):
+    """Occupy the four slots of a worker, and let further requests wait."""
+    admission = machine.node.runner.admission
+    for number in range(4 + waiting):
+        admission.offer(f"fill-{number}", "fill", 0, 0.0, monotonic() + 9, monotonic())
+    assert (admission.running, admission.waiting) == (4, waiting)
+
+
 async def until(condition, timeout_s=5.0):
     async with asyncio.timeout(timeout_s):
         while not condition():
--- a/tests/mesh/test_probing.py
+++ b/tests/mesh/test_probing.py
@@ -22,7 +22,7 @@
     select_by_own_knowledge,
     select_by_probes,
 )
-from mesh.support_mesh import run_mesh, until
+from mesh.support_mesh import fill_slots, run_mesh, until
 from mesh.test_decisions import make_endpoint, make_placement
 
 # Core
@@ -214,14 +214,6 @@
 # Nodes
 
 
-def fill_slots(machine, waiting=0):
-    """Occupy the four slots of a worker, and let further requests wait."""
-    admission = machine.node.runner.admission
-    for number in range(4 + waiting):
-        admission.offer(f"fill-{number}", "fill", 0, 0.0, monotonic() + 9, monotonic())
-    assert (admission.running, admission.waiting) == (4, waiting)
-
-
 async def test_requests_go_to_the_free_worker_that_no_report_has_named():
     """Load reports are rarer than requests take in a large fleet."""
     async with run_mesh(3) as (_, machines):
