--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -180,7 +180,9 @@
         ):
             accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
         else:
-            rank, objective_s = _rank(probe.is_call, probe.priority, probe.objective_s)
+            rank, objective_s = _get_rank_and_objective(
+                probe.is_call, probe.priority, probe.objective_s
+            )
             decision, delay_s = admission.predict(
                 probe.route, rank, objective_s, now + probe.remaining_s, now
             )
@@ -196,7 +198,9 @@
         )
 
     async def _admit(self, head: RequestHead, deadline: float) -> Ticket:
-        rank, objective_s = _rank(head.is_call, head.priority, head.objective_s)
+        rank, objective_s = _get_rank_and_objective(
+            head.is_call, head.priority, head.objective_s
+        )
         decision, ticket, retry_after_s = self.admission.offer(
             head.request, head.route, rank, objective_s, deadline, monotonic()
         )
@@ -320,7 +324,9 @@
         self.pool.close()
 
 
-def _rank(is_call: bool, priority: int, objective_s: float) -> tuple[int, float]:
+def _get_rank_and_objective(
+    is_call: bool, priority: int, objective_s: float
+) -> tuple[int, float]:
     """Return rank and objective of a request for the admission.
 
     A late call still lets its parent complete, so it has no objective of its own.
