Give the workers of the offers test one slot in their entries

It set the limit of each admission by hand; a late notice of the list restored the listed four slots, as the trace of limits shows (1, 4, 4, 4, 4, 4), so that the last request ran at a worker that answers nobody. Change: the entries list one slot, and the test waits until each node applies it.

--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -519,11 +519,14 @@
         await released.wait()
         return await answer_with_id()(request)
 
-    async with run_mesh(7) as (_, machines):
+    async with run_mesh(7) as (store, machines):
         first = machines[0]
         for machine in machines:
             machine.worker.handler = work_until_released
-            machine.node.runner.admission.limit = 1
+            entry = json.loads(machine.entry)
+            entry["node-info"]["slots"] = 1
+            store.put(f"servers/{machine.id}", json.dumps(entry).encode())
+        await until(lambda: all(m.node.runner.admission.limit == 1 for m in machines))
         held = [
             asyncio.create_task(first.call(request=f"held-{n}", timeout_ms=5000))
             for n in range(40)
