Log the requests that a stopping node cuts

The logs did not tell whether the stopping node had accepted the request before or after its SIGTERM, nor on a link of which age.

Change: event 506 call_cut names each request that is cut when the time for stopping has passed, with its age and the age of its link; stop_completed has the duration of the stop.

--- a/packages/core/src/mangowell_core/events.py
+++ b/packages/core/src/mangowell_core/events.py
@@ -49,6 +49,7 @@
     CALL_UNKNOWN = 503
     CALL_SHED = 504
     CALL_LATE = 505
+    CALL_CUT = 506
     KEY_REPLAYED = 511
     KEY_REFUSED = 512
     FINGERPRINT_SUSPECT = 521
--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -39,9 +39,11 @@
 class _ServerStream:
     """State of one request on a link, at the node that runs the request."""
 
-    __slots__ = ("receiver", "sender", "task")
+    __slots__ = ("accepted_at", "receiver", "request", "sender", "task")
 
-    def __init__(self) -> None:
+    def __init__(self, request: str) -> None:
+        self.request = request
+        self.accepted_at = monotonic()
         self.task: asyncio.Task | None = None
         self.receiver: BodyReceiver | None = None
         self.sender: BodySender | None = None
@@ -56,6 +58,7 @@
         self._streams: dict[int, _ServerStream] = {}
         self._last_stream_id = 0
         self._stopping = False
+        self.opened_at = monotonic()
         self._handlers = {FrameType.AUTHENTICATE: self._on_authenticate}
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -98,7 +101,7 @@
         if self._stopping:
             return  # GOAWAY has told the peer that this request does not run.
         self._last_stream_id = stream_id
-        stream = self._streams[stream_id] = _ServerStream()
+        stream = self._streams[stream_id] = _ServerStream(head.request)
         if head.streaming:
             stream.receiver = BodyReceiver(self, stream_id, head.length, lambda: None)
         deadline = monotonic() + head.remaining_ms / 1000
@@ -185,6 +188,29 @@
         self._stopping = True
         self.send(FrameType.GOAWAY, self._last_stream_id)
 
+    def report_cut(self, now: float) -> list[Event]:
+        """Return an event for each open stream, before the link is closed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, in seconds.
+        """
+        link_age_ms = round((now - self.opened_at) * 1000)
+        return [
+            Event(
+                EventCode.CALL_CUT,
+                {
+                    "request": stream.request,
+                    "peer": self.peer,
+                    "reason": "time for stopping has passed",
+                    "age_ms": round((now - stream.accepted_at) * 1000),
+                    "link_age_ms": link_age_ms,
+                },
+            )
+            for stream in self._streams.values()
+        ]
+
     def _has_streams(self) -> bool:
         return bool(self._streams)
 
@@ -270,7 +296,10 @@
             if monotonic() >= deadline:
                 break
             await asyncio.sleep(0.005)
+        now = monotonic()
         for link in list(self.links):
+            for event in link.report_cut(now):
+                self._emit(event)
             with contextlib.suppress(Exception):
                 link.transport.close()
             link.close("stopping")
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -142,7 +142,11 @@
         await self._ingress.stop(max(0.0, deadline - monotonic()))
         await self._link_server.stop(deadline)
         in_flight = self.gateway.in_flight + self.runner.pending
-        self._telemetry.emit(Event(EventCode.STOP_COMPLETED, {"in_flight": in_flight}))
+        fields = {
+            "in_flight": in_flight,
+            "duration_ms": round((monotonic() - started) * 1000),
+        }
+        self._telemetry.emit(Event(EventCode.STOP_COMPLETED, fields))
         await self._close()
 
     async def abort(self) -> None:
