Accept at a stopping node only what ends before the node does

Cause: a stop was a mark on the links that were open at SIGTERM (GOAWAY). Other nodes opened a new link within 0.1 s, as its listener stayed open, and sent their requests there until the stop had ended; what still ran then was cut. Nothing compared the time that a request may take with the time that the node had left.

Change: the end of a stop is a time that every part compares with the deadline of a request. The runner refuses as not run, also in answers to probes, what may outlast the node; other nodes are told the end and send such requests elsewhere; deadlines of own callers are limited to it, so that they get an answer and no closed connection. After 2.8 s the link server refuses all streams, on whichever link, and closes its listener. Short requests are accepted until then, as the worker goes on running.

Why it works: what a stopping node has accepted from another node ends by its own deadline before the node does, and after the linger no path to new work is left open.

--- a/packages/core/src/mangowell_core/mesh/__init__.py
+++ b/packages/core/src/mangowell_core/mesh/__init__.py
@@ -22,6 +22,7 @@
 from mangowell_core.mesh.retry_budget import RetryBudget
 from mangowell_core.mesh.routes import RouteTable
 from mangowell_core.mesh.settings import MeshSettings, parse_mesh_settings
+from mangowell_core.mesh.stopping import StoppingPeers, StopSchedule
 
 __all__ = [
     "Admission",
@@ -41,5 +42,7 @@
     "ReaderReport",
     "RetryBudget",
     "RouteTable",
+    "StopSchedule",
+    "StoppingPeers",
     "parse_mesh_settings",
 ]
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -203,6 +203,9 @@
     demand : dict
         For each service with retry demand, the rates of requests and of
         requested retries, in tenths per second.
+    ends_in_s : float
+        If the sender is leaving, the time within which requests must end there, in
+        seconds.
     """
 
     instance: str
@@ -214,6 +217,7 @@
     reads: bool
     link_mbps: float
     demand: dict[str, tuple[int, int]] = {}
+    ends_in_s: float = 0.0
 
 
 class FetchNotice(msgspec.Struct, frozen=True, tag=True):
--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -64,6 +64,9 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the link and start the handshake with a nonce."""
         super().connection_made(transport)
+        if self._server.is_stopping:
+            self.close("stopping")
+            return
         self._server.links.add(self)
         self.send(FrameType.HELLO, 0, MAGIC + self._nonce)
 
@@ -89,8 +92,6 @@
             FrameType.NOTICE: self._on_notice,
         }
         self.on_notice = self._server.on_notice
-        if self._stopping:
-            self.send_goaway()
 
     def _on_request(self, stream_id: int, payload: bytes) -> None:
         if stream_id <= self._last_stream_id:
@@ -247,6 +248,8 @@
         self.load = load
         self.on_notice: Callable[[Link, bytes], None] | None = None
         self.links: set[ServerLink] = set()
+        # A property of the server, so that it holds for links that open later too.
+        self.is_stopping = False
         self._key = key
         self._emit = emit
         self._server: asyncio.Server | None = None
@@ -275,6 +278,20 @@
             code = EventCode.LINK_SILENT
             self._emit(Event(code, {"peer": peer, "reason": reason}))
 
+    def refuse_new_streams(self) -> None:
+        """Close the listener and tell every peer that no further stream runs.
+
+        Until the process has ended, peers find that the node cannot be reached.
+        """
+        self.is_stopping = True
+        if self._server is not None:
+            self._server.close()
+        for link in list(self.links):
+            if link.is_authenticated:
+                link.send_goaway()
+            else:
+                link.close("stopping")
+
     async def stop(self, deadline: float) -> None:
         """Refuse new streams and close every link once its streams have ended.
 
@@ -283,10 +300,7 @@
         deadline : float
             Monotonic seconds at which the remaining streams are cut off.
         """
-        if self._server is not None:
-            self._server.close()
-        for link in list(self.links):
-            link.send_goaway()
+        self.refuse_new_streams()
         while any(link._has_streams() for link in self.links):
             if monotonic() >= deadline:
                 break
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable
 from time import monotonic
@@ -116,6 +117,8 @@
             settings, directory, runner, links, crash_counter, emit, rng
         )
         self.in_flight = 0
+        # Latest deadline of a request, in monotonic seconds: that of the planned stop.
+        self.end_deadline = math.inf
 
     def reload(self, settings: MeshSettings) -> None:
         """Apply changed settings."""
@@ -157,7 +160,7 @@
         if fields.remaining_ms is not None:
             timeout_s = min(timeout_s, fields.remaining_ms / 1000)
         state = RequestState(call, route, self._traffic_splitter.select_service(route))
-        state.deadline = call.arrived_at + timeout_s
+        state.deadline = min(call.arrived_at + timeout_s, self.end_deadline)
         refusal = await self._prepare_head(state, request)
         if refusal is not None:
             return self._make_refusal_reply(request, state, refusal, call.arrived_at)
@@ -173,6 +176,8 @@
         except TimeoutError:
             stage = Stage.SENT if state.attempts else Stage.UNSENT
             reason = "time limit of the route or the caller reached"
+            if state.deadline == self.end_deadline:
+                reason = "time for stopping has passed"
             state.answer = None
             state.error = AttemptError.at(Cause.DEADLINE, stage, reason)
         return self._make_reply(state, request)
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 from collections import deque
 from collections.abc import Callable
 from time import monotonic
@@ -151,7 +152,8 @@
         self._fetched_at = float("-inf")
         # Crashes of the local worker, each with the time until which it is resent.
         self._crashes: deque[tuple[float, CrashNotice]] = deque()
-        self.leaving = False
+        # Time at which this node ends, in monotonic seconds; infinite unless it stops.
+        self._end_deadline = math.inf
         self._started_at = monotonic()
         self._is_isolated = False
         self._election = ReaderElection(settings.instance, settings.link_mbps)
@@ -176,6 +178,15 @@
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
 
+    def announce_stop(self, deadline: float) -> None:
+        """Tell the other nodes that this one ends at `deadline` (monotonic seconds)."""
+        self._end_deadline = deadline
+        self.announce()
+
+    @property
+    def _is_leaving(self) -> bool:
+        return self._end_deadline < math.inf
+
     def announce(self, to_all_domains: bool = True) -> None:
         """Send the current status now.
 
@@ -396,8 +407,8 @@
             not self._has_state,
             self._runner.pending,
             self._runner.admission.limit,
-            self.leaving,
-            self._feed.is_up and not self.leaving,
+            self._is_leaving,
+            self._feed.is_up and not self._is_leaving,
             self._settings.link_mbps,
             {
                 name: (
@@ -406,6 +417,7 @@
                 )
                 for name, demand in self._budget.compute_demand(monotonic()).items()
             },
+            max(0.0, self._end_deadline - monotonic()) if self._is_leaving else 0.0,
         )
 
     def _handle_notice(self, link: Link, payload: bytes) -> None:
@@ -436,6 +448,10 @@
         now = monotonic()
         host = link.address[0]
         self._reconnect_at.pop(host, None)
+        if notice.leaving:
+            self._prober.stopping_peers.record(host, now + notice.ends_in_s)
+        else:
+            self._prober.stopping_peers.forget(host)
         for endpoint in self._directory.look_up_host(host):
             load = LoadReport(notice.pending, notice.limit)
             self._placement.record_load(endpoint, load, now)
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -6,7 +6,7 @@
 from time import monotonic
 
 from mangowell_core.events import Event, EventCode
-from mangowell_core.mesh import CrashCounter, Directory, MeshSettings
+from mangowell_core.mesh import CrashCounter, Directory, MeshSettings, StopSchedule
 from mangowell_node.ingress import IncomingCall, IngressServer, Reply
 from mangowell_node.link import LinkPool, LinkServer, derive_link_key
 from mangowell_node.mesh.feed import StateFeed
@@ -21,14 +21,6 @@
 # The platform provides no secret. The handshake only distinguishes this protocol
 # from others; docs/decisions/0008 describes the remaining risk.
 LINK_SECRET = ""
-# Time for which callers still send requests after the node reports that it is not
-# ready, in seconds: two readiness checks one second apart, and a margin.
-READY_LINGER_S = 2.8
-# Largest part of the grace period for that, so that the requests that came last can
-# still be finished.
-MAX_LINGER_SHARE = 0.5
-# Part of the grace period that is reserved for closing, in seconds.
-STOP_MARGIN_S = 0.5
 METRICS_PATH = "/metrics"
 EXPIRE_INTERVAL_S = 0.25
 LINGER_POLL_S = 0.02
@@ -126,18 +118,17 @@
     async def stop(self) -> None:
         """Stop gracefully: finish accepted requests and report not ready."""
         started = monotonic()
-        grace_s = self._settings.grace_s
-        deadline = started + grace_s - STOP_MARGIN_S
+        schedule = StopSchedule.from_grace(self._settings.grace_s, started)
+        deadline = schedule.deadline
         self._draining = True
         self._telemetry.emit(Event(EventCode.STOP_STARTED, {"reason": "SIGTERM"}))
         self._ingress.draining = True
-        self._gossip.leaving = True
-        self._gossip.announce()
-        for link in list(self._link_server.links):
-            link.send_goaway()
-        linger = started + min(READY_LINGER_S, MAX_LINGER_SHARE * grace_s)
-        while monotonic() < linger:
+        self.gateway.end_deadline = schedule.caller_deadline
+        self.runner.end_deadline = deadline
+        self._gossip.announce_stop(deadline)
+        while monotonic() < schedule.linger_deadline:
             await asyncio.sleep(LINGER_POLL_S)
+        self._link_server.refuse_new_streams()
         self._ingress.close_idle()
         await self._ingress.stop(max(0.0, deadline - monotonic()))
         await self._link_server.stop(deadline)
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -7,7 +7,13 @@
 from itertools import filterfalse
 from time import monotonic
 
-from mangowell_core.mesh import Directory, Endpoint, MeshSettings, Placement
+from mangowell_core.mesh import (
+    Directory,
+    Endpoint,
+    MeshSettings,
+    Placement,
+    StoppingPeers,
+)
 from mangowell_core.mesh.model import ProbeNotice, ProbeReply
 from mangowell_core.mesh.placement import LoadReport
 from mangowell_core.mesh.probing import (
@@ -107,6 +113,7 @@
         self._placement = placement
         self._get_suspicion = get_suspicion
         self._remote_probing = RemoteProbing(rng)
+        self.stopping_peers = StoppingPeers()
         self._numbers = itertools.count(1)
         self._rounds: dict[int, _Round] = {}
 
@@ -174,7 +181,7 @@
             state.route.objective_s,
             state.excluded,
             monotonic(),
-            self._get_suspicion,
+            self._make_suspicion(state),
             count,
             EXPLORATION,
         )
@@ -196,9 +203,22 @@
             state.route.objective_s,
             excluded,
             monotonic(),
-            self._get_suspicion,
+            self._make_suspicion(state),
         )
 
+    def _make_suspicion(self, state: RequestState) -> Callable[[str], bool | None]:
+        """Return a function as `get_suspicion`, for the deadline of a request."""
+        if not self.stopping_peers:
+            return self._get_suspicion
+        now = monotonic()
+
+        def get_suspicion(host: str) -> bool | None:
+            if not self.stopping_peers.may_finish(host, state.deadline, now):
+                return None
+            return self._get_suspicion(host)
+
+        return get_suspicion
+
     def _is_free_here(self, state: RequestState, endpoint: Endpoint) -> bool:
         """Return whether the worker is the local one and starts the request at once."""
         if endpoint.host != self._settings.worker.host:
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -1,6 +1,7 @@
 """Runs requests at the local worker."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from time import monotonic
 
@@ -72,6 +73,9 @@
         self._directory = directory
         self._local_worker: Endpoint | None = None
         self._running_ids: set[str] = set()
+        # Time at which the node ends, in monotonic seconds. A request with a later
+        # deadline might be cut, so it is left to the worker of another node.
+        self.end_deadline = math.inf
         self._waiters: dict[Ticket, asyncio.Future] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
@@ -147,6 +151,8 @@
             raise AttemptError(refusal)
         if local_worker.draining:
             raise AttemptError(refuse(Cause.LEAVING, "worker is draining"))
+        if deadline > self.end_deadline:
+            raise AttemptError(refuse(Cause.LEAVING, "node is stopping"))
         ticket = await self._admit(head, deadline)
         has_run = False
         try:
@@ -177,6 +183,7 @@
             local_worker is None
             or local_worker.id != probe.instance
             or local_worker.draining
+            or now + probe.remaining_s > self.end_deadline
         ):
             accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
         else:
--- a/tests/mesh/test_planned_stops.py
+++ b/tests/mesh/test_planned_stops.py
@@ -7,6 +7,9 @@
 import asyncio
 import contextlib
 
+import pytest
+
+from mangowell_core.mesh import StoppingPeers, StopSchedule
 from mesh.support_mesh import (
     answer_with_id,
     fill_slots,
@@ -90,3 +93,37 @@
         await asyncio.sleep(0.6)
         answer = await first.call(request="short")
         assert answer.status == 200
+
+
+def test_repeated_notices_do_not_extend_the_time_of_a_stopping_node():
+    """A notice that was delayed on its way states an end that is too late."""
+    peers = StoppingPeers()
+    peers.record("h", 105.0)
+    peers.record("h", 105.4)
+    assert not peers.may_finish("h", 105.2, now=101.0)
+    assert peers.may_finish("h", 104.9, now=101.0)
+    assert peers.may_finish("other", 109.0, now=101.0)
+
+
+@pytest.mark.parametrize("is_announced", [False, True])
+def test_node_that_has_restarted_is_used_again(is_announced):
+    """It need not say so: a process that was to end has ended by then."""
+    peers = StoppingPeers()
+    peers.record("h", 105.0)
+    if is_announced:
+        peers.forget("h")
+    now = 102.0 if is_announced else 105.0
+    assert peers.may_finish("h", 109.0, now)
+    assert not peers
+
+
+@pytest.mark.parametrize(
+    ("grace_s", "linger_s", "end_s"), [(6.0, 2.8, 5.5), (5.0, 2.5, 4.5), (3, 1.5, 2.5)]
+)
+def test_short_grace_period_leaves_time_to_finish_after_the_linger(
+    grace_s, linger_s, end_s
+):
+    schedule = StopSchedule.from_grace(grace_s, 100.0)
+    assert schedule.linger_deadline == 100.0 + linger_s
+    assert schedule.deadline == 100.0 + end_s
+    assert schedule.linger_deadline < schedule.caller_deadline < schedule.deadline
