Serve the calls of running work until a stop ends it

Callers saw 500 of the worker for requests that had been accepted: the worker's own calls were refused while the node beside it was stopping. Cause: 2.8 s after SIGTERM the node closed its listener for callers, on which these calls arrive too, though the worker still ran requests (of own callers and, since stopping nodes accept them, of other nodes). The same kind of fault as that of the links: a part is closed before the work that needs it has ended. Change: the listener stays open until the worker has finished. In that time the gateway serves only calls of running requests; a caller gets 503 at once, with the time after which the node is usually back, instead of a refused connection. Idle connections of callers stay open until then as well. Why it works: the order of closing follows the dependencies: other nodes' work first, then the worker's, then the listener that both need.

--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -55,6 +55,8 @@
 CALL_SEPARATOR = "."
 # Longest time that a request waits for the first document, in seconds.
 DOCUMENT_WAIT_S = 0.25
+# Retry-After value of a node that stops and is usually started again, in seconds.
+RESTART_RETRY_AFTER_S = 2.0
 # Margin before the time limit of a request, in seconds. At that point, the node itself
 # answers a request that is still open.
 EXPIRY_MARGIN_S = 0.003
@@ -119,6 +121,11 @@
         self.in_flight = 0
         # Latest deadline of a request, in monotonic seconds: that of the planned stop.
         self.end_deadline = math.inf
+        self._refuses_callers = False
+
+    def refuse_callers(self) -> None:
+        """Serve only calls of requests that the local worker runs."""
+        self._refuses_callers = True
 
     def reload(self, settings: MeshSettings) -> None:
         """Apply changed settings."""
@@ -146,6 +153,11 @@
     async def _serve(self, call: IncomingCall) -> Reply:
         fields = read_caller_fields(call.headers)
         request = fields.request
+        if self._refuses_callers and not self._is_call(request):
+            refusal = refuse(
+                Cause.LEAVING, "node is stopping", retry_after_s=RESTART_RETRY_AFTER_S
+            )
+            return self._make_refusal_reply(request, None, refusal, call.arrived_at)
         if self._route_table is None:
             await self._wait_for_document()
         if self._route_table is None:
@@ -182,6 +194,10 @@
             state.error = AttemptError.at(Cause.DEADLINE, stage, reason)
         return self._make_reply(state, request)
 
+    def _is_call(self, request: str) -> bool:
+        """Return whether the local worker made a request while running another."""
+        return self._runner.is_running(request.partition(CALL_SEPARATOR)[0])
+
     async def _wait_for_document(self) -> None:
         """Wait for the first document, which the store sends within milliseconds."""
         with contextlib.suppress(TimeoutError):
@@ -214,7 +230,6 @@
         if body is None:
             reason = f"body of more than {limits.max_body_bytes} bytes"
             return Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 413, 0.0, reason)
-        is_call = self._runner.is_running(request.partition(CALL_SEPARATOR)[0])
         objective_s = route.objective_s
         state.head = RequestHead(
             request,
@@ -232,7 +247,7 @@
             caller_service=self._settings.service,
             route=route.name,
             objective_s=objective_s,
-            is_call=is_call,
+            is_call=self._is_call(request),
         )
         return None
 
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -129,7 +129,11 @@
         while monotonic() < schedule.linger_deadline:
             await asyncio.sleep(LINGER_POLL_S)
         self._link_server.refuse_new_streams()
-        self._ingress.close_idle()
+        self.gateway.refuse_callers()
+        # Calls of running requests arrive like requests of callers, so the listener for
+        # both stays open until the worker has finished.
+        while self.runner.pending and monotonic() < deadline:
+            await asyncio.sleep(LINGER_POLL_S)
         await self._ingress.stop(max(0.0, deadline - monotonic()))
         await self._link_server.stop(deadline)
         in_flight = self.gateway.in_flight + self.runner.pending
--- a/tests/mesh/test_planned_stops.py
+++ b/tests/mesh/test_planned_stops.py
@@ -18,6 +18,7 @@
     run_mesh,
     until,
 )
+from node.support_calls import make_answer
 
 WORK_S = 0.9
 
@@ -95,6 +96,35 @@
         assert answer.status == 200
 
 
+async def test_call_of_running_work_is_served_until_the_work_ends():
+    """The worker beside a stopping node calls another service late in its work."""
+    async with run_stopping_node() as (first, second):
+
+        async def call_late(request):
+            request_id = request.headers["request-id"]
+            if "." not in request_id:
+                await asyncio.sleep(0.9)
+                inner = await second.call(request=f"{request_id}.1", timeout_ms=400)
+                if inner.status != 200:
+                    return make_answer(b"call failed", "500 Internal Server Error")
+            return await answer_with_id()(request)
+
+        second.worker.handler = call_late
+        await asyncio.sleep(0.9)
+        answer = await first.call(request="outer", timeout_ms=1300)
+        assert answer.status == 200
+
+
+async def test_caller_that_comes_after_the_linger_is_told_that_nothing_ran():
+    async with run_stopping_node() as (_, second):
+        await asyncio.sleep(1.8)
+        answer = await second.call(request="after")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert answer.headers["connection"] == "close"
+        assert "after" not in get_received_ids(second)
+
+
 def test_repeated_notices_do_not_extend_the_time_of_a_stopping_node():
     """A notice that was delayed on its way states an end that is too late."""
     peers = StoppingPeers()
