Let peers close the links of a stopping node

A caller would see 502, link: closed by the peer or connection reset, though the worker had answered in time. Cause: a stopping node aborted a link as soon as its last stream had ended. What was left in the buffers of the link was dropped, and bytes of the peer that were still unread (a ping, a notice) reset the connection. Why it works: the side that has read the last byte closes, so nothing is unread or unsent.

--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -39,6 +39,9 @@
 )
 from mangowell_node.reach import AddressFilter
 
+# Close reason of a link whose peer takes no more streams.
+PEER_STOPPING = "peer is stopping"
+
 
 class _ClientStream:
     """State of one request on a link, at the node that sends the request."""
@@ -224,7 +227,11 @@
             stream.timer = None
         if stream.sender is not None:
             stream.sender.close()
-        return self._streams.pop(stream.id, None) is not None
+        was_open = self._streams.pop(stream.id, None) is not None
+        if self.leaving and not self._streams:
+            # Not at once: the answer that ends this stream is still being handled.
+            self.loop.call_soon(self.close, PEER_STOPPING)
+        return was_open
 
     def _get_stream(self, stream_id: int) -> _ClientStream | None:
         stream = self._streams.get(stream_id)
@@ -280,7 +287,7 @@
         for stream_id in [n for n in self._streams if n > last_stream_id]:
             self._streams[stream_id].fail(error)
         if not self._streams:
-            self.close("peer is stopping")
+            self.close(PEER_STOPPING)
 
     def _has_streams(self) -> bool:
         return bool(self._streams)
--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -22,6 +22,7 @@
     MAGIC,
     MAX_STREAMS,
     NONCE_BYTES,
+    PEER_CLOSE_TIMEOUT_S,
     REQUEST_FRAME,
     WINDOW_UPDATE,
     FrameType,
@@ -143,8 +144,6 @@
             self._streams.pop(stream_id, None)
             if answer.stream is not None:
                 answer.stream.close()
-            if self._stopping and not self._streams:
-                self.close("stopping")
 
     def _get_stream(self, stream_id: int) -> _ServerStream | None:
         stream = self._streams.get(stream_id)
@@ -293,7 +292,11 @@
                 link.close("stopping")
 
     async def stop(self, deadline: float) -> None:
-        """Refuse new streams and close every link once its streams have ended.
+        """Refuse new streams, and wait until peers have read the last answers.
+
+        A peer closes its link after the last answer. If this side did, bytes of the
+        peer that are still unread would reset the connection, and what is left in its
+        buffers would be lost.
 
         Parameters
         ----------
@@ -305,9 +308,13 @@
             if monotonic() >= deadline:
                 break
             await asyncio.sleep(0.01)
-        # The last answers may still be in the send buffers.
-        while any(link.transport.get_write_buffer_size() for link in self.links):
-            if monotonic() >= deadline:
+        # A peer that cannot be reached must not hold up the stop.
+        close_deadline = monotonic() + PEER_CLOSE_TIMEOUT_S
+        while self.links and monotonic() < deadline:
+            has_unsent = any(
+                link.transport.get_write_buffer_size() for link in self.links
+            )
+            if not has_unsent and monotonic() >= close_deadline:
                 break
             await asyncio.sleep(0.005)
         now = monotonic()
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -4,6 +4,7 @@
 import contextlib
 import hashlib
 import hmac
+import socket
 import struct
 from time import monotonic
 
@@ -529,3 +530,43 @@
         assert (await first).head.body == b"/first"
         await stop
         assert ran == ["/first"]
+
+
+@pytest.mark.parametrize("peer_is_silent", [False, True])
+async def test_stop_waits_until_the_last_answer_has_been_read(peer_is_silent):
+    """A link that is closed with bytes in its buffers loses the answer in them."""
+    entered, gate = asyncio.Event(), asyncio.Event()
+    body = b"x" * 400_000
+
+    async def handler(head, body_, deadline):
+        entered.set()
+        await gate.wait()
+        return Answer(AnswerHead(200, "OK", b"", body))
+
+    async with run_link_pair(handler) as pair:
+        call = asyncio.ensure_future(pair.call(make_head(idempotent=False)))
+        await entered.wait()
+        (link,) = pair.pool.links
+        (server_link,) = pair.server.links
+        for transport in (link.transport, server_link.transport):
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        link.transport.pause_reading()
+        started = monotonic()
+        stop = asyncio.ensure_future(pair.server.stop(started + 1.0))
+        await asyncio.sleep(0)
+        gate.set()
+        if peer_is_silent:
+            await stop
+            assert monotonic() - started == pytest.approx(1.0, abs=0.3)
+            with pytest.raises(AttemptError):
+                link.transport.resume_reading()
+                await call
+            return
+        await asyncio.sleep(0.2)
+        assert not stop.done()
+        link.transport.resume_reading()
+        assert (await call).head.body == body
+        await stop
+        assert monotonic() - started < 0.8
