Give running work up for silence only if another worker takes it

Callers got 504 for a safe request at which its worker went on working, 0.8 s after its link had passed the last byte.

Cause: the link itself ended repeatable requests after 0.8 s of silence, so that they could be repeated. Only then did the attempt loop find out whether a repeat was possible. With the attempt limit reached, no unit of the retry budget, too little time, no other worker or only full ones, the request ended there, although the link was only full and the answer on its way.

Evidence: the new test lets no byte of a link pass for 1.1 s while a worker runs a request, in five cases in which no repeat is possible. Before, all five were answered 504 ("link: no answer to a ping").

Change: the link reports the silence and decides nothing. The attempt loop checks the limits of the request, selects the next worker (with probes, so that full workers are known) and asks the retry budget; only if all agree does it give the attempt up and send the request to that worker. Otherwise the attempt goes on until the link is lost. The decision of the budget is kept for that repeat, so that it is asked once. The next worker must be local or behind a link without doubt, as a new attempt on a link that may be silent too gains nothing. Fleets without a platform keep their behaviour.

Result: the five cases end with 200 and one execution. A request for which a worker is free is still repeated before the link is lost, and the budget is asked once; that test passed before, too. 320 tests of tests/mesh, test_link and test_drain pass.

--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -40,6 +40,11 @@
 from mangowell_node.reach import AddressFilter
 
 
+def _give_up_at_once(give_up: Callable[[], None]) -> None:
+    """Give a request up as soon as its link is reported as silent."""
+    give_up()
+
+
 class _ClientStream:
     """State of one request on a link, at the node that sends the request."""
 
@@ -47,8 +52,8 @@
         "answer",
         "deadline",
         "id",
-        "is_repeatable",
         "link",
+        "on_silence",
         "receiver",
         "sender",
         "timer",
@@ -61,13 +66,22 @@
         self.receiver: BodyReceiver | None = None
         self.sender: BodySender | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.is_repeatable = False
+        # Takes `give_up`; None if the request waits until the link is lost.
+        self.on_silence: Callable[[Callable[[], None]], None] | None = None
 
     def cancel(self) -> None:
         """Cancel the request at the other node if its stream is open."""
         if self.link.forget(self):
             self.link.send(FrameType.CANCEL, self.id)
 
+    def give_up(self) -> None:
+        """Cancel the request because its link is silent, unless it has an answer."""
+        if self.answer.done():
+            return
+        self.cancel()
+        reason = "link: no answer to a ping"
+        self.fail(AttemptError.at(Cause.CONNECTION_SILENT, Stage.SENT, reason))
+
     def on_deadline(self) -> None:
         """Cancel the request and report that its deadline has passed."""
         self.cancel()
@@ -152,7 +166,13 @@
         if not self.ready.done():
             self.ready.set_result(None)
 
-    async def call(self, head: RequestHead, body: Body | None, deadline: float):
+    async def call(
+        self,
+        head: RequestHead,
+        body: Body | None,
+        deadline: float,
+        on_silence: Callable[[Callable[[], None]], None] = _give_up_at_once,
+    ) -> Answer:
         """Send a request and wait for its answer.
 
         Parameters
@@ -162,6 +182,10 @@
             The body if `head.streaming` is set.
         deadline : float
             Monotonic seconds.
+        on_silence : callable, optional
+            Called repeatedly while the link of a repeatable request is silent but not
+            yet lost. Takes a function that gives the request up. By default, the
+            request is given up at once.
 
         Returns
         -------
@@ -189,7 +213,8 @@
             )
         self._last_stream_id = stream_id = self._last_stream_id + 1
         stream = self._streams[stream_id] = _ClientStream(self, stream_id)
-        stream.is_repeatable = head.idempotent and body is None
+        if head.idempotent and body is None:
+            stream.on_silence = on_silence
         self.last_used_at = now
         self.send(REQUEST_FRAME, stream_id, payload)
         stream.timer = self.loop.call_later(deadline - now, stream.on_deadline)
@@ -285,15 +310,12 @@
     def _has_streams(self) -> bool:
         return bool(self._streams)
 
-    def _fail_repeatable_streams(self) -> None:
+    def _report_silence(self) -> None:
         if self.on_silent is not None:
             self.on_silent(self)
-        reason = "link: no answer to a ping"
         for stream in list(self._streams.values()):
-            if stream.is_repeatable and stream.receiver is None:
-                stream.cancel()
-                cause = Cause.CONNECTION_SILENT
-                stream.fail(AttemptError.at(cause, Stage.SENT, reason))
+            if stream.on_silence is not None and not stream.answer.done():
+                stream.on_silence(stream.give_up)
 
     def _fail_streams(self) -> None:
         if not self.ready.done():
@@ -372,6 +394,7 @@
         head: RequestHead,
         body: Body | None,
         deadline: float,
+        on_silence: Callable[[Callable[[], None]], None] = _give_up_at_once,
     ) -> Answer:
         """Send a request to the node at `host` and `port`; see `ClientLink.call`."""
         if not self._reach.is_allowed(host, port):
@@ -379,7 +402,7 @@
         link = self._links.get((host, port))
         if link is None or not link.is_usable:
             link = await self._open(host, port, deadline)
-        return await link.call(head, body, deadline)
+        return await link.call(head, body, deadline, on_silence)
 
     @property
     def links(self) -> list[ClientLink]:
--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -324,7 +324,7 @@
             self.close("silent")
             return
         if now - self._silent_since >= REPEATABLE_SILENT_AFTER_S:
-            self._fail_repeatable_streams()
+            self._report_silence()
         if now - self._silent_since >= PING_INTERVAL_S and not self.is_suspect:
             self._ping(now)
         # The last check is due exactly when the silence reaches the limit.
@@ -360,8 +360,8 @@
             self._handshake_timer.cancel()
             self._handshake_timer = None
 
-    def _fail_repeatable_streams(self) -> None:
-        """Fail requests that may be retried elsewhere; a no-op at the server side."""
+    def _report_silence(self) -> None:
+        """Report the silence to repeatable requests; a no-op at the server side."""
 
     @abstractmethod
     def _has_streams(self) -> bool:
--- a/packages/node/src/mangowell_node/link/frames.py
+++ b/packages/node/src/mangowell_node/link/frames.py
@@ -21,8 +21,8 @@
 # for the same time makes the link suspect.
 PING_INTERVAL_S = 0.2
 SILENT_AFTER_S = 1.5
-# Silence after which repeatable requests fail. It is below SILENT_AFTER_S, so that
-# there may be time left to retry them on another path.
+# Silence after which repeatable requests may be given up. It is below
+# SILENT_AFTER_S, so that there may be time left to retry them on another path.
 REPEATABLE_SILENT_AFTER_S = 0.8
 CONNECT_TIMEOUT_S = 1.0
 HANDSHAKE_TIMEOUT_S = 2.0
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -1,5 +1,6 @@
 """Sends a request to one worker after another until one has answered it."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from http import HTTPStatus
@@ -28,6 +29,7 @@
 from mangowell_node.mesh.prober import Prober
 from mangowell_node.mesh.request_state import RequestState
 from mangowell_node.mesh.runner import WorkerRunner
+from mangowell_node.mesh.tasks import start_loop
 
 # Retry-After value if no worker can be reached, in seconds.
 NO_WORKER_RETRY_AFTER_S = 0.5
@@ -116,12 +118,10 @@
     async def run(self, state: RequestState) -> None:
         """Make attempts until there is an answer or no further attempt is allowed."""
         while True:
-            now = monotonic()
-            elapsed_s = now - state.call.arrived_at
-            if not may_offer_again(state.refusals, elapsed_s, state.route.objective_s):
+            if not _may_offer(state, monotonic()):
                 return
             try:
-                endpoint = await self.prober.select_worker(state)
+                endpoint = await self._select_worker(state)
             except AttemptError as exc:
                 state.error = _select_error(state.error, exc)
                 return
@@ -142,6 +142,7 @@
             if state.may_have_run or state.attempts:
                 if not self._may_retry(state, monotonic()):
                     return
+                state.retry_granted = None
                 self._emit(
                     Event(
                         EventCode.CALL_RETRIED,
@@ -157,6 +158,10 @@
             if await self._attempt(state, endpoint):
                 return
 
+    async def _select_worker(self, state: RequestState) -> Endpoint | None:
+        selected, state.next_worker = state.next_worker, None
+        return selected or await self.prober.select_worker(state)
+
     def _is_suspect(self, host: str) -> bool | None:
         """Return whether a host is suspected, or None if it cannot be reached."""
         if host == self._settings.worker.host:
@@ -165,6 +170,35 @@
             self._links.get_contact(host, self._settings.link.port)
         ]
 
+    async def _prepare_repeat(
+        self, state: RequestState, give_up: Callable[[], None]
+    ) -> None:
+        """Give up an attempt on a silent link if another one can be made.
+
+        A silent link may only be full, and its worker about to answer. The attempt
+        therefore goes on until there is a worker that would take the request and the
+        retry budget has granted the repeat.
+        """
+        now = monotonic()
+        is_allowed = _may_offer(state, now) and self._may_repeat(state, now)
+        if not is_allowed or state.retry_granted is False:
+            return
+        try:
+            endpoint = await self.prober.select_worker(state)
+        except AttemptError:
+            return
+        if endpoint is None or not self._is_in_contact(endpoint.host):
+            return
+        if self._may_retry(state, monotonic()):
+            state.next_worker = endpoint
+            give_up()
+
+    def _is_in_contact(self, host: str) -> bool:
+        if host == self._settings.worker.host:
+            return True
+        contact = self._links.get_contact(host, self._settings.link.port)
+        return contact is Contact.OPEN
+
     def _may_reset_exclusions(self, state: RequestState) -> bool:
         """Return whether the workers that were tried may be tried once more."""
         if state.has_reset_exclusions or not state.may_have_run:
@@ -172,8 +206,8 @@
         state.has_reset_exclusions = True
         return state.route.idempotent and state.error is not None
 
-    def _may_retry(self, state: RequestState, now: float) -> bool:
-        """Return whether a request that reached a worker may be sent to another."""
+    def _may_repeat(self, state: RequestState, now: float) -> bool:
+        """Return whether another attempt is allowed, except by the retry budget."""
         if state.may_have_run and not state.route.idempotent:
             return False
         if state.attempts >= max(1, state.route.max_attempts):
@@ -181,9 +215,20 @@
         mean_work_s = self.placement.estimate_work(state.route.name, state.service)
         if state.deadline - now < mean_work_s * MIN_REMAINING_WORK_SHARE:
             return False
-        if self.is_quarantined(state, now):
+        return not self.is_quarantined(state, now)
+
+    def _may_retry(self, state: RequestState, now: float) -> bool:
+        """Return whether a request that reached a worker may be sent to another.
+
+        The retry budget is asked once for each attempt.
+        """
+        if not self._may_repeat(state, now):
             return False
-        return self.budget.spend(state.service, now, state.head.is_call)
+        if state.retry_granted is None:
+            state.retry_granted = self.budget.spend(
+                state.service, now, state.head.is_call
+            )
+        return state.retry_granted
 
     def is_quarantined(self, state: RequestState, now: float) -> bool:
         """Return whether the request is refused because it has crashed workers."""
@@ -242,9 +287,20 @@
         port = self._settings.link.port
         deadline = min(state.deadline, monotonic() + CONNECT_WAIT_S)
         await self._links.connect(endpoint.host, port, deadline)
-        return await self._links.call(
-            endpoint.host, port, state.head, None, state.deadline
-        )
+        preparation: asyncio.Task | None = None
+
+        def on_silence(give_up: Callable[[], None]) -> None:
+            nonlocal preparation
+            if preparation is None or preparation.done():
+                preparation = start_loop(self._prepare_repeat(state, give_up))
+
+        try:
+            return await self._links.call(
+                endpoint.host, port, state.head, None, state.deadline, on_silence
+            )
+        finally:
+            if preparation is not None:
+                preparation.cancel()
 
     def _record_error(self, endpoint: Endpoint, exc: AttemptError) -> None:
         now = monotonic()
@@ -258,6 +314,11 @@
             self.placement.record_failure(endpoint, now)
 
 
+def _may_offer(state: RequestState, now: float) -> bool:
+    elapsed_s = now - state.call.arrived_at
+    return may_offer_again(state.refusals, elapsed_s, state.route.objective_s)
+
+
 def _compute_size(head: RequestHead, answer: Answer) -> int:
     """Return the bytes that a request and its answer take on a link."""
     body_bytes = max(len(answer.head.body), answer.head.length)
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -1,6 +1,6 @@
 """State of one request on the platform's request path."""
 
-from mangowell_core.mesh import MeshRoute
+from mangowell_core.mesh import Endpoint, MeshRoute
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause, Outcome, Refusal
 from mangowell_node.exchange import Answer, AttemptError, RequestHead
@@ -30,7 +30,9 @@
         "has_reset_exclusions",
         "head",
         "may_have_run",
+        "next_worker",
         "refusals",
+        "retry_granted",
         "route",
         "service",
     )
@@ -46,6 +48,10 @@
         self.attempts = 0
         # Number of workers that refused the request because they were overloaded.
         self.refusals = 0
+        # Decision of the retry budget on the next attempt, None if it was not asked.
+        self.retry_granted: bool | None = None
+        # Worker that was selected before the attempt on a silent link was given up.
+        self.next_worker: Endpoint | None = None
         self.has_reset_exclusions = False
         self.may_have_run = False
         self.answer: Answer | None = None
--- a/tests/mesh/test_field_failures.py
+++ b/tests/mesh/test_field_failures.py
@@ -8,14 +8,20 @@
 
 import asyncio
 import itertools
+import random
+from time import monotonic
+from types import SimpleNamespace
 
 import pytest
 
+from mangowell_core.mesh import RetryBudget
+from mangowell_node.link.frames import SILENT_AFTER_S
 from mesh.support_mesh import (
     answer_with_id,
     fill_slots,
     make_document,
     make_request,
+    make_route,
     run_mesh,
     until,
 )
@@ -257,3 +263,115 @@
         answer = await call
         assert (answer.status, answer.body) == (200, b"paid")
         assert first.worker.executions + second.worker.executions == 1
+
+
+def silence_link(first, second):
+    """Let no byte of the second node reach the first one, and return the transport."""
+    transport = first.node._links.get_link(second.host, second.link_port).transport
+    transport.pause_reading()
+    return transport
+
+
+def set_no_budget(mesh):
+    mesh.first.node.gateway.attempts.budget = RetryBudget(0, 0, 10, random.Random(1))
+
+
+def expect_long_work(mesh):
+    mesh.first.node.gateway.attempts.placement._route_work_s["r1"] = 30.0
+
+
+def withdraw_other_worker(mesh):
+    mesh.store.delete(f"servers/{mesh.other.id}")
+
+
+def fill_other_worker(mesh):
+    fill_slots(mesh.other, waiting=200)
+
+
+@pytest.mark.parametrize(
+    ("max_attempts", "forbid_repeat"),
+    [
+        pytest.param(1, lambda mesh: None, id="attempt-limit"),
+        pytest.param(2, set_no_budget, id="retry-budget"),
+        pytest.param(2, expect_long_work, id="no-time"),
+        pytest.param(2, withdraw_other_worker, id="no-worker"),
+        pytest.param(2, fill_other_worker, id="all-refuse"),
+    ],
+)
+async def test_silence_does_not_end_running_work_that_cannot_be_repeated(
+    max_attempts, forbid_repeat
+):
+    """Guards against a 504 for a safe request whose worker goes on working.
+
+    The request was given up after 0.8 s of silence to be repeated, and only then did
+    the node find out that no repeat was possible.
+    """
+    document = make_document(
+        routes={"r1": make_route(**{"max-attempts": max_attempts})}
+    )
+    async with run_mesh(3, document) as (store, machines):
+        first = machines[0]
+        await until(lambda: len(first.node._links.links) == 2)
+        fill_slots(first, waiting=200)
+        started, finish = asyncio.Queue(), asyncio.Event()
+
+        def make_handler(machine):
+            async def run(request):
+                started.put_nowait(machine)
+                await finish.wait()
+                return await answer_with_id(b"done")(request)
+
+            return run
+
+        for machine in machines[1:]:
+            machine.worker.handler = make_handler(machine)
+        call = asyncio.create_task(first.call(timeout_ms=1900))
+        silent = await started.get()
+        (other,) = {*machines[1:]} - {silent}
+        forbid_repeat(SimpleNamespace(store=store, first=first, other=other))
+        transport = silence_link(first, silent)
+        await asyncio.sleep(1.1)
+        transport.resume_reading()
+        finish.set()
+        answer = await call
+        assert (answer.status, answer.body) == (200, b"done")
+        assert started.empty()
+
+
+async def test_work_on_a_silent_link_is_repeated_elsewhere_and_charged_once():
+    """Guards against a wait for a lost link, and against two charges for one repeat."""
+    async with run_mesh(3) as (_, machines):
+        first = machines[0]
+        await until(lambda: len(first.node._links.links) == 2)
+        fill_slots(first, waiting=200)
+        budget = first.node.gateway.attempts.budget
+        granted = []
+        spend = budget.spend
+
+        def count_spend(*args):
+            granted.append(spend(*args))
+            return granted[-1]
+
+        first.node.gateway.attempts.budget = SimpleNamespace(
+            spend=count_spend, count_request=budget.count_request
+        )
+        started = []
+
+        def make_handler(machine):
+            async def run(request):
+                started.append(machine)
+                if len(started) > 1:
+                    return await answer_with_id(b"second")(request)
+                silence_link(first, machine)
+                await asyncio.sleep(5)
+
+            return run
+
+        for machine in machines[1:]:
+            machine.worker.handler = make_handler(machine)
+        began = monotonic()
+        answer = await first.call(timeout_ms=1900)
+        assert (answer.status, answer.body) == (200, b"second")
+        assert monotonic() - began < SILENT_AFTER_S
+        assert len(set(started)) == 2
+        assert granted == [True]
