--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -27,7 +27,7 @@
 )
 from mangowell_node.link import Contact, LinkPool
 from mangowell_node.mesh.prober import Prober
-from mangowell_node.mesh.request_state import RequestState
+from mangowell_node.mesh.request_state import EndReason, RequestState
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.mesh.tasks import start_loop
 
@@ -117,46 +117,53 @@
 
     async def run(self, state: RequestState) -> None:
         """Make attempts until there is an answer or no further attempt is allowed."""
-        while True:
-            if not _may_offer(state, monotonic()):
-                return
-            try:
-                endpoint = await self._select_worker(state)
-            except AttemptError as exc:
-                state.error = _select_error(state.error, exc)
-                return
-            if endpoint is None and self._may_reset_exclusions(state):
-                # If there is only one worker, it may have lost just a connection.
-                state.excluded.clear()
-                continue
-            if endpoint is None:
-                if state.error is None and state.answer is None:
-                    state.error = AttemptError(
-                        refuse(
-                            Cause.NO_INSTANCE,
-                            f"no worker of {state.service} can be reached",
-                            retry_after_s=NO_WORKER_RETRY_AFTER_S,
-                        )
-                    )
-                return
-            if state.may_have_run or state.attempts:
-                if not self._may_retry(state, monotonic()):
-                    return
-                state.retry_granted = None
-                self._emit(
-                    Event(
-                        EventCode.CALL_RETRIED,
-                        {
-                            "request": state.head.request,
-                            "backend": endpoint.id,
-                            "reason": _describe_failure(state),
-                            "attempt": state.attempts + 1,
-                        },
+        ended_by = None
+        while ended_by is None:
+            ended_by = await self._make_next_attempt(state)
+        state.ended_by = ended_by
+
+    async def _make_next_attempt(self, state: RequestState) -> EndReason | None:
+        """Make one attempt; return why no further one follows, or None if one may."""
+        if not _may_offer(state, monotonic()):
+            return EndReason.OFFER_LIMIT
+        try:
+            endpoint = await self._select_worker(state)
+        except AttemptError as exc:
+            state.error = _select_error(state.error, exc)
+            return EndReason.ALL_REFUSE
+        if endpoint is None and self._may_reset_exclusions(state):
+            # If there is only one worker, it may have lost just a connection.
+            state.excluded.clear()
+            return None
+        if endpoint is None:
+            if state.error is None and state.answer is None:
+                state.error = AttemptError(
+                    refuse(
+                        Cause.NO_INSTANCE,
+                        f"no worker of {state.service} can be reached",
+                        retry_after_s=NO_WORKER_RETRY_AFTER_S,
                     )
                 )
-            state.excluded.add(endpoint.id)
-            if await self._attempt(state, endpoint):
-                return
+            return EndReason.NO_WORKER
+        if state.may_have_run or state.attempts:
+            obstacle = self._find_retry_obstacle(state, monotonic())
+            if obstacle is not None:
+                return obstacle
+            state.retry_granted = None
+            self._emit(
+                Event(
+                    EventCode.CALL_RETRIED,
+                    {
+                        "request": state.head.request,
+                        "backend": endpoint.id,
+                        "reason": _describe_failure(state),
+                        "attempt": state.attempts + 1,
+                    },
+                )
+            )
+        state.excluded.add(endpoint.id)
+        is_final = await self._attempt(state, endpoint)
+        return EndReason.ANSWERED if is_final else None
 
     async def _select_worker(self, state: RequestState) -> Endpoint | None:
         selected, state.next_worker = state.next_worker, None
@@ -180,8 +187,9 @@
         retry budget has granted the repeat.
         """
         now = monotonic()
-        is_allowed = _may_offer(state, now) and self._may_repeat(state, now)
-        if not is_allowed or state.retry_granted is False:
+        if not _may_offer(state, now) or state.retry_granted is False:
+            return
+        if self._find_repeat_obstacle(state, now) is not None:
             return
         try:
             endpoint = await self.prober.select_worker(state)
@@ -189,7 +197,7 @@
             return
         if endpoint is None or not self._is_in_contact(endpoint.host):
             return
-        if self._may_retry(state, monotonic()):
+        if self._find_retry_obstacle(state, monotonic()) is None:
             state.next_worker = endpoint
             give_up()
 
@@ -206,29 +214,32 @@
         state.has_reset_exclusions = True
         return state.route.idempotent and state.error is not None
 
-    def _may_repeat(self, state: RequestState, now: float) -> bool:
-        """Return whether another attempt is allowed, except by the retry budget."""
+    def _find_repeat_obstacle(
+        self, state: RequestState, now: float
+    ) -> EndReason | None:
+        """Return what forbids another attempt, except for the retry budget."""
         if state.may_have_run and not state.route.idempotent:
-            return False
+            return EndReason.NOT_REPEATABLE
         if state.attempts >= max(1, state.route.max_attempts):
-            return False
+            return EndReason.ATTEMPT_LIMIT
         mean_work_s = self.placement.estimate_work(state.route.name, state.service)
         if state.deadline - now < mean_work_s * MIN_REMAINING_WORK_SHARE:
-            return False
-        return not self.is_quarantined(state, now)
+            return EndReason.NO_TIME
+        return EndReason.QUARANTINED if self.is_quarantined(state, now) else None
 
-    def _may_retry(self, state: RequestState, now: float) -> bool:
-        """Return whether a request that reached a worker may be sent to another.
+    def _find_retry_obstacle(self, state: RequestState, now: float) -> EndReason | None:
+        """Return what forbids another attempt of a request that reached a worker.
 
         The retry budget is asked once for each attempt.
         """
-        if not self._may_repeat(state, now):
-            return False
+        obstacle = self._find_repeat_obstacle(state, now)
+        if obstacle is not None:
+            return obstacle
         if state.retry_granted is None:
             state.retry_granted = self.budget.spend(
                 state.service, now, state.head.is_call
             )
-        return state.retry_granted
+        return None if state.retry_granted else EndReason.RETRY_BUDGET
 
     def is_quarantined(self, state: RequestState, now: float) -> bool:
         """Return whether the request is refused because it has crashed workers."""
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -32,7 +32,7 @@
 from mangowell_node.ingress import REASON_PHRASES, IncomingCall, Reply
 from mangowell_node.link import LinkPool
 from mangowell_node.mesh.attempts import AttemptLoop
-from mangowell_node.mesh.request_state import RequestState
+from mangowell_node.mesh.request_state import EndReason, RequestState
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.platform import (
     PlatformDialect,
@@ -174,6 +174,7 @@
             stage = Stage.SENT if state.attempts else Stage.UNSENT
             reason = "time limit of the route or the caller reached"
             state.answer = None
+            state.ended_by = EndReason.DEADLINE
             state.error = AttemptError.at(Cause.DEADLINE, stage, reason)
         return self._make_reply(state, request)
 
@@ -322,6 +323,7 @@
                 "service": service,
                 "call": state.head is not None and state.head.is_call,
                 "attempts": state.attempts,
+                "ended_by": state.ended_by.value,
                 "tried": ",".join(sorted(state.excluded)),
                 "version": self._directory.document.version,
             }
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -1,5 +1,7 @@
 """State of one request on the platform's request path."""
 
+from enum import Enum
+
 from mangowell_core.mesh import Endpoint, MeshRoute
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause, Outcome, Refusal
@@ -7,6 +9,22 @@
 from mangowell_node.ingress import IncomingCall
 
 
+class EndReason(Enum):
+    """Reason why no further attempt was made; the values are those of the events."""
+
+    NOT_STARTED = "not-started"
+    ANSWERED = "answered"
+    NOT_REPEATABLE = "not-repeatable"
+    ATTEMPT_LIMIT = "attempt-limit"
+    NO_TIME = "no-time"
+    QUARANTINED = "quarantined"
+    RETRY_BUDGET = "retry-budget"
+    OFFER_LIMIT = "offer-limit"
+    ALL_REFUSE = "all-refuse"
+    NO_WORKER = "no-worker"
+    DEADLINE = "deadline"
+
+
 class RequestState:
     """State of one request over all of its attempts.
 
@@ -25,6 +43,7 @@
         "attempts",
         "call",
         "deadline",
+        "ended_by",
         "error",
         "excluded",
         "has_reset_exclusions",
@@ -54,6 +73,7 @@
         self.next_worker: Endpoint | None = None
         self.has_reset_exclusions = False
         self.may_have_run = False
+        self.ended_by = EndReason.NOT_STARTED
         self.answer: Answer | None = None
         self.error: AttemptError | None = None
 
