Keep a unit of the retry budget until an attempt reaches a worker

Callers got 502 for a safe request with time left: it was lost at its first worker, and the only repeat never reached another one.

Cause: the retry budget was asked again for the attempt after a repeat that was refused before a worker saw it (connection refused, worker draining, queue full). One request so took two units for one arrival, and ended if the second was not granted.

Evidence: with one unit granted, the new test got 502 instead of 200 in its three cases.

Change: the unit that was granted stays with the request if its attempt ends as not run. An answer of a worker spends it, also one that says that the worker did not execute the request, as the platform counts such arrivals.

Result: the three cases end with 200 and one question to the budget. A fourth test, that a rejection by the worker is charged, passes before and after. 330 tests of tests/mesh, test_link and test_drain pass.

--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -149,7 +149,6 @@
             obstacle = self._find_retry_obstacle(state, monotonic())
             if obstacle is not None:
                 return obstacle
-            state.retry_granted = None
             self._emit(
                 Event(
                     EventCode.CALL_RETRIED,
@@ -230,7 +229,7 @@
     def _find_retry_obstacle(self, state: RequestState, now: float) -> EndReason | None:
         """Return what forbids another attempt of a request that reached a worker.
 
-        The retry budget is asked once for each attempt.
+        The retry budget is asked once for each attempt that reaches a worker.
         """
         obstacle = self._find_repeat_obstacle(state, now)
         if obstacle is not None:
@@ -258,6 +257,7 @@
         # Until the attempt ends, the request counts as having reached the worker.
         state.attempts += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
+        was_granted, state.retry_granted = state.retry_granted, None
         try:
             answer = await self._send(state, endpoint)
         except AttemptError as exc:
@@ -267,6 +267,8 @@
             if is_unsent:
                 state.attempts -= 1
                 state.may_have_run = may_have_run_before
+                # The platform counts arrivals at workers, and this was none.
+                state.retry_granted = was_granted or state.retry_granted
             if not (is_unsent and state.error is not None and state.may_have_run):
                 state.error = _select_error(state.error, exc)
             return False
