--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -1,12 +1,30 @@
 """State of one request on the platform's request path."""
 
-from mangowell_core.mesh import MeshRoute
+from enum import Enum
+
+from mangowell_core.mesh import Endpoint, MeshRoute
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause, Outcome, Refusal
 from mangowell_node.exchange import Answer, AttemptError, RequestHead
 from mangowell_node.ingress import IncomingCall
 
 
+class EndReason(Enum):
+    """Reason why no further attempt was made; the values are those of the events."""
+
+    NOT_STARTED = "not-started"
+    ANSWERED = "answered"
+    NOT_REPEATABLE = "not-repeatable"
+    ATTEMPT_LIMIT = "attempt-limit"
+    NO_TIME = "no-time"
+    QUARANTINED = "quarantined"
+    RETRY_BUDGET = "retry-budget"
+    OFFER_LIMIT = "offer-limit"
+    ALL_REFUSE = "all-refuse"
+    NO_WORKER = "no-worker"
+    DEADLINE = "deadline"
+
+
 class RequestState:
     """State of one request over all of its attempts.
 
@@ -25,12 +43,15 @@
         "attempts",
         "call",
         "deadline",
+        "ended_by",
         "error",
         "excluded",
         "has_reset_exclusions",
         "head",
         "may_have_run",
+        "next_worker",
         "refusals",
+        "retry_granted",
         "route",
         "service",
     )
@@ -46,8 +67,13 @@
         self.attempts = 0
         # Number of workers that refused the request because they were overloaded.
         self.refusals = 0
+        # Decision of the retry budget on the next attempt, None if it was not asked.
+        self.retry_granted: bool | None = None
+        # Worker that was selected before the attempt on a silent link was given up.
+        self.next_worker: Endpoint | None = None
         self.has_reset_exclusions = False
         self.may_have_run = False
+        self.ended_by = EndReason.NOT_STARTED
         self.answer: Answer | None = None
         self.error: AttemptError | None = None
 
