End the silence in a test when the link has reported it

The test of work on a silent link kept the link silent for 1.1 s by the clock; a pause of 0.4 s of the test process would have reached the 1.5 s after which the link is lost. It now waits for the link's report of the silence, and 0.1 s for the request to be given up. All checks are as before.

--- a/tests/mesh/test_field_failures.py
+++ b/tests/mesh/test_field_failures.py
@@ -266,10 +266,26 @@
 
 
 def silence_link(first, second):
-    """Let no byte of the second node reach the first one, and return the transport."""
-    transport = first.node._links.get_link(second.host, second.link_port).transport
-    transport.pause_reading()
-    return transport
+    """Let no byte of the second node reach the first one.
+
+    Returns
+    -------
+    transport : asyncio.Transport
+        Its reading may be resumed.
+    is_reported : asyncio.Event
+        Set when the link reports its silence to the requests on it.
+    """
+    link = first.node._links.get_link(second.host, second.link_port)
+    link.transport.pause_reading()
+    is_reported = asyncio.Event()
+    on_silent = link.on_silent
+
+    def report(link):
+        is_reported.set()
+        on_silent(link)
+
+    link.on_silent = report
+    return link.transport, is_reported
 
 
 def set_no_budget(mesh):
@@ -329,8 +345,10 @@
         silent = await started.get()
         (other,) = {*machines[1:]} - {silent}
         forbid_repeat(SimpleNamespace(store=store, first=first, other=other))
-        transport = silence_link(first, silent)
-        await asyncio.sleep(1.1)
+        transport, is_reported = silence_link(first, silent)
+        await is_reported.wait()
+        # Time to give the request up; far less than the rest until the link is lost.
+        await asyncio.sleep(0.1)
         transport.resume_reading()
         finish.set()
         answer = await call
