Add tests of stops of the server for callers, one of them failing

What callers would see: a connection that is accepted as the stop begins stays open after it; a request on it is read by a server whose other parts are closed. Cause: IngressServer.stop closes the connections that are registered when it begins. The event loop registers an accepted connection one step later. The other 4 cases pass: pipelined requests, a body that is still arriving and a connection opened while draining are answered. Change: tests only.

--- /dev/null
+++ b/tests/node/test_ingress_stop.py
@@ -0,0 +1,146 @@
+"""Stops of the HTTP server for callers: every request that was read is answered."""
+
+import asyncio
+from time import monotonic
+
+import pytest
+
+from mangowell_node.ingress import CallerConnection, IngressServer, Reply
+from mangowell_node.ingress import server as server_module
+from node.support_calls import find_port, read_response, until
+
+GET = b"GET /%b HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class GatedService:
+    """Serves requests; those named in `gates` wait, and their ends are recorded."""
+
+    def __init__(self):
+        self.gates: dict[str, asyncio.Event] = {}
+        self.started: list[str] = []
+        self.cancelled: list[str] = []
+        self.streams: dict[str, asyncio.Event] = {}
+
+    async def serve(self, call):
+        self.started.append(call.target)
+        try:
+            if call.target in self.gates:
+                await self.gates[call.target].wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(call.target)
+            raise
+        if call.target in self.streams:
+            body = GatedBody(self.streams[call.target])
+            return Reply(200, "OK", b"", stream=body, length=body.length)
+        return Reply(200, "OK", b"", b"ok")
+
+
+class GatedBody:
+    """Body whose last chunk waits for an event."""
+
+    length = 4
+
+    def __init__(self, gate):
+        self._gate = gate
+        self._chunks = [b"12", b"34"]
+
+    async def read(self):
+        if len(self._chunks) == 1:
+            await self._gate.wait()
+        return self._chunks.pop(0) if self._chunks else b""
+
+    def close(self):
+        pass
+
+
+@pytest.fixture
+async def service():
+    return GatedService()
+
+
+@pytest.fixture
+async def ingress(service):
+    server = IngressServer(service.serve)
+    server.port = find_port()
+    await server.start("127.0.0.1", server.port)
+    yield server
+    await server.stop(0.0)
+
+
+async def connect(ingress):
+    return await asyncio.open_connection("127.0.0.1", ingress.port)
+
+
+async def test_connection_accepted_as_the_stop_begins_is_closed(ingress, monkeypatch):
+    """An accepted connection is registered one step later than it is accepted."""
+    accepted = asyncio.Event()
+
+    class ReportingConnection(CallerConnection):
+        def __init__(self, *args):
+            super().__init__(*args)
+            accepted.set()
+
+    monkeypatch.setattr(server_module, "CallerConnection", ReportingConnection)
+    connecting = asyncio.ensure_future(connect(ingress))
+    await accepted.wait()
+    assert not ingress.connections
+    started = monotonic()
+    await ingress.stop(5.0)
+    assert monotonic() - started < 1.0
+    reader, writer = await connecting
+    assert await asyncio.wait_for(reader.read(), 1.0) == b""
+    writer.close()
+
+
+@pytest.mark.parametrize("closes_idle", [True, False])
+async def test_stop_answers_every_pipelined_request_that_was_read(
+    ingress, service, closes_idle
+):
+    gates = [service.gates.setdefault(f"/{n}", asyncio.Event()) for n in range(40)]
+    reader, writer = await connect(ingress)
+    writer.write(b"".join(GET % b"%d" % n for n in range(40)))
+    await until(lambda: len(service.started) == 16)
+    ingress.draining = True
+    if closes_idle:
+        ingress.close_idle()
+    stop = asyncio.ensure_future(ingress.stop(10.0))
+    await asyncio.sleep(0.02)
+    for gate in gates:
+        gate.set()
+    for _ in gates:
+        answer = await read_response(reader)
+        assert (answer.status, answer.body) == (200, b"ok")
+    assert await asyncio.wait_for(reader.read(), 5) == b""
+    await stop
+    writer.close()
+
+
+async def test_stop_answers_a_request_whose_body_is_still_arriving(ingress, service):
+    async def read_body(call):
+        return Reply(200, "OK", b"", await call.read_body())
+
+    ingress.serve = read_body
+    reader, writer = await connect(ingress)
+    writer.write(b"POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc")
+    await until(lambda: any(not c.is_idle for c in ingress.connections))
+    ingress.draining = True
+    ingress.close_idle()
+    stop = asyncio.ensure_future(ingress.stop(10.0))
+    await asyncio.sleep(0.05)
+    writer.write(b"def")
+    answer = await read_response(reader)
+    assert (answer.status, answer.body) == (200, b"abcdef")
+    assert answer.headers["connection"] == "close"
+    await stop
+    writer.close()
+
+
+async def test_request_on_a_connection_opened_while_draining_is_answered(ingress):
+    ingress.draining = True
+    ingress.close_idle()
+    reader, writer = await connect(ingress)
+    writer.write(GET % b"a")
+    answer = await read_response(reader)
+    assert (answer.status, answer.headers["connection"]) == (200, "close")
+    assert await asyncio.wait_for(reader.read(), 5) == b""
+    writer.close()
