Close connections that are registered after the stop of the caller server

What callers would see: a connection accepted as the stop begins stays open after the stop, and a request on it reaches a node whose other parts are closed. Cause: the stop was a mark on the connections registered when it began. Change: the state of stopping belongs to IngressServer; each connection asks it when it is registered. close_idle() and draining work as before. Why it works: whatever the order of registration and stop, one of the two sees the other.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -100,6 +100,8 @@
         super().connection_made(transport)
         self.peer = transport.get_extra_info("peername")[0]
         self._server.connections.add(self)
+        if self._server.is_stopping:
+            self.close_if_idle()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests in progress."""
--- a/packages/node/src/mangowell_node/ingress/server.py
+++ b/packages/node/src/mangowell_node/ingress/server.py
@@ -28,6 +28,9 @@
         self.idle_timeout_s = IDLE_CLOSE_S
         self.connections: set[CallerConnection] = set()
         self.draining = False
+        # Connections ask for this, because the event loop may register one that it
+        # has accepted only after `stop` has gone through `connections`.
+        self.is_stopping = False
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
 
@@ -64,6 +67,7 @@
         """
         if self._server is None:
             return
+        self.is_stopping = True
         self._server.close()
         self._sweeper.cancel()
         for connection in list(self.connections):
