Add a failing test of a request behind the last reply of a connection

What callers would see: a request is started at a backend server and cut when the reply before it ends; one that isn't idempotent has an unknown outcome. Cause: a reply that announces the close is no mark that the connection asks before it starts further requests; a streamed reply leaves time for them. Change: a test only.

--- a/tests/node/test_ingress_stop.py
+++ b/tests/node/test_ingress_stop.py
@@ -92,6 +92,23 @@
     writer.close()
 
 
+async def test_request_behind_the_last_reply_does_not_run(ingress, service):
+    """The reply has announced the close, so the request would be cut off."""
+    gate = service.streams["/long"] = asyncio.Event()
+    service.gates["/next"] = asyncio.Event()
+    ingress.draining = True
+    reader, writer = await connect(ingress)
+    writer.write(GET % b"long")
+    assert b"connection: close" in (await reader.readuntil(b"\r\n\r\n")).lower()
+    writer.write(GET % b"next")
+    await asyncio.sleep(0.1)
+    gate.set()
+    assert await asyncio.wait_for(reader.read(), 5) == b"1234"
+    assert service.started == ["/long"]
+    assert not service.cancelled
+    writer.close()
+
+
 @pytest.mark.parametrize("closes_idle", [True, False])
 async def test_stop_answers_every_pipelined_request_that_was_read(
     ingress, service, closes_idle
