Start no request behind the reply that closes its connection

What callers would see: while a node stops, a request sent behind a streamed reply is started at a backend server and cut when that reply ends. Cause: the close is announced in the head of the reply, but the connection kept starting the requests that it read while the body was written. Evidence: test_request_behind_the_last_reply_does_not_run. Change: once a reply announces the close, its connection starts no request. Why it works: such a request stays unread for the node, so it certainly has not run, and its caller sees the announced close.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -57,6 +57,7 @@
     """
 
     __slots__ = (
+        "_accepts_requests",
         "_exchanges",
         "_is_closing",
         "_messages",
@@ -87,6 +88,7 @@
         self._parsed_count = 0
         self._parse_error = ""
         self._is_closing = False
+        self._accepts_requests = True
         self.idle_since = monotonic()
         self.peer = ""
 
@@ -152,6 +154,8 @@
             self._close()
 
     def _start_requests(self) -> None:
+        if not self._accepts_requests:
+            return
         while self._messages and len(self._exchanges) < MAX_CONCURRENT_REQUESTS:
             message, content = self._messages.popleft()
             self._parser.message_consumed()
@@ -273,6 +277,9 @@
         keep_alive = call.keep_alive and exchange.content.is_eof()
         if is_last and is_ending and not self._parse_error:
             keep_alive = False
+        if not keep_alive:
+            # A request that starts later would be cut off by the close.
+            self._accepts_requests = False
         body = reply.body
         framing = b""
         chunked = False
