Refuse requests of peers whose deadline lies beyond the end of the stop

What callers would see: 502 unknown for a request that a stopping node accepts on a link opened after the stop began, from a node that has not heard of the stop. Cause: the deadline of a request was not compared with the end of the stop. Evidence: test_request_that_may_outlast_the_stop_goes_elsewhere[to-its-end]: 502 unknown when the stop ended. Change: the call path keeps the end of its stop; a request of a peer with a later deadline is refused as not run, with the cause leaving. Why it works: nothing of the request has been sent, so the peer may run it elsewhere, and the cause marks this node as leaving there.

--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -142,6 +142,8 @@
         self._has_announced_return = False
         self._report_pause: Callable[[], None] = _no_pause_report
         self._draining = False
+        # End of the planned stop in monotonic seconds; infinite before it begins.
+        self._stop_deadline = float("inf")
         self._active_calls = 0
         self._request_count = 0
         # The start time keeps request ids distinct across restarts of the process.
@@ -218,6 +220,7 @@
         now = monotonic()
         graceful = deadline > now
         if graceful and not self._draining:
+            self._stop_deadline = deadline
             self._start_drain(now)
             linger_end = min(deadline, now + DRAIN_LINGER_S)
             await self._wait_idle(linger_end, deadline)
@@ -369,6 +372,10 @@
         self, head: RequestHead, body: Body | None, deadline: float
     ) -> Awaitable[Answer]:
         """Run a request from another node on the local backend server."""
+        if deadline > self._stop_deadline:
+            # The end of the stop could cut the request; another node has the time.
+            reason = "node stops before the deadline"
+            raise AttemptError.at(Cause.LEAVING, Stage.UNSENT, reason)
         self._report_pause()
         if self._pause_reason:
             raise AttemptError.at(Cause.NOT_READY, Stage.UNSENT, self._pause_reason)
