--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import os
 from time import monotonic
 
@@ -12,75 +11,14 @@
 from mangowell_node.mesh.node import MeshNode
 from mangowell_node.telemetry import Telemetry
 from mangowell_standins.platform_store import PlatformStore
-from node.support_calls import ScriptedBackend, find_port, make_answer, read_response
-
-HOST = "shop.example"
-
-
-def make_document(version=1, routes=None, services=("orders",), limits=None):
-    return json.dumps(
-        {
-            "version": version,
-            "routes": make_table(
-                routes or {"r1": make_route(), "r2": make_route("/pay/", "unsafe")}
-            ),
-            "services": make_table(
-                {
-                    name: {"health-path": "/healthz", "max-connections": 60}
-                    for name in services
-                }
-            ),
-            "limits": {
-                "max-header-bytes": 16384,
-                "max-body-bytes": 1_000_000,
-                "header-timeout": "3000ms",
-                "idle-timeout": "15000ms",
-                **(limits or {}),
-            },
-        }
-    ).encode()
-
-
-def make_table(items):
-    columns = ["name"]
-    for item in items.values():
-        columns += [field for field in item if field not in columns]
-    rows = [
-        [name, *(item.get(field) for field in columns[1:])]
-        for name, item in items.items()
-    ]
-    return {"columns": columns, "rows": rows}
-
-
-def make_route(prefix="/", kind="safe", **fields):
-    return {
-        "hostname": HOST,
-        "prefix": prefix,
-        "route-type": kind,
-        "timeout": "2000ms",
-        "target-latency": "500ms",
-        "priority": 1,
-        "max-attempts": 2,
-        "service": "orders",
-        **fields,
-    }
-
-
-def make_entry(host, port, service="orders", state="ready", zone="z", **fields):
-    return json.dumps(
-        {
-            "address": f"{host}:{port}",
-            "node-info": {
-                "service": service,
-                "version": "v1",
-                "zone": zone,
-                "slots": 4,
-            },
-            "status": {"state": state, "seq": 1, "warmup-left": "0ms"},
-            "born": 1_700_000_000_000,
-            **fields,
-        }
-    ).encode()
+from mangowell_standins.platform_values import HOST, make_document, make_entry
+from mangowell_standins.platform_values import make_route as make_route
+from mangowell_standins.ports import find_port
+from mangowell_standins.scripted_http import (
+    ScriptedBackend,
+    make_answer,
+    read_response,
+)
 
 
 def answer_with_id(body=b"ok", status="200 OK", headers=""):
--- a/tests/node/support_calls.py
+++ b/tests/node/support_calls.py
@@ -2,12 +2,8 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
 import re
-import socket
-from collections.abc import Iterator
-from dataclasses import dataclass, field
 
 from mangowell_core.distribution.io import Peer
 from mangowell_core.model import (
@@ -24,6 +20,13 @@
 from mangowell_node.calls import CallPath
 from mangowell_node.reach import AddressFilter
 from mangowell_node.telemetry import Telemetry
+from mangowell_standins.ports import find_port
+from mangowell_standins.scripted_http import (
+    Response,
+    read_response,
+)
+from mangowell_standins.scripted_http import ScriptedBackend as ScriptedBackend
+from mangowell_standins.scripted_http import make_answer as make_answer
 
 SERVICE = Service("orders", slots=8, connections=16, retry_ratio=1.0)
 ROUTES = (
@@ -62,165 +65,6 @@
 # plain keys is settled; after ASKING_S owners still ask for promises.
 QUIET_S = 2 * SETTLE_S
 ASKING_S = (START_HOLD_S + SETTLE_S) / 2
-# Below the ephemeral ports, which the system gives to outgoing connections.
-PORTS = range(12_000, 30_000)
-BLOCK = 1800  # ports of one process; allows about ten concurrent test runs
-
-
-def claim_ports() -> tuple[socket.socket, Iterator[int]]:
-    """Claim a block of ports that no other test run uses.
-
-    The claim is a Unix socket in the abstract namespace, which the system
-    releases when the process ends.
-    """
-    for first in PORTS[::BLOCK]:
-        claim = socket.socket(socket.AF_UNIX)
-        try:
-            claim.bind(f"\0mangowell-tests-{first}")
-        except OSError:
-            claim.close()
-            continue
-        return claim, itertools.cycle(range(first, first + BLOCK))
-    raise AssertionError("every block of ports is claimed by another test run")
-
-
-_claim, _ports = claim_ports()
-
-
-def find_port() -> int:
-    for port in _ports:
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            # All addresses: nodes of a mesh listen on several loopback addresses.
-            sock.bind(("", port))
-            return port
-    raise AssertionError("no free port")
-
-
-@dataclass
-class ReceivedRequest:
-    """Request as a backend server received it."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    writer: asyncio.StreamWriter
-    cancelled: asyncio.Event = field(default_factory=asyncio.Event)
-
-
-class ScriptedBackend:
-    """Backend server whose answers are given by a test, byte for byte.
-
-    Each request that has arrived whole counts as an execution.
-
-    Parameters
-    ----------
-    handler : callable or None
-        Takes a `ReceivedRequest` and returns the bytes to send, or None if it has
-        written the answer or closed the connection itself.
-    health : str
-        Status that the health endpoint reports.
-    """
-
-    def __init__(self, handler=None, health="ok"):
-        self.handler = handler
-        self.raw = None  # if set, called with reader and writer after a head
-        self.health = health
-        self.health_delay_s = 0.0
-        self.muted: set[asyncio.StreamWriter] = set()  # silent connections
-        self.received: list[ReceivedRequest] = []
-        self.arrived = asyncio.Event()
-        self.connections = 0
-        self.port = 0
-        self._server = None
-        self._writers = set()
-
-    @property
-    def executions(self) -> int:
-        return len(self.received)
-
-    async def start(self, port=0, host="127.0.0.1"):
-        self._server = await asyncio.start_server(self._serve, host, port, limit=2**20)
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    def mute_connections(self):
-        """Stop answering on all open connections; new ones work."""
-        self.muted = set(self._writers)
-
-    def crash(self):
-        """Close the listener and every connection at once."""
-        self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer):
-        self._writers.add(writer)
-        self.connections += 1
-        with contextlib.suppress(
-            ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
-        ):
-            while await self._serve_one(reader, writer):
-                pass
-        self._writers.discard(writer)
-        writer.close()
-
-    async def _serve_one(self, reader, writer):
-        block = await reader.readuntil(b"\r\n\r\n")
-        first, *lines = block.decode("latin-1").split("\r\n")[:-2]
-        method, target, _ = first.split(" ")
-        headers = {}
-        for line in lines:
-            name, _, value = line.partition(": ")
-            headers[name.lower()] = value
-        if writer in self.muted:
-            return True
-        if target == "/health":
-            await asyncio.sleep(self.health_delay_s)
-            if writer in self.muted:
-                return True
-            text = f'{{"status": "{self.health}", "load": 0.1}}'
-            writer.write(make_answer(text.encode()))
-            return True
-        if self.raw is not None:
-            await self.raw(reader, writer)
-            return False
-        if headers.get("transfer-encoding") == "chunked":
-            body = b""
-            while size := int(await reader.readline(), 16):
-                body += (await reader.readexactly(size + 2))[:-2]
-            await reader.readline()
-        else:
-            body = await reader.readexactly(int(headers.get("content-length", 0)))
-        request = ReceivedRequest(method, target, headers, body, writer)
-        self.received.append(request)
-        self.arrived.set()
-        answer = make_answer(b"ok")
-        if self.handler is not None:
-            handling = asyncio.ensure_future(self.handler(request))
-            early_read = asyncio.ensure_future(reader.read(1))
-            await asyncio.wait(
-                (handling, early_read), return_when=asyncio.FIRST_COMPLETED
-            )
-            if early_read.done() and not handling.done():
-                request.cancelled.set()
-                handling.cancel()
-                return False
-            early_read.cancel()
-            await asyncio.gather(early_read, return_exceptions=True)
-            if isinstance(handling.exception(), ConnectionError):
-                request.cancelled.set()
-            answer = handling.result()
-        if answer is None:
-            return False
-        writer.write(answer)
-        await writer.drain()
-        return "connection: close" not in answer[:200].decode("latin-1").lower()
-
-
-def make_answer(body=b"", status="200 OK", headers="") -> bytes:
-    head = f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
-    return head.encode() + body
 
 
 class CutReach(AddressFilter):
@@ -334,43 +178,6 @@
         node.calls.apply_snapshot(snapshot)
 
 
-@dataclass
-class Response:
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    complete: bool
-
-    @property
-    def outcome(self):
-        return self.headers.get("mangowell-outcome")
-
-
-async def read_response(reader, method="GET") -> Response:
-    block = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    first, *lines = block.split("\r\n")[:-2]
-    headers = {}
-    for line in lines:
-        name, _, value = line.partition(": ")
-        headers[name.lower()] = value
-    status = int(first.split(" ")[1])
-    body, complete = b"", True
-    try:
-        if method == "HEAD":
-            pass
-        elif headers.get("transfer-encoding") == "chunked":
-            while size := int(await reader.readline() or b"-1", 16):
-                if size < 0:
-                    raise ConnectionError
-                body += (await reader.readexactly(size + 2))[:-2]
-            await reader.readline()
-        else:
-            body = await reader.readexactly(int(headers.get("content-length", 0)))
-    except (ConnectionError, asyncio.IncompleteReadError):
-        complete = False
-    return Response(status, headers, body, complete)
-
-
 async def open_call(port, method="GET", target="/", headers="", body=b""):
     """Send a request; return the reader and the writer of its connection."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=2**20)
--- a/tests/node/test_standins.py
+++ b/tests/node/test_standins.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from mangowell_standins import ports as ports_module
 from mangowell_standins.backend_server import (
     BackendServer,
     BackendSettings,
@@ -17,9 +18,8 @@
 )
 from mangowell_standins.callers import Callers, CallKind
 from mangowell_standins.config_service import ConfigService, RateLimit, SourceFault
+from mangowell_standins.ports import find_port
 from mangowell_standins.reach import DomainReach, Partition, address_of
-from node import support_calls
-from node.support_calls import find_port
 
 
 async def read(session, url, key="documents/test", after="", wait_ms=0):
@@ -161,7 +161,7 @@
         listener.bind(("127.0.0.2", 0))
         listener.listen()
         port = listener.getsockname()[1]
-        monkeypatch.setattr(support_calls, "_ports", iter([port, find_port()]))
+        monkeypatch.setattr(ports_module, "_ports", iter([port, find_port()]))
         assert find_port() != port
 
 
@@ -170,8 +170,8 @@
 
     Both found a port free before either of them had bound it.
     """
-    claim, ports = support_calls.claim_ports()
+    claim, ports = ports_module.claim_ports()
     with claim:
-        others = {next(ports) for _ in range(support_calls.BLOCK)}
-    own = {next(support_calls._ports) for _ in range(support_calls.BLOCK)}
+        others = {next(ports) for _ in range(ports_module.BLOCK)}
+    own = {next(ports_module._ports) for _ in range(ports_module.BLOCK)}
     assert not own & others
