--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -13,21 +13,20 @@
 import sys
 import tempfile
 from collections import Counter
-from dataclasses import dataclass
 from pathlib import Path
 from time import monotonic
+from typing import NamedTuple
 
 import uvloop
 
 from bench.stop_soak_checks import Problem, describe, find_problems
-from bench.stop_soak_traffic import Caller, Journal, SoakWorker
+from bench.stop_soak_traffic import RECONNECT_PAUSE_S, Caller, Journal, SoakWorker
 from mangowell_standins.node_process import WORKER_PORT, NodeProcess
 from mangowell_standins.platform_store import PlatformStore
 from mangowell_standins.platform_values import make_document, make_entry, make_route
 
 GRACE_S = 6.0
-RECOVERY_S = 15.0
-START_S = 30.0
+RECOVERY_S, START_S = 15.0, 30.0
 STOP_STEP_S = 0.3
 MIN_GAP_S, MAX_GAP_S = 0.2, 1.5
 RESTART_PAUSE_S = 0.1
@@ -35,16 +34,21 @@
 LATE_RUNS_S = 1.0  # wait for runs of requests that were refused
 TIMEOUTS_MS = (2500, 3000, 4000, 4000)
 SERVICES = ("orders", "stock")
+BOUNDS = {
+    "bounds.grace": f"{GRACE_S}s",
+    "bounds.retry-budget-ratio": "0.2",
+    "bounds.budget-min-retries": "60",
+    "bounds.budget-window": "10s",
+}
 # Callers of a node: requests sent at once, and whether the connection is kept.
-CALLERS = ((1, True), (3, True), (1, False))
+CALLERS = ((1, True), (1, True), (3, True), (1, False))
 SERIES = ("roll",) * 4 + ("pair",) * 4 + ("publish",) * 3
 SERIES += ("settings", "settings", "kill", "replace")
 EXIT_CODES = {signal.SIGTERM: 0, signal.SIGKILL: -signal.SIGKILL}
 MAX_PROBLEMS_SHOWN = 10
 
 
-@dataclass(slots=True, frozen=True)
-class Step:
+class Step(NamedTuple):
     """Action at a time after the start, on a node; `value` is from 0 to 1."""
 
     at: float
@@ -71,7 +75,7 @@
                 new = [(at, series, nodes[0])]
         steps += [Step(*step, rng.random()) for step in new if step[0] < seconds]
         at += rng.uniform(MIN_GAP_S, MAX_GAP_S)
-    return sorted(steps, key=lambda step: step.at)
+    return sorted(steps)
 
 
 class StopSoak:
@@ -86,20 +90,18 @@
         self._workers: dict[int, SoakWorker] = {}
         self._signals: dict[int, signal.Signals] = {}  # that end the process
         self._leaving: set[int] = set()  # nodes of workers
-        self._supervisors: list[asyncio.Task] = []
+        self._tasks: list[asyncio.Task] = []
         self._is_closing = self._is_over = False
 
     async def run(self, directory: Path) -> None:
         """Run the schedule, and end every process."""
-        callers = []
         try:
             await self._start(directory)
-            for number, node in self._nodes.items():
-                for kind in CALLERS:
-                    rng = random.Random(f"caller {self._seed} {number} {kind}")
-                    caller = Caller(number, node, self.journal, rng)
-                    run = caller.run(*kind, lambda: self._is_over)
-                    callers.append(asyncio.create_task(run))
+            callers = [
+                asyncio.create_task(self._call(number))
+                for number in range(len(CALLERS) * self._count)
+            ]
+            self._tasks += callers
             self.started_at = monotonic()
             steps = make_schedule(self._seed, self._seconds, self._count)
             await asyncio.gather(*(self._run_step(step) for step in steps))
@@ -110,29 +112,21 @@
             self._is_closing = True
             await asyncio.gather(*(self._stop(n, 0.0) for n in self._nodes))
         finally:
-            for task in callers + self._supervisors:
+            for task in self._tasks:
                 task.cancel()
-            await asyncio.gather(*self._supervisors, return_exceptions=True)
-            for node in self._nodes.values():
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            for number, node in self._nodes.items():
                 node.send_signal(signal.SIGKILL)
-            for worker in self._workers.values():
-                worker.server.crash()
+                self._workers[number].server.crash()
             await self._store.stop()
 
     async def _start(self, directory: Path) -> None:
         await self._store.start()
         await self._publish(0, 0.99)
+        address = {"platform.address": f"127.0.0.1:{self._store.port}"}
         for number in range(1, self._count + 1):
-            fields = {
-                "zone": f"z{number % 3}",
-                "service": SERVICES[number % 2],
-                "platform.address": f"127.0.0.1:{self._store.port}",
-                "bounds.grace": f"{GRACE_S}s",
-                "bounds.retry-budget-ratio": "0.2",
-                "bounds.budget-min-retries": "60",
-                "bounds.budget-window": "10s",
-            }
-            node = NodeProcess(number, directory, fields)
+            names = {"zone": f"z{number % 3}", "service": SERVICES[number % 2]}
+            node = NodeProcess(number, directory, names | address | BOUNDS)
             worker = SoakWorker(number, node, self.journal, self._seed)
             self._nodes[number], self._workers[number] = node, worker
             await worker.server.start(WORKER_PORT, node.host)
@@ -140,6 +134,13 @@
                 await self._join(number, 0.0)
         await self._wait_for_answers(START_S)
 
+    async def _call(self, number: int) -> None:
+        """Run one of the callers, which are dealt out to the nodes in turn."""
+        kind, node = divmod(number, self._count)
+        rng = random.Random(f"caller {self._seed} {number}")
+        caller = Caller(node + 1, self._nodes[node + 1], self.journal, rng)
+        await caller.run(*CALLERS[kind], lambda: self._is_over)
+
     async def _run_step(self, step: Step) -> None:
         await asyncio.sleep(self.started_at + step.at - monotonic())
         await getattr(self, f"_{step.action}")(step.node, step.value)
@@ -155,7 +156,7 @@
 
     async def _join(self, number: int, value: float) -> None:
         self._put_entry(number, "ready")
-        self._supervisors.append(asyncio.create_task(self._supervise(number)))
+        self._tasks.append(asyncio.create_task(self._supervise(number)))
 
     async def _supervise(self, number: int) -> None:
         """Start the node again whenever its process has ended."""
@@ -200,18 +201,16 @@
 
     async def _wait_for_answers(self, timeout_s: float) -> None:
         """Wait until every node has answered a request with success."""
+        started = [number for number, node in self._nodes.items() if node.logs]
+        await asyncio.gather(*(self._wait_for_answer(n, timeout_s) for n in started))
+
+    async def _wait_for_answer(self, number: int, timeout_s: float) -> None:
         deadline = monotonic() + timeout_s
-        waiting = {number for number, node in self._nodes.items() if node.logs}
-        while waiting and monotonic() < deadline:
-            asked = sorted(waiting)
-            calls = [self._workers[n].call("", monotonic() + 2.0) for n in asked]
-            for number, is_answered in zip(
-                asked, await asyncio.gather(*calls), strict=True
-            ):
-                waiting -= {number} if is_answered else set()
-            await asyncio.sleep(0.1)
-        for number in waiting:
-            self._fail(number, f"does not answer within {timeout_s:g} s")
+        while monotonic() < deadline:
+            if await self._workers[number].call("", monotonic() + 2.0):
+                return
+            await asyncio.sleep(RECONNECT_PAUSE_S)
+        self._fail(number, f"does not answer within {timeout_s:g} s")
 
     # Changes in the store
 
@@ -230,11 +229,9 @@
         weights = zip(SERVICES, (1 + round(4 * value), 2), strict=True)
         split = [{"service": name, "weight": weight} for name, weight in weights]
         shared = fields | {"service": None, "traffic-split": split}
-        routes = {
-            "all": make_route("/", **shared),
-            "pay": make_route("/pay/", "unsafe", **shared),
-            "stock": make_route("/stock/", **(fields | {"service": "stock"})),
-        }
+        routes = {"all": make_route("/", **shared)}
+        routes["pay"] = make_route("/pay/", "unsafe", **shared)
+        routes["stock"] = make_route("/stock/", **(fields | {"service": "stock"}))
         for n in range(2, version + 1):
             routes[f"v{n}"] = make_route(f"/v{n}/", **fields)
         self._store.put("op/config", make_document(version, routes, SERVICES))
@@ -269,8 +266,7 @@
     problems = find_problems(journal, GRACE_S) + [Problem("FAULT", f) for f in faults]
     if not problems:
         return journal, ""
-    rules = dict(Counter(problem.rule for problem in problems))
-    lines = [f"{len(problems)} problems: {rules}; the first {MAX_PROBLEMS_SHOWN}:"]
+    lines = [f"{len(problems)} problems; the first {MAX_PROBLEMS_SHOWN}:"]
     for problem in problems[:MAX_PROBLEMS_SHOWN]:
         lines += describe(problem, journal, soak.started_at)
         if problem.request is not None:
--- a/bench/stop_soak_checks.py
+++ b/bench/stop_soak_checks.py
@@ -1,17 +1,17 @@
 """Checks of what the callers and workers of a stop soak have recorded."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from typing import NamedTuple
 
-from bench.stop_soak_traffic import Journal, Sent
+from bench.stop_soak_traffic import Journal, Run, Sent
 
 # Answers that promise that the request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
 GIVEN_UP = frozenset({0, 502, 504})
 # Requests that are sent up to this time after a SIGKILL are excused.
 KILL_SHADOW_S = 3.0
-# At the end of its grace period, a node may cut requests that were sent up to this
-# time after its SIGTERM.
+# In the last part of its grace period, a node may cut requests that were sent up to
+# this time after its SIGTERM.
 EARLY_REQUEST_S = 3.0
 CUT_SHARE = 5 / 6
 DOCUMENT_DELAY_S = 3.0
@@ -19,8 +19,7 @@
 TRACE_BEFORE_S, TRACE_AFTER_S = 8.0, 1.0
 
 
-@dataclass(slots=True, frozen=True)
-class Problem:
+class Problem(NamedTuple):
     """Failed check; `request` is None if it concerns a process."""
 
     rule: str
@@ -32,36 +31,43 @@
     """Return all failed checks."""
     problems = [Problem("PROCESS", text) for text in journal.failures]
     for request in journal.requests:
-        found = _check_request(journal, request, grace_s)
+        runs = journal.runs.get(request.id, [])
+        found = _check_answer(request, runs) + _check_end(
+            journal, request, runs, grace_s
+        )
         problems += [Problem(rule, text, request) for rule, text in found]
     return problems + list(_check_versions(journal.requests))
 
 
-def _check_request(journal, request, grace_s) -> Iterator[tuple[str, str]]:
-    runs = journal.runs.get(request.id, [])
-    if request.is_unsafe and len(runs) > 1:
-        yield "TWICE", f"{len(runs)} runs"
-    if not request.is_workers and request.status in PROMISES and runs:
-        yield "REFUSED", f"{request.status}, but {len(runs)} runs"
-    if request.mix_up:
-        yield "MIXED", request.mix_up
+def _check_answer(request: Sent, runs: list[Run]) -> list[tuple[str, str]]:
+    is_refused = not request.is_workers and request.status in PROMISES
+    checks = (
+        ("TWICE", request.is_unsafe and len(runs) > 1, f"{len(runs)} runs"),
+        ("REFUSED", is_refused and runs, f"{request.status}, {len(runs)} runs"),
+        ("MIXED", request.mix_up, request.mix_up),
+    )
+    return [(rule, text) for rule, has_failed, text in checks if has_failed]
+
+
+def _check_end(journal, request, runs, grace_s) -> list[tuple[str, str]]:
+    """Check that a request was not given up once a worker had begun to run it."""
     has_run = any(run.started_at < request.ended_at for run in runs)
     is_given_up = not request.is_workers and request.status in GIVEN_UP
-    if not has_run or not is_given_up or request.has_left:
-        return
-    if request.ended_at - request.sent_at >= _find_limit(journal, request):
-        return
+    is_late = request.ended_at - request.sent_at >= _find_limit(journal, request)
+    if not has_run or not is_given_up or request.has_left or is_late:
+        return []
     stops = _find_signals(journal, request, "SIGTERM", grace_s)
     stopped_at = stops.get(request.node, request.ended_at)
     is_early = request.sent_at <= stopped_at + EARLY_REQUEST_S
     if is_early and request.ended_at > stopped_at + CUT_SHARE * grace_s:
-        return
+        return []
     killed = _find_signals(journal, request, "SIGKILL", KILL_SHADOW_S)
     if not killed:
         reason = "" if stops else ", without a stop"
-        yield "LOST", f"status {request.status} while a worker ran it{reason}"
-    elif request.status == 0 and request.node not in killed:
-        yield "KEPT", "connection closed without an answer"
+        return [("LOST", f"status {request.status} while a worker ran it{reason}")]
+    if request.status == 0 and request.node not in killed:
+        return [("KEPT", "connection closed without an answer")]
+    return []
 
 
 def _find_nodes(journal: Journal, request: Sent) -> set[int]:
@@ -72,34 +78,28 @@
 def _find_signals(journal, request, name, window_s) -> dict[int, float]:
     """Return the time of the last such signal of each node concerned."""
     nodes = _find_nodes(journal, request)
+    since = request.sent_at - window_s
     return {
         node: at
         for at, node, what in journal.acts
-        if what == name
-        and node in nodes
-        and request.sent_at - window_s <= at <= request.ended_at
+        if what == name and node in nodes and since <= at <= request.ended_at
     }
 
 
 def _find_limit(journal: Journal, request: Sent) -> float:
     """Return the shortest time limit that may have been in force for a request."""
-    limits = [request.timeout_s]
-    replaced_at = request.ended_at
-    for published_at, timeout_s in reversed(journal.documents):
-        if published_at > request.ended_at:
-            continue
-        if replaced_at < request.sent_at - DOCUMENT_DELAY_S:
-            break
-        limits.append(timeout_s)
-        replaced_at = published_at
-    return min(limits) - LIMIT_MARGIN_S
+    ends = [at for at, _ in journal.documents[1:]] + [request.ended_at]
+    limits = [
+        timeout_s
+        for (at, timeout_s), end in zip(journal.documents, ends, strict=True)
+        if at <= request.ended_at and end >= request.sent_at - DOCUMENT_DELAY_S
+    ]
+    return min(request.timeout_s, *limits) - LIMIT_MARGIN_S
 
 
 def _check_versions(requests: list[Sent]) -> Iterator[Problem]:
     """Compare each 404 with the routes that the same process has served before."""
-    for request in requests:
-        if request.status != 404:
-            continue
+    for request in (r for r in requests if r.status == 404):
         known = [
             other.version
             for other in requests
@@ -115,19 +115,19 @@
 
 def describe(problem: Problem, journal: Journal, start: float) -> list[str]:
     """Return a problem, its runs and what was done to the nodes concerned."""
-    request = problem.request
+    rule, text, request = problem
     if request is None:
-        return [f"{problem.rule}: {problem.text}"]
+        return [f"{rule}: {text}"]
     since, until = request.sent_at - TRACE_BEFORE_S, request.ended_at + TRACE_AFTER_S
     nodes = {0} | _find_nodes(journal, request)
     lines = [(request.sent_at, request.node, f"takes it, {request.timeout_s} s")]
     lines += [(request.ended_at, request.node, f"ends it: {request.status}")]
     for run in journal.runs.get(request.id, []):
-        lines.append((run.started_at, run.node, "run begins"))
-        lines.append((run.ended_at, run.node, f"run ends, cut: {run.was_cut}"))
+        lines += [(run.started_at, run.node, "run begins")]
+        lines += [(run.ended_at, run.node, f"run ends, cut: {run.was_cut}")]
     lines += [a for a in journal.acts if since <= a[0] <= until and a[1] in nodes]
     kind = "unsafe" if request.is_unsafe else "safe"
-    return [f"{problem.rule} {request.id} ({kind}): {problem.text}"] + [
-        f"  {at - start:8.3f} s  node {node}: {text}"
-        for at, node, text in sorted(lines)
+    return [f"{rule} {request.id} ({kind}): {text}"] + [
+        f"  {at - start:8.3f} s  node {node}: {what}"
+        for at, node, what in sorted(lines)
     ]
--- a/bench/stop_soak_traffic.py
+++ b/bench/stop_soak_traffic.py
@@ -12,12 +12,12 @@
 
 MIN_WORK_S, MAX_WORK_S = 0.02, 1.8
 CALL_SHARE = 0.25  # runs of `orders` that make a call
-MAX_PAUSE_S = 0.15  # of a caller between two requests
+MAX_PAUSE_S = 0.1  # of a caller between two requests
 RECONNECT_PAUSE_S = 0.1
 MIN_TIMEOUT_MS, MAX_TIMEOUT_MS = 3000, 4500
-MAX_REQUESTS_PER_CONNECTION = 30
-MAX_ROUNDS = 5000  # of one caller
+MAX_BATCHES, MAX_CONNECTIONS = 30, 3000  # of a connection, of a caller
 PATIENCE_S = 2.0  # wait for an answer beyond the time limit
+_ids = itertools.count(1)
 
 
 @dataclass(slots=True)
@@ -32,24 +32,19 @@
 
 @dataclass(slots=True)
 class Sent:
-    """One request of a caller or a worker, and its end.
-
-    `node` took the request, in its process number `start`. `version` is that of the
-    first document with the route. `status` is 0 if there was no whole answer.
-    `has_left` tells whether the caller has closed the connection itself.
-    """
+    """One request of a caller or a worker, and its end."""
 
     id: str
     node: int
-    start: int
+    start: int  # number of the node's process
     is_unsafe: bool
-    version: int
+    version: int  # of the first document with the route
     timeout_s: float
     sent_at: float
     ended_at: float = 0.0
-    status: int = 0
+    status: int = 0  # 0 without a whole answer
     is_workers: bool = False  # whether the answer is that of a worker
-    has_left: bool = False
+    has_left: bool = False  # whether the caller closed the connection
     mix_up: str = ""
 
 
@@ -84,29 +79,28 @@
         stamp += f"Response-Stamp: {self.id}\r\n"
         work_s = MIN_WORK_S * (MAX_WORK_S / MIN_WORK_S) ** (self.rng.random() ** 2)
         is_caller = self.node.fields["service"] == "orders"
+        makes_call = is_caller and self.rng.random() < CALL_SHARE
         try:
-            # The request is dropped when the node closes the connection.
             async with asyncio.timeout(deadline - monotonic()):
                 await asyncio.sleep(work_s / 2)
-                makes_call = is_caller and self.rng.random() < CALL_SHARE
                 if makes_call and not await self.call(f"{name}.", deadline):
                     return make_answer(b"", "500 Internal Server Error", stamp)
                 await asyncio.sleep(work_s / 2)
         except TimeoutError:
             return make_answer(b"", "504 Gateway Timeout", stamp)
-        except asyncio.CancelledError:
+        except asyncio.CancelledError:  # the node has closed the connection
             run.was_cut = True
             raise
         finally:
             run.ended_at = monotonic()
         return make_answer(make_body(name), "200 OK", stamp)
 
-    async def call(self, name: str, deadline: float) -> bool:
-        """Send a request to the own node, its id beginning with `name`."""
+    async def call(self, prefix: str, deadline: float) -> bool:
+        """Send a request to the own node, its id beginning with `prefix`."""
         caller = Caller(self.number, self.node, self.journal, self.rng)
         try:
             await caller.connect()
-            request = caller.send("/stock/", 1, deadline - monotonic(), name)
+            request = caller.send("/stock/", 1, deadline - monotonic(), prefix)
             await caller.read(request)
             return request.status == 200
         except OSError:
@@ -116,9 +110,7 @@
 
 
 class Caller:
-    """Client of one node, which keeps its connection until the node closes it."""
-
-    _ids = itertools.count(1)
+    """Client of one node, which uses its connection until the node closes it."""
 
     def __init__(self, number: int, node: NodeProcess, journal: Journal, rng):
         self._number, self._node, self._journal = number, node, journal
@@ -135,50 +127,47 @@
     def close(self) -> None:
         if self._writer is not None:
             self._writer.close()
-        self._writer = None
-
-    async def run(self, batch: int, keeps_connection: bool, is_over) -> None:
-        """Send requests, `batch` at a time, until `is_over` is true."""
-        left = 0
-        for _ in range(MAX_ROUNDS):
-            if is_over():
-                break
-            await asyncio.sleep(self._rng.uniform(0.0, MAX_PAUSE_S))
+
+    async def run(self, size: int, keeps_connection: bool, is_over) -> None:
+        """Send requests, `size` at a time, until `is_over` is true."""
+        for _ in range(MAX_CONNECTIONS):
             try:
-                if left <= 0 or not keeps_connection:
-                    self.close()
-                if self._writer is None:
-                    await self.connect()
-                    left = MAX_REQUESTS_PER_CONNECTION
-                sent = [self._send_any(batch > 1) for _ in range(batch)]
+                await self.connect()
+                for _ in range(MAX_BATCHES if keeps_connection else 1):
+                    await asyncio.sleep(self._rng.uniform(0.0, MAX_PAUSE_S))
+                    if is_over():
+                        return
+                    if not await self._exchange(
+                        [self._send_any(size) for _ in range(size)]
+                    ):
+                        break
             except OSError:
-                self.close()
                 await asyncio.sleep(RECONNECT_PAUSE_S)
-                continue
-            left -= batch
-            for request in sent:
-                # Requests behind an answer that closes the connection are unread.
-                request.ended_at = monotonic()
-                if self._writer is None or not await self.read(request):
-                    self.close()
-                    for later in sent:
-                        later.has_left |= request.has_left
-        self.close()
-
-    def _send_any(self, must_be_safe: bool) -> Sent:
-        """Send a request on a random route, at times one of a later document."""
+            finally:
+                self.close()
+
+    async def _exchange(self, batch: list[Sent]) -> bool:
+        """Read the answers to a batch; return whether the connection stays open."""
+        is_open, has_left = True, False
+        for request in batch:
+            # Requests behind an answer that closes the connection are unread.
+            is_open = is_open and await self.read(request)
+            request.ended_at = request.ended_at or monotonic()
+            has_left = request.has_left = request.has_left or has_left
+        return is_open
+
+    def _send_any(self, size: int) -> Sent:
+        """Send a request on a random route; only safe ones are sent together."""
         rng = self._rng
         timeout_s = rng.randint(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS) / 1000
         version = rng.randint(1, len(self._journal.documents))
-        path = rng.choice(("/", "/pay/", "/pay/", f"/v{version}/"))
-        if must_be_safe and path == "/pay/":
-            path = "/"
-        is_old = not path.startswith("/v")
-        return self.send(path, 1 if is_old else version, timeout_s)
+        paths = [("/", 1), (f"/v{version}/", version)]
+        paths += [("/pay/", 1), ("/pay/", 1)] if size == 1 else []
+        return self.send(*rng.choice(paths), timeout_s)
 
-    def send(self, path: str, version: int, timeout_s: float, name: str = "") -> Sent:
+    def send(self, path: str, version: int, timeout_s: float, prefix: str = "") -> Sent:
         """Write one request and record it."""
-        name += f"{self._number}-{next(self._ids)}"
+        name = f"{prefix}{self._number}-{next(_ids)}"
         is_unsafe = path == "/pay/"
         method, length = ("POST", "Content-Length: 2\r\n") if is_unsafe else ("GET", "")
         self._writer.write(
@@ -207,11 +196,12 @@
         owner = answer.headers.get("request-id", request.id)
         request.status = answer.status if answer.complete else 0
         request.is_workers = "response-stamp" in answer.headers
-        expected = make_body(request.id) if request.is_workers else None
         if owner != request.id:
             request.mix_up = f"answer of request {owner}"
-        elif request.status == 200 and answer.body != expected:
-            request.mix_up = f"{len(answer.body)} bytes, stamped: {request.is_workers}"
+        elif request.status == 200 and not request.is_workers:
+            request.mix_up = "success without a worker's stamp"
+        elif request.status == 200 and answer.body != make_body(request.id):
+            request.mix_up = f"{len(answer.body)} bytes"
         return answer.complete and answer.headers.get("connection") != "close"
 
 
