--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -94,7 +94,9 @@
         self._is_closing = self._is_over = False
 
     async def run(self, directory: Path) -> None:
-        """Run the schedule, and end every process."""
+        """Run the schedule, and end every process, also on SIGTERM."""
+        cancel = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, cancel)
         try:
             await self._start(directory)
             callers = [
