--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -32,7 +32,7 @@
 RESTART_PAUSE_S = 0.1
 DRAIN_S, ABSENCE_S = 2.2, 0.6
 LATE_RUNS_S = 1.0  # wait for runs of requests that were refused
-TIMEOUTS_MS = (2500, 3000, 4000, 4000)
+TIMEOUTS_MS = (2500, 4000, 4000, 4000)
 SERVICES = ("orders", "stock")
 BOUNDS = {
     "bounds.grace": f"{GRACE_S}s",
@@ -151,8 +151,7 @@
         self.journal.acts.append((monotonic(), number, what))
 
     def _fail(self, number: int, what: str) -> None:
-        at = monotonic() - self.started_at
-        self.journal.failures.append(f"{at:.3f} s node {number}: {what}")
+        self.journal.failures.append((monotonic(), number, what))
 
     # Processes
 
@@ -271,8 +270,8 @@
     lines = [f"{len(problems)} problems; the first {MAX_PROBLEMS_SHOWN}:"]
     for problem in problems[:MAX_PROBLEMS_SHOWN]:
         lines += describe(problem, journal, soak.started_at)
-        if problem.request is not None:
-            lines += [li.strip() for li in logs if f'"{problem.request.id}"' in li]
+        words = problem.log_words
+        lines += [li.strip() for li in logs if words and all(w in li for w in words)]
     command = f"--seed {seed} --seconds {seconds:g} --nodes {count}"
     return journal, "\n".join([*lines, f"replay: python -m bench.stop_soak {command}"])
 
--- a/bench/stop_soak_checks.py
+++ b/bench/stop_soak_checks.py
@@ -20,16 +20,28 @@
 
 
 class Problem(NamedTuple):
-    """Failed check; `request` is None if it concerns a process."""
+    """Failed check of a request or of a process."""
 
     rule: str
     text: str
     request: Sent | None = None
+    at: float = 0.0  # of the failure of a process
+    node: int = 0
+
+    @property
+    def log_words(self) -> tuple[str, ...]:
+        """Words that the lines of the node logs have that belong to the problem."""
+        if self.request is not None:
+            return (f'"{self.request.id}"',)
+        return (f'"node-{self.node}"', '"stop_') if self.node else ()
 
 
 def find_problems(journal: Journal, grace_s: float) -> list[Problem]:
     """Return all failed checks."""
-    problems = [Problem("PROCESS", text) for text in journal.failures]
+    problems = [
+        Problem("PROCESS", f"node {node}: {text}", None, at, node)
+        for at, node, text in journal.failures
+    ]
     for request in journal.requests:
         runs = journal.runs.get(request.id, [])
         found = _check_answer(request, runs) + _check_end(
@@ -115,19 +127,20 @@
 
 def describe(problem: Problem, journal: Journal, start: float) -> list[str]:
     """Return a problem, its runs and what was done to the nodes concerned."""
-    rule, text, request = problem
-    if request is None:
-        return [f"{rule}: {text}"]
-    since, until = request.sent_at - TRACE_BEFORE_S, request.ended_at + TRACE_AFTER_S
-    nodes = {0} | _find_nodes(journal, request)
-    lines = [(request.sent_at, request.node, f"takes it, {request.timeout_s} s")]
-    lines += [(request.ended_at, request.node, f"ends it: {request.status}")]
-    for run in journal.runs.get(request.id, []):
-        lines += [(run.started_at, run.node, "run begins")]
-        lines += [(run.ended_at, run.node, f"run ends, cut: {run.was_cut}")]
+    request, lines = problem.request, []
+    since = until = problem.at
+    nodes = {0, problem.node}
+    if request is not None:
+        since, until = request.sent_at, request.ended_at
+        nodes |= _find_nodes(journal, request)
+        kind = "unsafe" if request.is_unsafe else "safe"
+        lines += [(since, request.node, f"takes {request.id}, {kind}")]
+        lines += [(until, request.node, f"ends it: {request.status}")]
+        for run in journal.runs.get(request.id, []):
+            lines += [(run.started_at, run.node, "run begins")]
+            lines += [(run.ended_at, run.node, f"run ends, cut: {run.was_cut}")]
+    since, until = since - TRACE_BEFORE_S, until + TRACE_AFTER_S
     lines += [a for a in journal.acts if since <= a[0] <= until and a[1] in nodes]
-    kind = "unsafe" if request.is_unsafe else "safe"
-    return [f"{rule} {request.id} ({kind}): {text}"] + [
-        f"  {at - start:8.3f} s  node {node}: {what}"
-        for at, node, what in sorted(lines)
+    return [f"{problem.rule}: {problem.text}"] + [
+        f"  {at - start:8.3f} s  node {node}: {act}" for at, node, act in sorted(lines)
     ]
--- a/bench/stop_soak_traffic.py
+++ b/bench/stop_soak_traffic.py
@@ -41,7 +41,7 @@
     version: int  # of the first document with the route
     timeout_s: float
     sent_at: float
-    ended_at: float = 0.0
+    ended_at: float
     status: int = 0  # 0 without a whole answer
     is_workers: bool = False  # whether the answer is that of a worker
     has_left: bool = False  # whether the caller closed the connection
@@ -56,7 +56,7 @@
     runs: dict[str, list[Run]] = field(default_factory=dict)
     acts: list[tuple[float, int, str]] = field(default_factory=list)  # at, node, what
     documents: list[tuple[float, float]] = field(default_factory=list)  # at, timeout
-    failures: list[str] = field(default_factory=list)  # of processes
+    failures: list[tuple[float, int, str]] = field(default_factory=list)
 
 
 class SoakWorker:
@@ -77,7 +77,7 @@
         deadline = run.started_at + int(request.headers["timeout-ms"]) / 1000
         self.journal.runs.setdefault(name, []).append(run)
         stamp += f"Response-Stamp: {self.id}\r\n"
-        work_s = MIN_WORK_S * (MAX_WORK_S / MIN_WORK_S) ** (self.rng.random() ** 2)
+        work_s = MIN_WORK_S * (MAX_WORK_S / MIN_WORK_S) ** (self.rng.random() ** 1.5)
         is_caller = self.node.fields["service"] == "orders"
         makes_call = is_caller and self.rng.random() < CALL_SHARE
         try:
@@ -151,8 +151,8 @@
         is_open, has_left = True, False
         for request in batch:
             # Requests behind an answer that closes the connection are unread.
+            request.ended_at = monotonic()
             is_open = is_open and await self.read(request)
-            request.ended_at = request.ended_at or monotonic()
             has_left = request.has_left = request.has_left or has_left
         return is_open
 
@@ -167,6 +167,8 @@
 
     def send(self, path: str, version: int, timeout_s: float, prefix: str = "") -> Sent:
         """Write one request and record it."""
+        if self._writer.is_closing():
+            raise ConnectionResetError
         name = f"{prefix}{self._number}-{next(_ids)}"
         is_unsafe = path == "/pay/"
         method, length = ("POST", "Content-Length: 2\r\n") if is_unsafe else ("GET", "")
@@ -176,7 +178,8 @@
             + b"{}" * is_unsafe
         )
         origin = self._number, self._start
-        sent = Sent(name, *origin, is_unsafe, version, timeout_s, monotonic())
+        now = monotonic()
+        sent = Sent(name, *origin, is_unsafe, version, timeout_s, now, now)
         self._journal.requests.append(sent)
         return sent
 
--- a/tests/mesh/test_stop_soak.py
+++ b/tests/mesh/test_stop_soak.py
@@ -12,7 +12,7 @@
     return Sent(name, **(defaults | times | fields))
 
 
-@pytest.mark.parametrize("seed", (1, 2))
+@pytest.mark.parametrize("seed", (2, 6))
 def test_planned_stops_lose_no_request(seed):
     """Guards against work that a stopping node cuts off."""
     journal, report = run_stop_soak(seed, 12.0, 6)
