--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -113,12 +113,14 @@
             await asyncio.sleep(LATE_RUNS_S)
             self._is_closing = True
             await asyncio.gather(*(self._stop(n, 0.0) for n in self._nodes))
+            await asyncio.wait(self._tasks, timeout=GRACE_S)
         finally:
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             for number, node in self._nodes.items():
                 node.send_signal(signal.SIGKILL)
+                await node.wait()
                 self._workers[number].server.crash()
             await self._store.stop()
 
--- a/packages/standins/src/mangowell_standins/node_process.py
+++ b/packages/standins/src/mangowell_standins/node_process.py
@@ -78,6 +78,8 @@
 
     async def wait(self, timeout_s: float | None = None) -> int | None:
         """Wait for the end; return the exit code, or None after `timeout_s`."""
+        if self._process is None:
+            return None
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._process.wait()
