Do not report a stopping node to its peers as not ready

What callers would see: each call that a node which has not heard of the stop sends to the stopping node is refused as not ready and costs a token of the retry budget. Cause: a stop ends the serving state of the core, and Node paused its call path for that as for a configuration that is not confirmed. Evidence: test_stopping_node_is_not_reported_as_not_ready got not-ready. A pause of the process is looked for before the stop begins and keeps calls refused, which test_node_that_stops_after_a_pause_accepts_no_request shows. Why it works: the cause leaving marks the node at the peer, so that one refusal ends its calls to it.

--- a/packages/node/src/mangowell_node/node.py
+++ b/packages/node/src/mangowell_node/node.py
@@ -132,6 +132,8 @@
             If a call in flight was interrupted before `grace_s` had passed (I8).
         """
         loop = asyncio.get_running_loop()
+        # After a pause of the process, calls stay refused during the stop too.
+        self._driver.report_pause()
         self._draining = True
         self._driver.handle_event(Stopping())
         deadline = loop.time() + grace_s
@@ -197,5 +199,6 @@
         self._telemetry.set_gauge("ready", float(serving))
         if serving:
             self._calls.resume_calls()
-        else:
+        elif not self._draining:
+            # During a stop, the call path itself decides what it still accepts.
             self._calls.pause_calls("configuration not confirmed")
--- a/tests/node/test_node_stop.py
+++ b/tests/node/test_node_stop.py
@@ -18,8 +18,8 @@
     )
 
 
-async def test_stopping_node_is_not_reported_as_not_ready():
-    """A node that is not ready is tried again by each call of a late peer."""
+async def stop_and_call(paused_s, limits_s):
+    """Stop a node of a fleet; return the causes at which late requests end."""
     fleet = Fleet(FleetConfig(domains=1, nodes_per_domain=2, first_domain=40))
     links = None
     causes = []
@@ -27,12 +27,13 @@
         await fleet.start(make_document(1))
         member = next(iter(fleet.members.values()))
         node, address = member.node, member.instance
+        node._driver._last_check_at -= paused_s
         stop = asyncio.ensure_future(fleet.stop_node(member, 1.0))
         await until(lambda: node.status()["draining"])
         key = derive_link_key(member.settings.security.curve_secret)
         links = LinkPool("late", key, AddressFilter(), lambda event: None)
         head = make_head(address.service, "/catalogue")
-        for limit_s in (0.3, 3.0):
+        for limit_s in limits_s:
             deadline = monotonic() + limit_s
             try:
                 await links.call(address.host, address.link_port, head, None, deadline)
@@ -44,5 +45,15 @@
         if links is not None:
             links.close()
         await fleet.stop()
-    assert causes == [Cause.NONE, Cause.LEAVING]
     assert not fleet.violations
+    return causes
+
+
+async def test_stopping_node_is_not_reported_as_not_ready():
+    """A node that is not ready is tried again by each call of a late peer."""
+    assert await stop_and_call(0.0, (0.3, 3.0)) == [Cause.NONE, Cause.LEAVING]
+
+
+async def test_node_that_stops_after_a_pause_accepts_no_request():
+    """The stop must not end the check that a paused process makes first."""
+    assert await stop_and_call(5.0, (0.3,)) == [Cause.NOT_READY]
