Add a failing test of a second stop of the call path

What callers would see: a request of a peer that runs at a stopping node gets no answer if the stop is asked for a second time. Cause: a second graceful stop skips the wait and closes the parts that the running request needs. The program asks once, whatever signals it gets, so this concerns embedded nodes. Change: a test only.

--- a/tests/node/test_stop_late_work.py
+++ b/tests/node/test_stop_late_work.py
@@ -84,3 +84,24 @@
         await until(lambda: other.calls._draining)
         assert (await other.call()).outcome == "not-run"
         await asyncio.wait_for(stop, 5)
+
+
+@pytest.mark.parametrize("is_local", [True, False], ids=["local", "remote"])
+async def test_second_stop_does_not_cut_what_the_first_one_awaits(is_local):
+    gate = asyncio.Event()
+    backends = [await ScriptedBackend(make_slow_handler(gate)).start() for _ in "ab"]
+    async with run_nodes(*backends) as (peer, stopping):
+        apply_members([peer, stopping], [stopping])
+        ingress = stopping if is_local else peer
+        reader, writer = await open_call(ingress.settings.call_port, target="/big")
+        await until(lambda: backends[1].executions == 1)
+        stops = [
+            asyncio.ensure_future(stopping.calls.stop(monotonic() + 10))
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0.2)
+        gate.set()
+        answer = await asyncio.wait_for(read_response(reader), 5)
+        assert (answer.status, answer.body) == (200, b"ok")
+        await asyncio.gather(*stops)
+        writer.close()
