Tell each new link whether the node stops, and keep short grace periods whole

Callers got 503 although a node that had restarted was free, until its next status or the end that its old process had announced; requests went to stopping nodes of an older build, which state no end; with a grace period of 1 or 2 s, callers got 504 after half of it. The stop was told to the links that were open when it began, like the GOAWAY before; an end that is not stated counted as passed; the margin for closing was 0.5 s whatever the grace period. Change: a node sends its status on each link as soon as it is authenticated, and the client takes notices that arrive with the end of the handshake (before, it dropped them). A stop without an end means that the node gets no requests. The margin is at most a tenth of the grace period. Ends that have passed are dropped by the status loop, not by the question itself.

--- a/packages/core/src/mangowell_core/mesh/stopping.py
+++ b/packages/core/src/mangowell_core/mesh/stopping.py
@@ -6,16 +6,16 @@
 it never has to cut a request that it has accepted from another node.
 """
 
-import math
-
 # Time for which callers still send requests after the node reports that it is not
 # ready, in seconds: two readiness checks one second apart, and a margin.
 READY_LINGER_S = 2.8
 # Largest part of the grace period for that, so that the requests that came last can
 # still be finished.
 MAX_LINGER_SHARE = 0.5
-# Part of the grace period that is reserved for closing, in seconds.
+# Part of the grace period that is reserved for closing, in seconds, and its largest
+# share of a short period.
 STOP_MARGIN_S = 0.5
+MAX_STOP_MARGIN_SHARE = 0.1
 # Time before the end of a stop at which a request of a caller is answered by the
 # node itself if no worker has answered it, in seconds.
 REPLY_MARGIN_S = 0.05
@@ -50,7 +50,8 @@
             Monotonic time, in seconds.
         """
         linger_s = min(READY_LINGER_S, MAX_LINGER_SHARE * grace_s)
-        return cls(now + linger_s, now + grace_s - STOP_MARGIN_S)
+        margin_s = min(STOP_MARGIN_S, MAX_STOP_MARGIN_SHARE * grace_s)
+        return cls(now + linger_s, now + grace_s - margin_s)
 
     @property
     def caller_deadline(self) -> float:
@@ -64,20 +65,40 @@
     __slots__ = ("_deadlines",)
 
     def __init__(self):
-        self._deadlines: dict[str, float] = {}
+        # None if the node has not said when it ends.
+        self._deadlines: dict[str, float | None] = {}
 
     def __bool__(self) -> bool:
         return bool(self._deadlines)
 
-    def record(self, host: str, deadline: float) -> None:
-        """Record that the node at `host` ends at `deadline` (monotonic seconds)."""
-        # The first notice of a stop has spent the least time on its way.
-        self._deadlines[host] = min(deadline, self._deadlines.get(host, math.inf))
+    def record(self, host: str, deadline: float | None) -> None:
+        """Record the planned stop of the node at `host`.
+
+        Parameters
+        ----------
+        host : str
+            Host of the node.
+        deadline : float or None
+            Monotonic time at which it ends, in seconds; None if it has not said so.
+        """
+        known = self._deadlines.get(host)
+        if deadline is not None and known is not None:
+            # The first notice of a stop has spent the least time on its way.
+            deadline = min(deadline, known)
+        self._deadlines[host] = deadline
 
     def forget(self, host: str) -> None:
         """Record that the node at `host` runs, such as after its restart."""
         self._deadlines.pop(host, None)
 
+    def expire(self, now: float) -> None:
+        """Forget nodes whose end has passed: who answers there has started since."""
+        self._deadlines = {
+            host: deadline
+            for host, deadline in self._deadlines.items()
+            if deadline is None or deadline > now
+        }
+
     def may_finish(self, host: str, deadline: float, now: float) -> bool:
         """Return whether the node at `host` can finish a request.
 
@@ -90,11 +111,7 @@
         now : float
             Monotonic time, in seconds.
         """
-        end = self._deadlines.get(host)
-        if end is None:
-            return True
-        if end <= now:
-            # The process has ended, so whoever answers there has started since.
-            self.forget(host)
+        if host not in self._deadlines:
             return True
-        return deadline <= end
+        end = self._deadlines[host]
+        return end is not None and (end <= now or deadline <= end)
--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -476,6 +476,9 @@
     async def _connect(self, address: tuple[str, int]) -> ClientLink:
         loop = asyncio.get_running_loop()
         link = ClientLink(self._key, self._name)
+        # The first notice may arrive together with the end of the handshake.
+        link.on_notice = self.on_notice
+        link.on_silent = self._mark_suspect_links
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(
@@ -491,8 +494,6 @@
             raise AttemptError.at(
                 Cause.CONNECT_FAILED, Stage.UNSENT, f"link: {exc}"
             ) from exc
-        link.on_silent = self._mark_suspect_links
-        link.on_notice = self.on_notice
         replaced = self._links.get(address)
         if replaced is not None:
             self._replaced.add(replaced)
--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -93,6 +93,7 @@
             FrameType.NOTICE: self._on_notice,
         }
         self.on_notice = self._server.on_notice
+        self._server.on_authenticated(self)
 
     def _on_request(self, stream_id: int, payload: bytes) -> None:
         if stream_id <= self._last_stream_id:
@@ -220,6 +221,10 @@
             self._cancel(stream)
 
 
+def _ignore_link(link: Link) -> None:
+    """Ignore a new link; replaced by `Gossip`."""
+
+
 class LinkServer:
     """Listener that accepts links from other nodes.
 
@@ -246,6 +251,7 @@
         self.handler = handler
         self.load = load
         self.on_notice: Callable[[Link, bytes], None] | None = None
+        self.on_authenticated: Callable[[Link], None] = _ignore_link
         self.links: set[ServerLink] = set()
         # A property of the server, so that it holds for links that open later too.
         self.is_stopping = False
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -160,6 +160,7 @@
         self._publication = Publication()
         links.on_notice = self._handle_notice
         server.on_notice = self._handle_notice
+        server.on_authenticated = self._send_status
 
     def start(self) -> None:
         """Start the tasks that keep links open and send notices."""
@@ -202,6 +203,10 @@
             if to_all_domains or self._is_same_domain(link):
                 link.send_notice(payload)
 
+    def _send_status(self, link: Link) -> None:
+        """Tell the peer of a new link whether this node runs or stops."""
+        link.send_notice(encode_notice(self._make_status()))
+
     def _is_same_domain(self, link: Link) -> bool:
         host = link.address[0]
         for endpoint in self._directory.look_up_host(host):
@@ -250,6 +255,7 @@
             )
             self._resend_crashes()
             self._check_silence(monotonic())
+            self._prober.stopping_peers.expire(monotonic())
             await self._wait_for_next_status()
 
     async def _wait_for_next_status(self) -> None:
@@ -417,7 +423,7 @@
                 )
                 for name, demand in self._budget.compute_demand(monotonic()).items()
             },
-            max(0.0, self._end_deadline - monotonic()) if self._is_leaving else 0.0,
+            max(0.0, self._end_deadline - monotonic()) if self._is_leaving else None,
         )
 
     def _handle_notice(self, link: Link, payload: bytes) -> None:
@@ -449,7 +455,9 @@
         host = link.address[0]
         self._reconnect_at.pop(host, None)
         if notice.leaving:
-            self._prober.stopping_peers.record(host, now + notice.ends_in_s)
+            ends_in_s = notice.ends_in_s
+            end = None if ends_in_s is None else now + ends_in_s
+            self._prober.stopping_peers.record(host, end)
         else:
             self._prober.stopping_peers.forget(host)
         for endpoint in self._directory.look_up_host(host):
