Compare waiting requests with the end of a stop, and keep the calls of late work

Callers got a closed connection, or 502, for requests that had waited for a slot at SIGTERM and were cut when the node ended; 500 of the worker for requests that started late at a stopping node, or that were calls themselves; and a request that waited for a worker whose entry was removed ran there later. The deadline of a request was compared with the end of the stop when it arrived, not when the stop began; the listener closed once the worker was idle, though a request might yet start there; a call was known by the part of its id before the first dot; the queue was cleared for a worker that drains, but not for one that is gone. Change: SIGTERM limits the deadlines of all requests, also open and waiting ones: a waiting one that may outlast the node is refused as not run, an open one gets an answer before the end. The listener stays open until no request is left that runs or may start here. Each prefix of an id counts for calls. A queue ends with the entry of its worker. Why it works: every request meets the comparison, whichever came first, it or the stop.

--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -119,9 +119,27 @@
             settings, directory, runner, links, crash_counter, emit, rng
         )
         self.in_flight = 0
-        # Latest deadline of a request, in monotonic seconds: that of the planned stop.
-        self.end_deadline = math.inf
+        # Latest deadline of a request, in monotonic seconds.
+        self._end_deadline = math.inf
         self._refuses_callers = False
+        # Requests that are at a worker or wait for one, each with its time limit.
+        self._open: dict[RequestState, asyncio.Timeout] = {}
+
+    def limit_deadlines(self, deadline: float) -> None:
+        """Answer all requests, also open ones, before the node ends.
+
+        Parameters
+        ----------
+        deadline : float
+            Latest deadline of a request, in monotonic seconds.
+        """
+        self._end_deadline = deadline
+        expires_in_s = deadline - EXPIRY_MARGIN_S - monotonic()
+        expires_at = asyncio.get_running_loop().time() + expires_in_s
+        for state, timeout in self._open.items():
+            if state.deadline > deadline:
+                state.deadline = deadline
+                timeout.reschedule(expires_at)
 
     def refuse_callers(self) -> None:
         """Serve only calls of requests that the local worker runs."""
@@ -172,7 +190,7 @@
         if fields.remaining_ms is not None:
             timeout_s = min(timeout_s, fields.remaining_ms / 1000)
         state = RequestState(call, route, self._traffic_splitter.select_service(route))
-        state.deadline = min(call.arrived_at + timeout_s, self.end_deadline)
+        state.deadline = min(call.arrived_at + timeout_s, self._end_deadline)
         refusal = await self._prepare_head(state, request)
         if refusal is not None:
             return self._make_refusal_reply(request, state, refusal, call.arrived_at)
@@ -183,21 +201,31 @@
         if not state.head.is_call:
             self.attempts.budget.count_request(state.service, monotonic())
         try:
-            async with asyncio.timeout(state.deadline - monotonic() - EXPIRY_MARGIN_S):
+            expires_in_s = state.deadline - monotonic() - EXPIRY_MARGIN_S
+            async with asyncio.timeout(expires_in_s) as self._open[state]:
                 await self.attempts.run(state)
         except TimeoutError:
             stage = Stage.SENT if state.attempts else Stage.UNSENT
             reason = "time limit of the route or the caller reached"
-            if state.deadline == self.end_deadline:
+            if state.deadline >= self._end_deadline:
                 reason = "time for stopping has passed"
             state.answer = None
             state.ended_by = EndReason.DEADLINE
             state.error = AttemptError.at(Cause.DEADLINE, stage, reason)
+        finally:
+            self._open.pop(state, None)
         return self._make_reply(state, request)
 
     def _is_call(self, request: str) -> bool:
-        """Return whether the local worker made a request while running another."""
-        return self._runner.is_running(request.partition(CALL_SEPARATOR)[0])
+        """Return whether the local worker made a request while running another.
+
+        The other may be a call itself, whose id contains the separator.
+        """
+        parts = request.split(CALL_SEPARATOR)
+        return any(
+            self._runner.is_running(CALL_SEPARATOR.join(parts[:count]))
+            for count in range(1, len(parts))
+        )
 
     async def _wait_for_document(self) -> None:
         """Wait for the first document, which the store sends within milliseconds."""
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -123,16 +123,18 @@
         self._draining = True
         self._telemetry.emit(Event(EventCode.STOP_STARTED, {"reason": "SIGTERM"}))
         self._ingress.draining = True
-        self.gateway.end_deadline = schedule.caller_deadline
-        self.runner.end_deadline = deadline
+        self.gateway.limit_deadlines(schedule.caller_deadline)
+        self.runner.limit_deadlines(deadline)
         self._gossip.announce_stop(deadline)
         while monotonic() < schedule.linger_deadline:
             await asyncio.sleep(LINGER_POLL_S)
         self._link_server.refuse_new_streams()
         self.gateway.refuse_callers()
         # Calls of running requests arrive like requests of callers, so the listener for
-        # both stays open until the worker has finished.
-        while self.runner.pending and monotonic() < deadline:
+        # both stays open until no request is left that runs or may still start here.
+        while self.runner.pending or self.gateway.in_flight:
+            if monotonic() >= deadline:
+                break
             await asyncio.sleep(LINGER_POLL_S)
         await self._ingress.stop(max(0.0, deadline - monotonic()))
         await self._link_server.stop(deadline)
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -16,7 +16,7 @@
 from mangowell_core.mesh.failure_rate import FailureRate
 from mangowell_core.mesh.model import Endpoint, ProbeNotice, ProbeReply
 from mangowell_core.policy.outcome import Stage, refuse
-from mangowell_core.policy.types import Cause
+from mangowell_core.policy.types import Cause, Refusal
 from mangowell_node.backend import BackendConnection, BackendPool
 from mangowell_node.exchange import (
     Answer,
@@ -48,6 +48,16 @@
 CALL_RANK = -1
 
 
+class _Waiter:
+    """Request that waits for a slot."""
+
+    __slots__ = ("deadline", "fut")
+
+    def __init__(self, fut: asyncio.Future, deadline: float):
+        self.fut = fut
+        self.deadline = deadline
+
+
 class WorkerRunner:
     """Serves the platform: admits requests to the local worker and runs them.
 
@@ -75,8 +85,8 @@
         self._running_ids: set[str] = set()
         # Time at which the node ends, in monotonic seconds. A request with a later
         # deadline might be cut, so it is left to the worker of another node.
-        self.end_deadline = math.inf
-        self._waiters: dict[Ticket, asyncio.Future] = {}
+        self._end_deadline = math.inf
+        self._waiters: dict[Ticket, _Waiter] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
         self.admission = Admission(DEFAULT_SLOTS)
@@ -93,7 +103,9 @@
         """Apply a change of the directory."""
         worker = self._settings.worker
         local_worker = self._directory.look_up_address(worker.host, worker.port)
-        self._local_worker = local_worker
+        previous, self._local_worker = self._local_worker, local_worker
+        if previous is not None and not _is_same_start(previous, local_worker):
+            self._clear_queue(_make_unlisted_refusal())
         if local_worker is None:
             return
         self.admission.limit = max(1, local_worker.slots)
@@ -103,9 +115,25 @@
                 limit = service.max_connections - RESERVED_CONNECTIONS
                 self.pool.limit = max(local_worker.slots, limit)
         if local_worker.draining:
-            error = AttemptError(refuse(Cause.LEAVING, "worker is draining"))
-            for ticket in self.admission.clear():
-                self._fail_waiter(ticket, error)
+            self._clear_queue(refuse(Cause.LEAVING, "worker is draining"))
+
+    def limit_deadlines(self, deadline: float) -> None:
+        """Refuse requests, also waiting ones, that may outlast the node.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time at which the node ends, in seconds.
+        """
+        self._end_deadline = deadline
+        for ticket, waiter in list(self._waiters.items()):
+            if waiter.deadline > deadline and not ticket.is_running:
+                self.admission.cancel(ticket)
+                self._fail_waiter(ticket, AttemptError(_make_stopping_refusal()))
+
+    def _clear_queue(self, refusal: Refusal) -> None:
+        for ticket in self.admission.clear():
+            self._fail_waiter(ticket, AttemptError(refusal))
 
     @property
     def local_worker(self) -> Endpoint | None:
@@ -144,15 +172,11 @@
         """
         local_worker = self._local_worker
         if local_worker is None or local_worker.id != head.instance:
-            reason = "another worker is listed here"
-            refusal = refuse(
-                Cause.NO_INSTANCE, reason, retry_after_s=NO_INSTANCE_RETRY_AFTER_S
-            )
-            raise AttemptError(refusal)
+            raise AttemptError(_make_unlisted_refusal())
         if local_worker.draining:
             raise AttemptError(refuse(Cause.LEAVING, "worker is draining"))
-        if deadline > self.end_deadline:
-            raise AttemptError(refuse(Cause.LEAVING, "node is stopping"))
+        if deadline > self._end_deadline:
+            raise AttemptError(_make_stopping_refusal())
         ticket = await self._admit(head, deadline)
         has_run = False
         try:
@@ -183,7 +207,7 @@
             local_worker is None
             or local_worker.id != probe.instance
             or local_worker.draining
-            or now + probe.remaining_s > self.end_deadline
+            or now + probe.remaining_s > self._end_deadline
         ):
             accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
         else:
@@ -217,11 +241,11 @@
             case AdmissionDecision.REFUSED:
                 raise self._make_overload_error(retry_after_s)
         self._schedule_sweep()
-        waiter = self._waiters[ticket] = self._loop.create_future()
+        waiter = self._waiters[ticket] = _Waiter(self._loop.create_future(), deadline)
         # A more urgent request may delay others past their latest start.
         self._refuse_expired()
         try:
-            await waiter
+            await waiter.fut
         except asyncio.CancelledError:
             if ticket.is_running:
                 self._release(ticket, False)
@@ -240,10 +264,10 @@
     def _release(self, ticket: Ticket, has_run: bool) -> None:
         for started in self.admission.finish(ticket, has_run, monotonic()):
             waiter = self._waiters.get(started)
-            if waiter is None or waiter.done():
+            if waiter is None or waiter.fut.done():
                 self._release(started, False)
             else:
-                waiter.set_result(None)
+                waiter.fut.set_result(None)
 
     def _refuse_expired(self) -> None:
         for ticket, retry_after_s in self.admission.expire(monotonic()):
@@ -251,8 +275,8 @@
 
     def _fail_waiter(self, ticket: Ticket, error: AttemptError) -> None:
         waiter = self._waiters.get(ticket)
-        if waiter is not None and not waiter.done():
-            waiter.set_exception(error)
+        if waiter is not None and not waiter.fut.done():
+            waiter.fut.set_exception(error)
 
     def _schedule_sweep(self) -> None:
         if self._sweep_timer is None:
@@ -341,6 +365,26 @@
     return (CALL_RANK, 0.0) if is_call else (priority, objective_s)
 
 
+def _is_same_start(known: Endpoint, listed: Endpoint | None) -> bool:
+    """Return whether the listed worker is the known one, without a restart."""
+    return listed is not None and (known.id, known.born_ms) == (
+        listed.id,
+        listed.born_ms,
+    )
+
+
+def _make_unlisted_refusal() -> Refusal:
+    return refuse(
+        Cause.NO_INSTANCE,
+        "another worker is listed here",
+        retry_after_s=NO_INSTANCE_RETRY_AFTER_S,
+    )
+
+
+def _make_stopping_refusal() -> Refusal:
+    return refuse(Cause.LEAVING, "node is stopping")
+
+
 def _ignore_crash(crash: str, fingerprints: tuple[str, ...]) -> None:
     """Ignore a crash; replaced by `Gossip`."""
 
