Let a second stop of the call path wait for the first one

What callers would see: a request of a peer that runs at a stopping node gets no answer if the stop of an embedded node is asked for a second time. Cause: a second graceful stop closed the pool and the links at once. Evidence: test_second_stop_does_not_cut_what_the_first_one_awaits[remote]. Change: a second graceful stop waits for the end of the first one; abort still closes at once. Why it works: the parts are closed only by the stop that waits for the requests.

--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -144,6 +144,7 @@
         self._draining = False
         # End of the planned stop in monotonic seconds; infinite before it begins.
         self._stop_deadline = float("inf")
+        self._stopped = asyncio.Event()
         self._active_calls = 0
         self._request_count = 0
         # The start time keeps request ids distinct across restarts of the process.
@@ -209,6 +210,8 @@
     async def stop(self, deadline: float) -> None:
         """Stop; calls in flight may finish until `deadline`.
 
+        A second graceful stop waits for the end of the first one.
+
         Parameters
         ----------
         deadline : float
@@ -219,7 +222,11 @@
             return
         now = monotonic()
         graceful = deadline > now
-        if graceful and not self._draining:
+        if graceful and self._draining:
+            # Closing now would cut the requests that the first stop waits for.
+            await self._stopped.wait()
+            return
+        if graceful:
             self._stop_deadline = deadline
             self._start_drain(now)
             linger_end = min(deadline, now + DRAIN_LINGER_S)
@@ -237,6 +244,7 @@
         self._links.close()
         self._pool.close()
         self._emit_policy_events()
+        self._stopped.set()
 
     async def _wait_idle(self, earliest: float, deadline: float) -> None:
         """Wait until no call is in flight.
