Add a failing test of calls made by a request while its node stops

What callers would see: a request that a stopping node lets finish fails, because the calls that its backend server makes through this node get 503 leaving. Cause: the call path refuses all callers from the start of the stop, while work that needs it still runs. Change: a test only.

--- a/tests/node/test_stop_late_work.py
+++ b/tests/node/test_stop_late_work.py
@@ -105,3 +105,31 @@
         assert (answer.status, answer.body) == (200, b"ok")
         await asyncio.gather(*stops)
         writer.close()
+
+
+async def test_running_request_may_make_calls_while_its_node_stops():
+    """The request fails if the calls that it needs are refused."""
+    gate = asyncio.Event()
+    nodes = []
+
+    async def call_other_service(request):
+        await gate.wait()
+        inner = await nodes[1].call(target="/")
+        return make_answer(b"%d" % inner.status)
+
+    backends = [
+        await ScriptedBackend().start(),
+        await ScriptedBackend(call_other_service).start(),
+    ]
+    async with run_nodes(*backends) as nodes:
+        peer, stopping = nodes
+        apply_members([peer], [stopping])
+        apply_members([stopping], [peer])
+        reader, writer = await open_call(peer.settings.call_port, target="/big")
+        await until(lambda: backends[1].executions == 1)
+        stop = asyncio.ensure_future(stopping.calls.stop(monotonic() + 10))
+        await until(lambda: stopping.calls._draining)
+        gate.set()
+        assert (await read_response(reader)).body == b"200"
+        await stop
+        writer.close()
