--- a/tests/node/test_stop_late_work.py
+++ b/tests/node/test_stop_late_work.py
@@ -110,19 +110,19 @@
 async def test_running_request_may_make_calls_while_its_node_stops():
     """The request fails if the calls that it needs are refused."""
     gate = asyncio.Event()
-    nodes = []
+    own_node = None
 
     async def call_other_service(request):
         await gate.wait()
-        inner = await nodes[1].call(target="/")
+        inner = await own_node.call(target="/")
         return make_answer(b"%d" % inner.status)
 
     backends = [
         await ScriptedBackend().start(),
         await ScriptedBackend(call_other_service).start(),
     ]
-    async with run_nodes(*backends) as nodes:
-        peer, stopping = nodes
+    async with run_nodes(*backends) as (peer, stopping):
+        own_node = stopping
         apply_members([peer], [stopping])
         apply_members([stopping], [peer])
         reader, writer = await open_call(peer.settings.call_port, target="/big")
