--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -188,6 +188,7 @@
         node = self._nodes[number]
         if self._send(number, signal.SIGTERM) and await node.wait(GRACE_S) is None:
             self._fail(number, "still runs at the end of the grace period")
+            self._signals[number] = signal.SIGKILL
             node.send_signal(signal.SIGKILL)
 
     async def _kill(self, number: int, value: float) -> None:
@@ -263,7 +264,8 @@
     soak = StopSoak(seed, seconds, count)
     with tempfile.TemporaryDirectory(prefix="stop-soak-") as name:
         uvloop.run(soak.run(Path(name)))
-        logs = [line for path in Path(name).glob("*.log") for line in path.open()]
+        paths = Path(name).glob("*.log")
+        logs = sorted(line for path in paths for line in path.open())
     journal = soak.journal
     faults = [line for line in logs if "internal_fault" in line or "Traceback" in line]
     problems = find_problems(journal, GRACE_S) + [Problem("FAULT", f) for f in faults]
