--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -30,6 +30,7 @@
 STOP_STEP_S = 0.3
 MIN_GAP_S, MAX_GAP_S = 0.2, 1.5
 RESTART_PAUSE_S = 0.1
+STALL_CHECK_S, MIN_STALL_S = 0.05, 0.25
 DRAIN_S, ABSENCE_S = 2.2, 0.6
 LATE_RUNS_S = 1.0  # wait for runs of requests that were refused
 TIMEOUTS_MS = (2500, 4000, 4000, 4000)
@@ -98,6 +99,7 @@
         cancel = asyncio.current_task().cancel
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, cancel)
         try:
+            self._tasks.append(asyncio.create_task(self._record_stalls()))
             await self._start(directory)
             callers = [
                 asyncio.create_task(self._call(number))
@@ -152,6 +154,14 @@
     def _record(self, number: int, what: str) -> None:
         self.journal.acts.append((monotonic(), number, what))
 
+    async def _record_stalls(self) -> None:
+        """Record pauses of this process, which delay what it sees of the nodes."""
+        while not self._is_closing:
+            due = monotonic() + STALL_CHECK_S
+            await asyncio.sleep(STALL_CHECK_S)
+            if (stall_s := monotonic() - due) > MIN_STALL_S:
+                self._record(0, f"soak stalled for {stall_s:.2f} s")
+
     def _fail(self, number: int, what: str) -> None:
         self.journal.failures.append((monotonic(), number, what))
 
