--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -39,9 +39,11 @@
 class _ServerStream:
     """State of one request on a link, at the node that runs the request."""
 
-    __slots__ = ("receiver", "sender", "task")
+    __slots__ = ("accepted_at", "receiver", "request", "sender", "task")
 
-    def __init__(self) -> None:
+    def __init__(self, request: str) -> None:
+        self.request = request
+        self.accepted_at = monotonic()
         self.task: asyncio.Task | None = None
         self.receiver: BodyReceiver | None = None
         self.sender: BodySender | None = None
@@ -56,11 +58,15 @@
         self._streams: dict[int, _ServerStream] = {}
         self._last_stream_id = 0
         self._stopping = False
+        self.opened_at = monotonic()
         self._handlers = {FrameType.AUTHENTICATE: self._on_authenticate}
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the link and start the handshake with a nonce."""
         super().connection_made(transport)
+        if self._server.is_stopping:
+            self.close("stopping")
+            return
         self._server.links.add(self)
         self.send(FrameType.HELLO, 0, MAGIC + self._nonce)
 
@@ -86,8 +92,6 @@
             FrameType.NOTICE: self._on_notice,
         }
         self.on_notice = self._server.on_notice
-        if self._stopping:
-            self.send_goaway()
 
     def _on_request(self, stream_id: int, payload: bytes) -> None:
         if stream_id <= self._last_stream_id:
@@ -98,7 +102,7 @@
         if self._stopping:
             return  # GOAWAY has told the peer that this request does not run.
         self._last_stream_id = stream_id
-        stream = self._streams[stream_id] = _ServerStream()
+        stream = self._streams[stream_id] = _ServerStream(head.request)
         if head.streaming:
             stream.receiver = BodyReceiver(self, stream_id, head.length, lambda: None)
         deadline = monotonic() + head.remaining_ms / 1000
@@ -185,6 +189,29 @@
         self._stopping = True
         self.send(FrameType.GOAWAY, self._last_stream_id)
 
+    def report_cut(self, now: float) -> list[Event]:
+        """Return an event for each open stream, before the link is closed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, in seconds.
+        """
+        link_age_ms = round((now - self.opened_at) * 1000)
+        return [
+            Event(
+                EventCode.CALL_CUT,
+                {
+                    "request": stream.request,
+                    "peer": self.peer,
+                    "reason": "time for stopping has passed",
+                    "age_ms": round((now - stream.accepted_at) * 1000),
+                    "link_age_ms": link_age_ms,
+                },
+            )
+            for stream in self._streams.values()
+        ]
+
     def _has_streams(self) -> bool:
         return bool(self._streams)
 
@@ -221,6 +248,8 @@
         self.load = load
         self.on_notice: Callable[[Link, bytes], None] | None = None
         self.links: set[ServerLink] = set()
+        # A property of the server, so that it holds for links that open later too.
+        self.is_stopping = False
         self._key = key
         self._emit = emit
         self._server: asyncio.Server | None = None
@@ -249,6 +278,20 @@
             code = EventCode.LINK_SILENT
             self._emit(Event(code, {"peer": peer, "reason": reason}))
 
+    def refuse_new_streams(self) -> None:
+        """Close the listener and tell every peer that no further stream runs.
+
+        Until the process has ended, peers find that the node cannot be reached.
+        """
+        self.is_stopping = True
+        if self._server is not None:
+            self._server.close()
+        for link in list(self.links):
+            if link.is_authenticated:
+                link.send_goaway()
+            else:
+                link.close("stopping")
+
     async def stop(self, deadline: float) -> None:
         """Refuse new streams and close every link once its streams have ended.
 
@@ -257,10 +300,7 @@
         deadline : float
             Monotonic seconds at which the remaining streams are cut off.
         """
-        if self._server is not None:
-            self._server.close()
-        for link in list(self.links):
-            link.send_goaway()
+        self.refuse_new_streams()
         while any(link._has_streams() for link in self.links):
             if monotonic() >= deadline:
                 break
@@ -270,7 +310,10 @@
             if monotonic() >= deadline:
                 break
             await asyncio.sleep(0.005)
+        now = monotonic()
         for link in list(self.links):
+            for event in link.report_cut(now):
+                self._emit(event)
             with contextlib.suppress(Exception):
                 link.transport.close()
             link.close("stopping")
