--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -1,5 +1,6 @@
 """Sends a request to one worker after another until one has answered it."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from http import HTTPStatus
@@ -26,8 +27,9 @@
 )
 from mangowell_node.link import Contact, LinkPool
 from mangowell_node.mesh.prober import Prober
-from mangowell_node.mesh.request_state import RequestState
+from mangowell_node.mesh.request_state import EndReason, RequestState
 from mangowell_node.mesh.runner import WorkerRunner
+from mangowell_node.mesh.tasks import start_loop
 
 # Retry-After value if no worker can be reached, in seconds.
 NO_WORKER_RETRY_AFTER_S = 0.5
@@ -115,47 +117,56 @@
 
     async def run(self, state: RequestState) -> None:
         """Make attempts until there is an answer or no further attempt is allowed."""
-        while True:
-            now = monotonic()
-            elapsed_s = now - state.call.arrived_at
-            if not may_offer_again(state.refusals, elapsed_s, state.route.objective_s):
-                return
-            try:
-                endpoint = await self.prober.select_worker(state)
-            except AttemptError as exc:
-                state.error = _select_error(state.error, exc)
-                return
-            if endpoint is None and self._may_reset_exclusions(state):
-                # If there is only one worker, it may have lost just a connection.
-                state.excluded.clear()
-                continue
-            if endpoint is None:
-                if state.error is None and state.answer is None:
-                    state.error = AttemptError(
-                        refuse(
-                            Cause.NO_INSTANCE,
-                            f"no worker of {state.service} can be reached",
-                            retry_after_s=NO_WORKER_RETRY_AFTER_S,
-                        )
-                    )
-                return
-            if state.may_have_run or state.attempts:
-                if not self._may_retry(state, monotonic()):
-                    return
-                self._emit(
-                    Event(
-                        EventCode.CALL_RETRIED,
-                        {
-                            "request": state.head.request,
-                            "backend": endpoint.id,
-                            "reason": _describe_failure(state),
-                            "attempt": state.attempts + 1,
-                        },
+        ended_by = None
+        while ended_by is None:
+            ended_by = await self._make_next_attempt(state)
+        state.ended_by = ended_by
+
+    async def _make_next_attempt(self, state: RequestState) -> EndReason | None:
+        """Make one attempt; return why no further one follows, or None if one may."""
+        if not _may_offer(state, monotonic()):
+            return EndReason.OFFER_LIMIT
+        try:
+            endpoint = await self._select_worker(state)
+        except AttemptError as exc:
+            state.error = _select_error(state.error, exc)
+            return EndReason.ALL_REFUSE
+        if endpoint is None and self._may_reset_exclusions(state):
+            # If there is only one worker, it may have lost just a connection.
+            state.excluded.clear()
+            return None
+        if endpoint is None:
+            if state.error is None and state.answer is None:
+                state.error = AttemptError(
+                    refuse(
+                        Cause.NO_INSTANCE,
+                        f"no worker of {state.service} can be reached",
+                        retry_after_s=NO_WORKER_RETRY_AFTER_S,
                     )
                 )
-            state.excluded.add(endpoint.id)
-            if await self._attempt(state, endpoint):
-                return
+            return EndReason.NO_WORKER
+        if state.may_have_run or state.attempts:
+            obstacle = self._find_retry_obstacle(state, monotonic())
+            if obstacle is not None:
+                return obstacle
+            self._emit(
+                Event(
+                    EventCode.CALL_RETRIED,
+                    {
+                        "request": state.head.request,
+                        "backend": endpoint.id,
+                        "reason": _describe_failure(state),
+                        "attempt": state.attempts + 1,
+                    },
+                )
+            )
+        state.excluded.add(endpoint.id)
+        is_final = await self._attempt(state, endpoint)
+        return EndReason.ANSWERED if is_final else None
+
+    async def _select_worker(self, state: RequestState) -> Endpoint | None:
+        selected, state.next_worker = state.next_worker, None
+        return selected or await self.prober.select_worker(state)
 
     def _is_suspect(self, host: str) -> bool | None:
         """Return whether a host is suspected, or None if it cannot be reached."""
@@ -165,6 +176,36 @@
             self._links.get_contact(host, self._settings.link.port)
         ]
 
+    async def _prepare_repeat(
+        self, state: RequestState, give_up: Callable[[], None]
+    ) -> None:
+        """Give up an attempt on a silent link if another one can be made.
+
+        A silent link may only be full, and its worker about to answer. The attempt
+        therefore goes on until there is a worker that would take the request and the
+        retry budget has granted the repeat.
+        """
+        now = monotonic()
+        if not _may_offer(state, now) or state.retry_granted is False:
+            return
+        if self._find_repeat_obstacle(state, now) is not None:
+            return
+        try:
+            endpoint = await self.prober.select_worker(state)
+        except AttemptError:
+            return
+        if endpoint is None or not self._is_in_contact(endpoint.host):
+            return
+        if self._find_retry_obstacle(state, monotonic()) is None:
+            state.next_worker = endpoint
+            give_up()
+
+    def _is_in_contact(self, host: str) -> bool:
+        if host == self._settings.worker.host:
+            return True
+        contact = self._links.get_contact(host, self._settings.link.port)
+        return contact is Contact.OPEN
+
     def _may_reset_exclusions(self, state: RequestState) -> bool:
         """Return whether the workers that were tried may be tried once more."""
         if state.has_reset_exclusions or not state.may_have_run:
@@ -172,18 +213,32 @@
         state.has_reset_exclusions = True
         return state.route.idempotent and state.error is not None
 
-    def _may_retry(self, state: RequestState, now: float) -> bool:
-        """Return whether a request that reached a worker may be sent to another."""
+    def _find_repeat_obstacle(
+        self, state: RequestState, now: float
+    ) -> EndReason | None:
+        """Return what forbids another attempt, except for the retry budget."""
         if state.may_have_run and not state.route.idempotent:
-            return False
+            return EndReason.NOT_REPEATABLE
         if state.attempts >= max(1, state.route.max_attempts):
-            return False
+            return EndReason.ATTEMPT_LIMIT
         mean_work_s = self.placement.estimate_work(state.route.name, state.service)
         if state.deadline - now < mean_work_s * MIN_REMAINING_WORK_SHARE:
-            return False
-        if self.is_quarantined(state, now):
-            return False
-        return self.budget.spend(state.service, now, state.head.is_call)
+            return EndReason.NO_TIME
+        return EndReason.QUARANTINED if self.is_quarantined(state, now) else None
+
+    def _find_retry_obstacle(self, state: RequestState, now: float) -> EndReason | None:
+        """Return what forbids another attempt of a request that reached a worker.
+
+        The retry budget is asked once for each attempt that reaches a worker.
+        """
+        obstacle = self._find_repeat_obstacle(state, now)
+        if obstacle is not None:
+            return obstacle
+        if state.retry_granted is None:
+            state.retry_granted = self.budget.spend(
+                state.service, now, state.head.is_call
+            )
+        return None if state.retry_granted else EndReason.RETRY_BUDGET
 
     def is_quarantined(self, state: RequestState, now: float) -> bool:
         """Return whether the request is refused because it has crashed workers."""
@@ -202,6 +257,7 @@
         # Until the attempt ends, the request counts as having reached the worker.
         state.attempts += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
+        was_granted, state.retry_granted = state.retry_granted, None
         try:
             answer = await self._send(state, endpoint)
         except AttemptError as exc:
@@ -211,6 +267,8 @@
             if is_unsent:
                 state.attempts -= 1
                 state.may_have_run = may_have_run_before
+                # The platform counts arrivals at workers, and this was none.
+                state.retry_granted = was_granted or state.retry_granted
             if not (is_unsent and state.error is not None and state.may_have_run):
                 state.error = _select_error(state.error, exc)
             return False
@@ -242,9 +300,20 @@
         port = self._settings.link.port
         deadline = min(state.deadline, monotonic() + CONNECT_WAIT_S)
         await self._links.connect(endpoint.host, port, deadline)
-        return await self._links.call(
-            endpoint.host, port, state.head, None, state.deadline
-        )
+        preparation: asyncio.Task | None = None
+
+        def on_silence(give_up: Callable[[], None]) -> None:
+            nonlocal preparation
+            if preparation is None or preparation.done():
+                preparation = start_loop(self._prepare_repeat(state, give_up))
+
+        try:
+            return await self._links.call(
+                endpoint.host, port, state.head, None, state.deadline, on_silence
+            )
+        finally:
+            if preparation is not None:
+                preparation.cancel()
 
     def _record_error(self, endpoint: Endpoint, exc: AttemptError) -> None:
         now = monotonic()
@@ -258,6 +327,11 @@
             self.placement.record_failure(endpoint, now)
 
 
+def _may_offer(state: RequestState, now: float) -> bool:
+    elapsed_s = now - state.call.arrived_at
+    return may_offer_again(state.refusals, elapsed_s, state.route.objective_s)
+
+
 def _compute_size(head: RequestHead, answer: Answer) -> int:
     """Return the bytes that a request and its answer take on a link."""
     body_bytes = max(len(answer.head.body), answer.head.length)
