--- a/tests/mesh/test_work_at_stopping_nodes.py
+++ b/tests/mesh/test_work_at_stopping_nodes.py
@@ -70,6 +70,26 @@
     return handle
 
 
+async def start_requests(first, second, running_work_s, waiting_work_s):
+    """Send requests for all slots of the second worker, and one that waits there."""
+
+    async def work(request):
+        is_waiting = request.headers["request-id"] == "waiting"
+        await asyncio.sleep(waiting_work_s if is_waiting else running_work_s)
+        return await answer_with_id()(request)
+
+    def start(request_id):
+        call = first.call("/long/1", request=request_id, timeout_ms=9000)
+        return asyncio.create_task(call)
+
+    second.worker.handler = work
+    running = [start(f"r{n}") for n in range(4)]
+    await until(lambda: len(second.worker.received) == 4)
+    waiting = start("waiting")
+    await until(lambda: second.node.runner.admission.waiting == 1)
+    return running, waiting
+
+
 async def test_request_that_starts_after_the_linger_can_make_calls():
     """A slow upload, or an attempt elsewhere that was refused, delays the start.
 
@@ -106,22 +126,7 @@
 async def test_request_that_waits_at_sigterm_does_not_start_to_be_cut():
     """Its time limit was compared with the end of the node only when it arrived."""
     async with run_two_nodes() as (first, second):
-
-        async def work(request):
-            is_first = request.headers["request-id"] != "waiting"
-            await asyncio.sleep(1.4 if is_first else 9)
-            return await answer_with_id()(request)
-
-        second.worker.handler = work
-        running = [
-            asyncio.create_task(first.call("/long/1", request=f"r{n}", timeout_ms=9000))
-            for n in range(4)
-        ]
-        await until(lambda: len(second.worker.received) == 4)
-        waiting = asyncio.create_task(
-            first.call("/long/1", request="waiting", timeout_ms=9000)
-        )
-        await until(lambda: second.node.runner.admission.waiting == 1)
+        running, waiting = await start_requests(first, second, 1.4, 9)
         async with stop_node(second):
             answer = await waiting
             await asyncio.gather(*running)
@@ -150,22 +155,7 @@
     Requests must not reach such a worker later than `drain` (2 s) after that.
     """
     async with run_two_nodes() as (first, second):
-
-        async def work(request):
-            is_first = request.headers["request-id"] != "waiting"
-            await asyncio.sleep(2.6 if is_first else 0)
-            return await answer_with_id()(request)
-
-        second.worker.handler = work
-        running = [
-            asyncio.create_task(first.call("/long/1", request=f"r{n}", timeout_ms=9000))
-            for n in range(4)
-        ]
-        await until(lambda: len(second.worker.received) == 4)
-        waiting = asyncio.create_task(
-            first.call("/long/1", request="waiting", timeout_ms=9000)
-        )
-        await until(lambda: second.node.runner.admission.waiting == 1)
+        running, waiting = await start_requests(first, second, 2.6, 0)
         first.store.delete(f"servers/{second.id}")
         await until(lambda: second.node.runner.local_worker is None)
         answer = await waiting
