Show in events and metrics what a worker states about itself

A worker in need got more requests than it said it takes, and no log or metric told whether its node knew. The answer's limit and its leaving are now decoded where the other header fields of answers are, kept for each start of a worker, and shown: events 606 backend_limited, 607 backend_unlimited and 605 backend_leaving, metrics worker_rate_limit and worker_requests_per_s.

A statement belongs to the start of the worker that the request was sent to, so that a late answer of a former worker says nothing of its successor.

--- a/packages/core/src/mangowell_core/mesh/__init__.py
+++ b/packages/core/src/mangowell_core/mesh/__init__.py
@@ -23,6 +23,7 @@
 from mangowell_core.mesh.routes import RouteTable
 from mangowell_core.mesh.settings import MeshSettings, parse_mesh_settings
 from mangowell_core.mesh.stopping import StoppingPeers, StopSchedule
+from mangowell_core.mesh.worker_states import WorkerState, WorkerStates
 
 __all__ = [
     "Admission",
@@ -44,5 +45,7 @@
     "RouteTable",
     "StopSchedule",
     "StoppingPeers",
+    "WorkerState",
+    "WorkerStates",
     "parse_mesh_settings",
 ]
--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -427,6 +427,8 @@
                 return
             head.is_not_run = dialect.is_not_run(message.code, headers)
             head.slots = dialect.read_slots(headers)
+            head.rate_limit = dialect.read_rate_limit(headers)
+            head.is_leaving = dialect.is_leaving(headers)
         self._read_keep_alive(headers.get("Keep-Alive", ""))
         self._head = head
         self._body = payload
--- a/packages/node/src/mangowell_node/backend/dialect.py
+++ b/packages/node/src/mangowell_node/backend/dialect.py
@@ -39,6 +39,17 @@
         """Return the number of slots that the answer reports, or 0 if none."""
         ...
 
+    def read_rate_limit(self, headers: CIMultiDictProxy[str]) -> float:
+        """Return the requests per second that the backend server takes.
+
+        Infinity if the answer states no limit, negative if it cannot be read.
+        """
+        ...
+
+    def is_leaving(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether the answer states that the backend server is stopping."""
+        ...
+
 
 class NativeDialect:
     """Header fields of Mangowell's native interface; see ``docs/http.md``."""
@@ -61,3 +72,11 @@
     def read_slots(self, headers: CIMultiDictProxy[str]) -> int:
         """Return 0: the native interface has no field for it."""
         return 0
+
+    def read_rate_limit(self, headers: CIMultiDictProxy[str]) -> float:
+        """Return -1: the native interface has no field for it."""
+        return -1.0
+
+    def is_leaving(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return False: the native interface has no field for it."""
+        return False
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -183,6 +183,11 @@
         Number of requests running or waiting at the egress node; negative if unknown.
     slots : int
         Number of requests that the egress node runs at once; 0 if unknown.
+    rate_limit : float
+        Requests per second that the backend server takes from all nodes; infinity
+        for no limit, negative if unknown.
+    is_leaving : bool
+        Whether the backend server states that it is stopping.
     """
 
     status: int
@@ -201,6 +206,8 @@
     work_s: float = -1.0
     pending: int = -1
     slots: int = 0
+    rate_limit: float = -1.0
+    is_leaving: bool = False
 
 
 class Answer:
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -7,6 +7,7 @@
 
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import CrashCounter, Directory, MeshSettings, StopSchedule
+from mangowell_core.mesh.worker_states import WorkerStates
 from mangowell_node.ingress import IncomingCall, IngressServer, Reply
 from mangowell_node.link import LinkPool, LinkServer, derive_link_key
 from mangowell_node.mesh.feed import StateFeed
@@ -49,7 +50,10 @@
             self._store, directory, emit, self._on_directory_change, rng
         )
         crash_counter = CrashCounter()
-        self.runner = WorkerRunner(settings, directory, crash_counter)
+        worker_states = WorkerStates()
+        self.runner = WorkerRunner(
+            settings, directory, crash_counter, worker_states, emit
+        )
         key = derive_link_key(LINK_SECRET)
         self._links = LinkPool(
             settings.instance, key, AddressFilter(), emit, settings.link.host
@@ -203,6 +207,8 @@
             "requests_in_flight": self.gateway.in_flight,
             "worker_running": self.runner.admission.running,
             "worker_waiting": self.runner.admission.waiting,
+            "worker_requests_per_s": self.runner.arrivals.compute_rate(monotonic()),
+            "worker_rate_limit": self.runner.rate_limit,
             "worker_connections": len(self.runner.pool.open_connections),
             "worker_connections_opened": self.runner.pool.opened,
         }
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -3,8 +3,10 @@
 import asyncio
 import math
 from collections.abc import Callable
+from http import HTTPStatus
 from time import monotonic
 
+from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import (
     Admission,
     AdmissionDecision,
@@ -15,11 +17,18 @@
 from mangowell_core.mesh.admission import Ticket
 from mangowell_core.mesh.failure_rate import FailureRate
 from mangowell_core.mesh.model import Endpoint, ProbeNotice, ProbeReply
+from mangowell_core.mesh.worker_states import (
+    NO_RATE_LIMIT,
+    UNKNOWN_RATE_LIMIT,
+    ArrivalCounter,
+    WorkerStates,
+)
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause, Refusal
 from mangowell_node.backend import BackendConnection, BackendPool
 from mangowell_node.exchange import (
     Answer,
+    AnswerHead,
     AttemptError,
     Body,
     RequestHead,
@@ -44,6 +53,8 @@
 CRASH_WINDOW_S = 0.05
 # Retry-After value if another worker is listed here, in seconds.
 NO_INSTANCE_RETRY_AFTER_S = 0.2
+# A change of a worker's rate limit by this factor is logged.
+LOGGED_LIMIT_RATIO = 1.25
 # Calls of running requests precede new requests of any priority.
 CALL_RANK = -1
 
@@ -69,11 +80,26 @@
         Listed workers and the document.
     crash_counter : CrashCounter
         Crashes by the fingerprint of the request.
+    worker_states : WorkerStates
+        Receives what the local worker states in its answers.
+    emit : callable
+        Takes an `Event`.
     """
 
     def __init__(
-        self, settings: MeshSettings, directory: Directory, crash_counter: CrashCounter
+        self,
+        settings: MeshSettings,
+        directory: Directory,
+        crash_counter: CrashCounter,
+        worker_states: WorkerStates,
+        emit: Callable[[Event], None],
     ):
+        self._worker_states = worker_states
+        self._emit = emit
+        # Requests that the local worker has got from all nodes.
+        self.arrivals = ArrivalCounter()
+        # Rate limit in the latest event, requests per second.
+        self._logged_limit = NO_RATE_LIMIT
         self._crash_counter = crash_counter
         self._lost_fingerprints: list[str] = []
         self._crash_check_task: asyncio.Task | None = None
@@ -140,6 +166,17 @@
         """Entry of the worker beside this node, or None if it is not listed."""
         return self._local_worker
 
+    @property
+    def rate_limit(self) -> float:
+        """Requests per second that the worker states that it takes.
+
+        Infinity if it states no limit, negative if it has not stated anything.
+        """
+        worker = self._local_worker
+        if worker is None:
+            return UNKNOWN_RATE_LIMIT
+        return self._worker_states.get(worker).rate_limit
+
     @property
     def pending(self) -> int:
         """Number of requests that run or wait."""
@@ -182,7 +219,8 @@
         try:
             started = monotonic()
             self._running_ids.add(head.request)
-            answer = await self._exchange(head, body, deadline)
+            answer = await self._exchange(head, deadline)
+            self._record_statements(local_worker, answer.head)
             has_run = not answer.head.is_not_run and answer.head.status < 500
             self._failure_rate.record(not has_run, monotonic())
             answer.head.work_s = monotonic() - started
@@ -288,11 +326,40 @@
         if self.admission.waiting:
             self._schedule_sweep()
 
+    # Statements of the worker
+
+    def _record_statements(self, worker: Endpoint, head: AnswerHead) -> None:
+        """Record what the worker states about itself in an answer."""
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another worker has answered.
+            return
+        was_leaving = self._worker_states.get(worker).is_leaving
+        self._worker_states.record(worker, head.rate_limit, head.is_leaving)
+        state = self._worker_states.get(worker)
+        if state.is_leaving and not was_leaving:
+            fields = {"backend": worker.id, "reason": "stated in an answer"}
+            self._emit(Event(EventCode.BACKEND_LEAVING, fields))
+        if worker == self._local_worker:
+            self._log_rate_limit(worker, state.rate_limit)
+
+    def _log_rate_limit(self, worker: Endpoint, limit: float) -> None:
+        """Emit an event if a limit appears, ends or changes clearly."""
+        logged = self._logged_limit
+        low, high = min(limit, logged), max(limit, logged)
+        if limit < 0 or high <= low * LOGGED_LIMIT_RATIO:
+            return
+        self._logged_limit = limit
+        rate = round(self.arrivals.compute_rate(monotonic()), 1)
+        fields = {"backend": worker.id, "requests_per_s": rate}
+        if limit == NO_RATE_LIMIT:
+            self._emit(Event(EventCode.BACKEND_UNLIMITED, fields))
+        else:
+            fields["limit_per_s"] = round(limit, 2)
+            self._emit(Event(EventCode.BACKEND_LIMITED, fields))
+
     # Exchange
 
-    async def _exchange(
-        self, head: RequestHead, body: Body | None, deadline: float
-    ) -> Answer:
+    async def _exchange(self, head: RequestHead, deadline: float) -> Answer:
         if head.idempotent:
             conn = self.pool.take_idle()
         else:
@@ -306,6 +373,7 @@
     async def _send(
         self, conn: BackendConnection, head: RequestHead, deadline: float
     ) -> Answer:
+        self.arrivals.record(monotonic())
         try:
             await conn.start(head, deadline)
             answer = await self.pool.read_answer(conn, head, _ignore_end)
--- a/packages/node/src/mangowell_node/platform/headers.py
+++ b/packages/node/src/mangowell_node/platform/headers.py
@@ -1,7 +1,10 @@
 """Header fields of requests and answers on the platform."""
 
+import re
+
 from multidict import CIMultiDictProxy, istr
 
+from mangowell_core.mesh.worker_states import NO_RATE_LIMIT, UNKNOWN_RATE_LIMIT
 from mangowell_node.exchange import HOP_BY_HOP, RequestHead
 
 READY_PATH = "/api/ready"
@@ -10,10 +13,14 @@
 _TIMEOUT_MS = istr("Timeout-Ms")
 _NOT_EXECUTED = istr("Not-Executed")
 _SERVER_LOAD = istr("Server-Load")
+_SERVER_LIMIT = istr("Server-Limit")
+_SERVER_LEAVING = istr("Server-Leaving")
 # Status of a worker that was started at the address of another one. It has not run
 # the request.
 _MISDIRECTED_STATUS = 421
 _MAX_TIMEOUT_MS = 86_400_000
+# Non-negative decimal number of a reasonable length.
+_DECIMAL = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?")
 # Fields that the node sets itself; those of the caller are dropped.
 _NODE_FIELDS = frozenset({b"timeout-ms", b"caller-service", b"expected-instance"})
 
@@ -94,3 +101,19 @@
         if len(fields) != 3 or not fields[2].strip().isdecimal():
             return 0
         return int(fields[2])
+
+    def read_rate_limit(self, headers: CIMultiDictProxy[str]) -> float:
+        """Return the requests per second that the worker takes from all nodes.
+
+        Infinity if the answer states no limit, negative if it cannot be read.
+        """
+        text = headers.get(_SERVER_LIMIT)
+        if text is None:
+            return NO_RATE_LIMIT
+        if _DECIMAL.fullmatch(text.strip()) is None:
+            return UNKNOWN_RATE_LIMIT
+        return float(text)
+
+    def is_leaving(self, headers: CIMultiDictProxy[str]) -> bool:
+        """Return whether the worker states that it is about to stop."""
+        return headers.get(_SERVER_LEAVING, "").strip() == "1"
