Apply the rate limit that a worker names to all that it gets

Cause: admission knew only slots. A statement of the worker about a rate was passed on as an unknown header. Class: a limit that its owner names is not an input of the decision it is meant for.

All requests to a worker pass through the node beside it, whichever node they come from and whether they are first attempts, repeats, calls or have waited. Its admission therefore holds one token bucket: a request starts once a slot is free and the limit allows it. What cannot start in time is rejected at once, with the time until it could; waiting requests are checked again when a limit appears. Each answer sets or ends the limit.

--- a/packages/core/src/mangowell_core/mesh/admission.py
+++ b/packages/core/src/mangowell_core/mesh/admission.py
@@ -5,11 +5,18 @@
 has slots. Under overload, a long queue would make every answer late. A request
 is therefore refused before it runs if it is not expected to start in time, and
 a queued request is refused as soon as more urgent arrivals delay it too far.
+
+An overloaded worker also limits the rate of its requests. A request starts once a
+slot is free and the rate limit allows it.
 """
 
+import math
 from bisect import insort
 from enum import Enum
 
+from mangowell_core.mesh.placement import LoadReport
+from mangowell_core.mesh.rate_limit import RateLimit
+
 # Share of the slack, which is the objective less the expected work, that a new
 # request may be expected to wait. The rest absorbs the variance of the work.
 ARRIVAL_WAIT_SHARE = 0.6
@@ -97,6 +104,11 @@
     ----------
     limit : int
         Number of slots: requests that run at once.
+
+    Attributes
+    ----------
+    rate_limit : RateLimit
+        Limit on the rate at which requests start.
     """
 
     __slots__ = (
@@ -106,12 +118,14 @@
         "_running",
         "_slot_free_at",
         "limit",
+        "rate_limit",
     )
 
     def __init__(self, limit: int):
         self.limit = max(1, limit)
         self._queue: list[Ticket] = []
-        # Time at which a new request last found a free slot.
+        self.rate_limit = RateLimit()
+        # Time at which a new request could last start at once.
         self._slot_free_at = 0.0
         self._running: set[Ticket] = set()
         self._offer_count = 0
@@ -220,7 +234,7 @@
         if objective_s > 0:
             slack_s = objective_s - work_s
             min_wait_s = objective_s * MIN_ALLOWED_WAIT_SHARE
-            if len(self._running) < self.limit:
+            if self._can_start(now):
                 self._slot_free_at = now
             is_saturated = now - self._slot_free_at > SATURATED_AFTER_S
             wait_share = SATURATED_WAIT_SHARE if is_saturated else ARRIVAL_WAIT_SHARE
@@ -242,9 +256,9 @@
         """Decide on a new request; the delay is that of `predict`."""
         if now >= deadline:
             return AdmissionDecision.REFUSED, MIN_RETRY_AFTER_S
-        if len(self._running) < self.limit and not self._queue:
+        if not self._queue and self._can_start(now):
             return AdmissionDecision.RUN, 0.0
-        wait_s = self._estimate_wait(ticket)
+        wait_s = self._estimate_wait(ticket, now)
         if now + wait_s > latest_start:
             return AdmissionDecision.REFUSED, _clamp_retry_after(
                 now + wait_s - latest_start
@@ -273,12 +287,12 @@
             self._mean_work_s[ticket.route] = mean_work_s + WORK_GAIN * (
                 measured_work_s - mean_work_s
             )
-        return self._start_waiting(now)
+        return self.start_waiting(now)
 
-    def _start_waiting(self, now: float) -> list[Ticket]:
-        """Start waiting requests while slots are free."""
+    def start_waiting(self, now: float) -> list[Ticket]:
+        """Start waiting requests while that is possible, and return them."""
         started = []
-        while self._queue and len(self._running) < self.limit:
+        while self._queue and self._can_start(now):
             ticket = self._queue.pop(0)
             self._start(ticket, now)
             started.append(ticket)
@@ -302,7 +316,9 @@
         kept = []
         backlog_s = self._estimate_running_backlog()
         for ticket in self._queue:
-            expected_start = now + backlog_s / self.limit
+            slot_wait_s = backlog_s / self.limit
+            rate_wait_s = self.rate_limit.estimate_delay(len(kept), now)
+            expected_start = now + max(slot_wait_s, rate_wait_s)
             if expected_start > ticket.latest_start and now > ticket.arrived:
                 expired.append(
                     (ticket, _clamp_retry_after(expected_start - ticket.latest_start))
@@ -318,7 +334,14 @@
         queue, self._queue = self._queue, []
         return queue
 
+    def _can_start(self, now: float) -> bool:
+        """Return whether a slot is free and the rate limit allows a start."""
+        if len(self._running) >= self.limit:
+            return False
+        return not self.rate_limit.estimate_delay(0, now)
+
     def _start(self, ticket: Ticket, now: float) -> None:
+        self.rate_limit.take(now)
         ticket.is_running = True
         ticket.started = now
         self._running.add(ticket)
@@ -333,13 +356,33 @@
         mean_work_s = sum(t.work_s for t in self._running) / len(self._running)
         return mean_work_s * max(0, len(self._running) + 1 - self.limit)
 
-    def _estimate_wait(self, ticket: Ticket) -> float:
+    def _estimate_wait(self, ticket: Ticket, now: float) -> float:
         backlog_s = self._estimate_running_backlog()
+        ahead = 0
         for other in self._queue:
             if ticket < other:
                 break
             backlog_s += other.work_s
-        return backlog_s / self.limit
+            ahead += 1
+        rate_wait_s = self.rate_limit.estimate_delay(ahead, now)
+        return max(backlog_s / self.limit, rate_wait_s)
+
+    def compute_load(self, now: float) -> LoadReport:
+        """Return the load of the worker for the placement at other nodes.
+
+        A rate limit leaves most slots idle. It is therefore reported as the number
+        of slots that it keeps busy, all of which are in use once it is exhausted.
+        """
+        pending = len(self._running)
+        limit = self.limit
+        if self.rate_limit.is_limited:
+            works_s = self._mean_work_s.values()
+            mean_work_s = sum(works_s) / len(works_s) if works_s else INITIAL_WORK_S
+            busy_slots = math.ceil(self.rate_limit.per_s * mean_work_s)
+            limit = min(limit, max(1, busy_slots))
+            utilization = self.rate_limit.compute_utilization(now)
+            pending = max(pending, round(utilization * limit))
+        return LoadReport(pending + len(self._queue), limit)
 
 
 def _clamp_retry_after(seconds: float) -> float:
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -50,12 +50,17 @@
         Refusal that the caller gets if there is no further attempt.
     backend_load : float
         Load at the egress node, 0 to 1; negative if unknown.
+    slots : int
+        Number of requests that the egress node runs at once; 0 if unknown.
     """
 
-    def __init__(self, refusal: Refusal, backend_load: float = -1.0) -> None:
+    def __init__(
+        self, refusal: Refusal, backend_load: float = -1.0, slots: int = 0
+    ) -> None:
         super().__init__(refusal.reason or refusal.cause.value)
         self.refusal = refusal
         self.backend_load = backend_load
+        self.slots = slots
 
     @classmethod
     def at(cls, cause: Cause, stage: Stage, reason: str) -> "AttemptError":
@@ -233,7 +238,9 @@
     return make_fingerprint(head.method, path, query, head.body)
 
 
-def make_failed_head(refusal: Refusal, backend_load: float) -> AnswerHead:
+def make_failed_head(
+    refusal: Refusal, backend_load: float, slots: int = 0
+) -> AnswerHead:
     """Build the head that reports a failed attempt to the ingress node."""
     return AnswerHead(
         status=0,
@@ -243,6 +250,7 @@
         retry_after_s=refusal.retry_after_s,
         backend_load=backend_load,
         proposed_status=refusal.status,
+        slots=slots,
     )
 
 
@@ -255,7 +263,7 @@
         head.retry_after_s,
         head.reason,
     )
-    return AttemptError(refusal, head.backend_load)
+    return AttemptError(refusal, head.backend_load, head.slots)
 
 
 def join_headers(
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -276,7 +276,8 @@
             placement.finish(endpoint)
         now = monotonic()
         if answer.head.pending >= 0:
-            load = LoadReport(answer.head.pending, endpoint.slots)
+            slots = answer.head.slots or endpoint.slots
+            load = LoadReport(answer.head.pending, slots)
             placement.record_load(endpoint, load, now)
         if answer.head.is_not_run:
             placement.record_failure(endpoint, now)
@@ -321,7 +322,7 @@
         if cause in _UNREACHABLE_CAUSES:
             self.placement.record_unreachable(endpoint, now)
         elif cause is Cause.OVERLOADED:
-            load = LoadReport(int(exc.backend_load), endpoint.slots)
+            load = LoadReport(int(exc.backend_load), exc.slots or endpoint.slots)
             self.placement.record_load(endpoint, load, now)
         elif cause in _WORKER_FAILURE_CAUSES:
             self.placement.record_failure(endpoint, now)
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -407,12 +407,13 @@
 
     def _make_status(self) -> StatusNotice:
         directory = self._directory
+        load = self._runner.compute_load()
         return StatusNotice(
             self._settings.instance,
             directory.revision,
             not self._has_state,
-            self._runner.pending,
-            self._runner.admission.limit,
+            load.pending,
+            load.limit,
             self._is_leaving,
             self._feed.is_up and not self._is_leaving,
             self._settings.link_mbps,
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -17,6 +17,7 @@
 from mangowell_core.mesh.admission import Ticket
 from mangowell_core.mesh.failure_rate import FailureRate
 from mangowell_core.mesh.model import Endpoint, ProbeNotice, ProbeReply
+from mangowell_core.mesh.placement import LoadReport
 from mangowell_core.mesh.worker_states import (
     NO_RATE_LIMIT,
     UNKNOWN_RATE_LIMIT,
@@ -134,6 +135,7 @@
             self._clear_queue(_make_unlisted_refusal())
         if local_worker is None:
             return
+        self._apply_rate_limit()
         self.admission.limit = max(1, local_worker.slots)
         document = self._directory.document
         for service in document.services if document else ():
@@ -182,6 +184,10 @@
         """Number of requests that run or wait."""
         return self.admission.running + self.admission.waiting
 
+    def compute_load(self) -> LoadReport:
+        """Return the load of the worker for the placement at other nodes."""
+        return self.admission.compute_load(monotonic())
+
     def is_running(self, request: str) -> bool:
         """Return whether the worker runs the request with this id now."""
         return request in self._running_ids
@@ -232,7 +238,9 @@
             self._running_ids.discard(head.request)
             self._release(ticket, has_run)
             if has_run:
-                answer.head.pending = self.pending
+                load = self.compute_load()
+                answer.head.pending = load.pending
+                answer.head.slots = load.limit
 
     # Admission
 
@@ -256,14 +264,15 @@
                 probe.route, rank, objective_s, now + probe.remaining_s, now
             )
             accepted = decision is not AdmissionDecision.REFUSED
+        load = self.compute_load()
         return ProbeReply(
             probe.probe,
             accepted,
             delay_s,
             admission.estimate_work(probe.route, now),
             self._failure_rate.estimate(now),
-            self.pending,
-            admission.limit,
+            load.pending,
+            load.limit,
         )
 
     async def _admit(self, head: RequestHead, deadline: float) -> Ticket:
@@ -297,10 +306,15 @@
     def _make_overload_error(self, retry_after_s: float) -> AttemptError:
         reason = f"{self.admission.waiting} requests wait for the worker"
         refusal = refuse(Cause.OVERLOADED, reason, retry_after_s=retry_after_s)
-        return AttemptError(refusal, float(self.pending))
+        load = self.compute_load()
+        return AttemptError(refusal, float(load.pending), load.limit)
 
     def _release(self, ticket: Ticket, has_run: bool) -> None:
-        for started in self.admission.finish(ticket, has_run, monotonic()):
+        self._resume(self.admission.finish(ticket, has_run, monotonic()))
+
+    def _resume(self, tickets: list[Ticket]) -> None:
+        """Let waiting requests go on, as their tickets have started."""
+        for started in tickets:
             waiter = self._waiters.get(started)
             if waiter is None or waiter.fut.done():
                 self._release(started, False)
@@ -318,10 +332,13 @@
 
     def _schedule_sweep(self) -> None:
         if self._sweep_timer is None:
-            self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+            delay_s = self.admission.rate_limit.estimate_delay(0, monotonic())
+            interval_s = min(SWEEP_INTERVAL_S, delay_s or SWEEP_INTERVAL_S)
+            self._sweep_timer = self._loop.call_later(interval_s, self._sweep)
 
     def _sweep(self) -> None:
         self._sweep_timer = None
+        self._resume(self.admission.start_waiting(monotonic()))
         self._refuse_expired()
         if self.admission.waiting:
             self._schedule_sweep()
@@ -341,6 +358,17 @@
             self._emit(Event(EventCode.BACKEND_LEAVING, fields))
         if worker == self._local_worker:
             self._log_rate_limit(worker, state.rate_limit)
+            self._apply_rate_limit()
+
+    def _apply_rate_limit(self) -> None:
+        """Apply the limit of the local worker to the requests that wait for it."""
+        now = monotonic()
+        limit = self.rate_limit
+        if limit == self.admission.rate_limit.per_s:
+            return
+        self.admission.rate_limit.set_rate(NO_RATE_LIMIT if limit < 0 else limit, now)
+        self._resume(self.admission.start_waiting(now))
+        self._refuse_expired()
 
     def _log_rate_limit(self, worker: Endpoint, limit: float) -> None:
         """Emit an event if a limit appears, ends or changes clearly."""
