Send the load of a full worker with its refusal

A sender that was refused by a full worker on another host recorded a load of -1 for it: the link put the node's own figure, which is unknown on a platform, in place of the one in the refusal. The worker then looked idle until its next report, most of all in a fleet of many nodes, where reports are rare. Found while looking for what a limited worker tells other nodes.

The refusal's own load and slots are sent, and the node's figure only without them. tests/node/test_link.py:: test_refusal_carries_the_load_of_the_backend_server failed before (0.5 in place of 7.0) and passes now.

--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -120,7 +120,8 @@
         try:
             answer = await self._server.handler(head, stream.receiver, deadline)
         except AttemptError as exc:
-            answer = Answer(make_failed_head(exc.refusal, self._server.load()))
+            load = exc.backend_load if exc.backend_load >= 0 else self._server.load()
+            answer = Answer(make_failed_head(exc.refusal, load, exc.slots))
         except asyncio.CancelledError:
             self._streams.pop(stream_id, None)
             raise
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -12,6 +12,7 @@
 import pytest
 
 from mangowell_core.events import EventCode
+from mangowell_core.policy.outcome import refuse
 from mangowell_core.policy.types import Cause, Outcome
 from mangowell_node import link as link_module
 from mangowell_node.exchange import Answer, AnswerHead, AttemptError, RequestHead
@@ -570,3 +571,25 @@
         assert (await call).head.body == body
         await stop
         assert monotonic() - started < 0.8
+
+
+async def test_refusal_carries_the_load_of_the_backend_server():
+    """Guards against a full backend server that looks idle after each refusal."""
+
+    async def refuse_as_full(head, body, deadline):
+        raise AttemptError(refuse(Cause.OVERLOADED, "full"), 7.0, 3)
+
+    async with run_link_pair(refuse_as_full) as pair:
+        with pytest.raises(AttemptError) as caught:
+            await pair.call(make_head())
+        assert (caught.value.backend_load, caught.value.slots) == (7.0, 3)
+
+
+async def test_refusal_without_a_load_carries_that_of_the_node():
+    async def refuse_without_load(head, body, deadline):
+        raise AttemptError(refuse(Cause.OVERLOADED, "full"))
+
+    async with run_link_pair(refuse_without_load) as pair:
+        with pytest.raises(AttemptError) as caught:
+            await pair.call(make_head())
+        assert caught.value.backend_load == 0.5
