Tell a restarted node the rate limit that the sender knows

A node that is started again beside a worker in need has had no answer of it yet. It filled all slots of the worker until the first answer came, although the senders had been told the limit.

Each node keeps what workers stated in the answers that it passed on, by id and start. It sends the limit with requests and probes, and the node beside the worker takes it over only while it has had no answer itself, so that an older statement never replaces a newer one.

--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -307,6 +307,9 @@
         Time until the deadline of the request, in seconds.
     is_call : bool
         Whether a worker made the request while running another one.
+    rate_limit : float
+        Rate limit of the worker as the sender knows it, in requests per second;
+        infinity for no limit, negative if unknown.
     """
 
     probe: int
@@ -316,6 +319,7 @@
     objective_s: float
     remaining_s: float
     is_call: bool
+    rate_limit: float = -1.0
 
 
 class ProbeReply(msgspec.Struct, frozen=True, tag=True):
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -129,6 +129,9 @@
         Time from now within which an answer has its full value, in seconds.
     is_call : bool
         Whether a worker made the request while running another one.
+    rate_limit : float
+        Rate limit of the worker as the ingress node knows it, in requests per
+        second; infinity for no limit, negative if unknown.
     """
 
     request: str
@@ -152,6 +155,7 @@
     route: str = ""
     objective_s: float = 0.0
     is_call: bool = False
+    rate_limit: float = -1.0
 
 
 class AnswerHead(msgspec.Struct, array_like=True):
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -14,6 +14,7 @@
     MeshSettings,
     Placement,
     RetryBudget,
+    WorkerStates,
 )
 from mangowell_core.mesh.offers import may_offer_again
 from mangowell_core.mesh.placement import LoadReport
@@ -74,6 +75,8 @@
         Links to the other nodes.
     crash_counter : CrashCounter
         Crashes by the fingerprint of the request.
+    worker_states : WorkerStates
+        Receives what the workers state in their answers.
     emit : callable
         Takes an `Event`.
     rng : random.Random
@@ -87,6 +90,7 @@
         runner: WorkerRunner,
         links: LinkPool,
         crash_counter: CrashCounter,
+        worker_states: WorkerStates,
         emit: Callable[[Event], None],
         rng: random.Random,
     ):
@@ -95,10 +99,18 @@
         self._runner = runner
         self._links = links
         self._crash_counter = crash_counter
+        self._worker_states = worker_states
         self._emit = emit
         self.placement = Placement(settings.worker.host, settings.failure_domain, rng)
         self.prober = Prober(
-            settings, directory, runner, links, self.placement, self._is_suspect, rng
+            settings,
+            directory,
+            runner,
+            links,
+            self.placement,
+            worker_states,
+            self._is_suspect,
+            rng,
         )
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_floor, settings.retry_window_s, rng
@@ -252,6 +264,7 @@
         placement = self.placement
         head = state.head
         head.instance = endpoint.id
+        head.rate_limit = self._worker_states.get(endpoint).rate_limit
         now = monotonic()
         placement.start(endpoint, now)
         # Until the attempt ends, the request counts as having reached the worker.
@@ -275,6 +288,10 @@
         finally:
             placement.finish(endpoint)
         now = monotonic()
+        if answer.head.status != HTTPStatus.MISDIRECTED_REQUEST:
+            self._worker_states.record(
+                endpoint, answer.head.rate_limit, answer.head.is_leaving
+            )
         if answer.head.pending >= 0:
             slots = answer.head.slots or endpoint.slots
             load = LoadReport(answer.head.pending, slots)
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -20,6 +20,7 @@
     MeshDocument,
     MeshSettings,
     RouteTable,
+    WorkerStates,
 )
 from mangowell_core.mesh.routes import TrafficSplitter
 from mangowell_core.policy.outcome import Stage, refuse
@@ -83,6 +84,8 @@
         Links to the other nodes.
     crash_counter : CrashCounter
         Crashes by the fingerprint of the request.
+    worker_states : WorkerStates
+        What the workers have stated in their answers.
     emit : callable
         Takes an `Event`.
     observe : callable
@@ -99,6 +102,7 @@
         runner: WorkerRunner,
         links: LinkPool,
         crash_counter: CrashCounter,
+        worker_states: WorkerStates,
         emit: Callable[[Event], None],
         observe: Callable[[str, str, str, float], None],
         rng: random.Random,
@@ -116,7 +120,14 @@
         self._document_arrived = asyncio.Event()
         self._traffic_splitter = TrafficSplitter()
         self.attempts = AttemptLoop(
-            settings, directory, runner, links, crash_counter, emit, rng
+            settings,
+            directory,
+            runner,
+            links,
+            crash_counter,
+            worker_states,
+            emit,
+            rng,
         )
         self.in_flight = 0
         # Latest deadline of a request, in monotonic seconds.
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -65,6 +65,7 @@
             self.runner,
             self._links,
             crash_counter,
+            worker_states,
             emit,
             self._observe,
             rng,
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -13,6 +13,7 @@
     MeshSettings,
     Placement,
     StoppingPeers,
+    WorkerStates,
 )
 from mangowell_core.mesh.model import ProbeNotice, ProbeReply
 from mangowell_core.mesh.placement import LoadReport
@@ -90,6 +91,8 @@
         Links to the other nodes.
     placement : Placement
         Predicts the cost of an attempt.
+    worker_states : WorkerStates
+        What the workers have stated in their answers.
     get_suspicion : callable
         See `Placement.select_worker`.
     rng : random.Random
@@ -103,6 +106,7 @@
         runner: WorkerRunner,
         links: LinkPool,
         placement: Placement,
+        worker_states: WorkerStates,
         get_suspicion: Callable[[str], bool | None],
         rng: random.Random,
     ):
@@ -111,6 +115,7 @@
         self._runner = runner
         self._links = links
         self._placement = placement
+        self._worker_states = worker_states
         self._get_suspicion = get_suspicion
         self._remote_probing = RemoteProbing(rng)
         self.stopping_peers = StoppingPeers()
@@ -236,6 +241,7 @@
             route.objective_s,
             state.deadline - monotonic(),
             state.head.is_call,
+            self._worker_states.get(endpoint).rate_limit,
         )
 
     async def _run_round(
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -220,6 +220,7 @@
             raise AttemptError(refuse(Cause.LEAVING, "worker is draining"))
         if deadline > self._end_deadline:
             raise AttemptError(_make_stopping_refusal())
+        self._adopt_rate_limit(local_worker, head.rate_limit)
         ticket = await self._admit(head, deadline)
         has_run = False
         try:
@@ -257,6 +258,7 @@
         ):
             accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
         else:
+            self._adopt_rate_limit(local_worker, probe.rate_limit)
             rank, objective_s = _get_rank_and_objective(
                 probe.is_call, probe.priority, probe.objective_s
             )
@@ -370,6 +372,17 @@
         self._resume(self.admission.start_waiting(now))
         self._refuse_expired()
 
+    def _adopt_rate_limit(self, worker: Endpoint, limit: float) -> None:
+        """Apply the limit that a sender knows until the worker has answered here.
+
+        After a restart, this node would otherwise learn it only with the first
+        answer, when all slots are already in use.
+        """
+        if 0 <= limit < NO_RATE_LIMIT and self.rate_limit < 0:
+            self._worker_states.record(worker, limit, False)
+            self._log_rate_limit(worker, limit)
+            self._apply_rate_limit()
+
     def _log_rate_limit(self, worker: Endpoint, limit: float) -> None:
         """Emit an event if a limit appears, ends or changes clearly."""
         logged = self._logged_limit
