Send nothing more to a worker that leaves by its answers

A worker that says in its answers that it leaves went on getting requests until the store listed it as draining or gone, and some never report draining. With the store away that could be until it had ended.

Cause: leaving was read from the list of workers only. Class: a fact that is told on two ways is taken from one.

The node beside the worker takes the statement from any answer: it refuses new requests for this start of the worker, sends those that wait back to their senders as not run, and tells all nodes at once. Each node also keeps what it was told by answers that it passed on, so that the node beside the worker may be restarted without forgetting it. Nothing of it comes from the store, so it holds while the store is away, and also if the list shows the worker as ready again. What runs already is finished and delivered.

--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -206,6 +206,9 @@
     ends_in_s : float or None
         If the sender is leaving, the time within which requests must end there, in
         seconds; None if it is not leaving or does not say so.
+    leaving_worker : tuple of (str, int) or None
+        Id and start time in Unix milliseconds of the sender's worker, if it has
+        stated that it is about to stop.
     """
 
     instance: str
@@ -218,6 +221,7 @@
     link_mbps: float
     demand: dict[str, tuple[int, int]] = {}
     ends_in_s: float | None = None
+    leaving_worker: tuple[str, int] | None = None
 
 
 class FetchNotice(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/mangowell_core/mesh/worker_states.py
+++ b/packages/core/src/mangowell_core/mesh/worker_states.py
@@ -68,7 +68,21 @@
         is_leaving : bool
             Whether the worker is about to stop.
         """
-        key = worker.id, worker.born_ms
+        self._record((worker.id, worker.born_ms), rate_limit, is_leaving)
+
+    def record_leaving(self, worker_id: str, born_ms: int) -> None:
+        """Record that another node has been told that a worker is leaving.
+
+        Parameters
+        ----------
+        worker_id : str
+            Id of the worker.
+        born_ms : int
+            Unix time of its start, in milliseconds.
+        """
+        self._record((worker_id, born_ms), UNKNOWN_RATE_LIMIT, True)
+
+    def _record(self, key: tuple[str, int], rate_limit: float, is_leaving: bool):
         known = self._states.pop(key, _UNKNOWN_STATE)
         self._states[key] = WorkerState(
             known.rate_limit if rate_limit < 0 else rate_limit,
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -21,6 +21,7 @@
     ReaderElection,
     ReaderReport,
     RetryBudget,
+    WorkerStates,
 )
 from mangowell_core.mesh.model import (
     ChangeNotice,
@@ -103,6 +104,8 @@
         Reads the store if this node is elected.
     crash_counter : CrashCounter
         Crashes by the fingerprint of the request.
+    worker_states : WorkerStates
+        Receives which workers are leaving.
     emit : callable
         Takes an `Event`.
     on_change : callable
@@ -121,6 +124,7 @@
         server: LinkServer,
         feed: StateFeed,
         crash_counter: CrashCounter,
+        worker_states: WorkerStates,
         emit: Callable[[Event], None],
         on_change: Callable[[], None],
     ):
@@ -134,7 +138,9 @@
         self._server = server
         self._feed = feed
         self._crash_counter = crash_counter
+        self._worker_states = worker_states
         runner.on_crash = self.report_crash
+        runner.on_worker_leaving = self.announce
         self._emit = emit
         self._on_change = on_change
         self._status_task: asyncio.Task | None = None
@@ -425,6 +431,7 @@
                 for name, demand in self._budget.compute_demand(monotonic()).items()
             },
             max(0.0, self._end_deadline - monotonic()) if self._is_leaving else None,
+            self._runner.leaving_worker,
         )
 
     def _handle_notice(self, link: Link, payload: bytes) -> None:
@@ -461,6 +468,8 @@
             self._prober.stopping_peers.record(host, end)
         else:
             self._prober.stopping_peers.forget(host)
+        if notice.leaving_worker is not None:
+            self._worker_states.record_leaving(*notice.leaving_worker)
         for endpoint in self._directory.look_up_host(host):
             load = LoadReport(notice.pending, notice.limit)
             self._placement.record_load(endpoint, load, now)
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -81,6 +81,7 @@
             self._link_server,
             self._feed,
             crash_counter,
+            worker_states,
             emit,
             self._on_directory_change,
         )
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -169,12 +169,24 @@
     def _is_local(self, endpoint: Endpoint) -> bool:
         return endpoint.failure_domain == self._settings.failure_domain
 
+    def _get_workers(self, service: str) -> list[Endpoint]:
+        """Return the workers of a service that have not stated that they leave.
+
+        The list may still show such a worker as ready, such as while the store
+        cannot be reached.
+        """
+        return [
+            worker
+            for worker in self._directory.look_up_service(service)
+            if not self._worker_states.get(worker).is_leaving
+        ]
+
     def _sample_local(self, state: RequestState) -> list[tuple[float, Endpoint]]:
-        workers = self._directory.look_up_service(state.service)
+        workers = self._get_workers(state.service)
         return self._sample(state, filter(self._is_local, workers), LOCAL_PROBES)
 
     def _sample_remote(self, state: RequestState) -> list[tuple[float, Endpoint]]:
-        workers = self._directory.look_up_service(state.service)
+        workers = self._get_workers(state.service)
         return self._sample(state, filterfalse(self._is_local, workers), REMOTE_PROBES)
 
     def _sample(
@@ -203,7 +215,7 @@
         self, state: RequestState, excluded: set[str]
     ) -> Endpoint | None:
         return self._placement.select_worker(
-            self._directory.look_up_service(state.service),
+            self._get_workers(state.service),
             state.route.name,
             state.route.objective_s,
             excluded,
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -106,6 +106,8 @@
         self._crash_check_task: asyncio.Task | None = None
         # Takes the id of a crash and the fingerprints of the requests that ran.
         self.on_crash: Callable[[str, tuple[str, ...]], None] = _ignore_crash
+        # Called once the local worker has stated that it leaves.
+        self.on_worker_leaving: Callable[[], None] = _ignore_leaving
         self._settings = settings
         self._directory = directory
         self._local_worker: Endpoint | None = None
@@ -142,8 +144,8 @@
             if service.name == local_worker.service:
                 limit = service.max_connections - RESERVED_CONNECTIONS
                 self.pool.limit = max(local_worker.slots, limit)
-        if local_worker.draining:
-            self._clear_queue(refuse(Cause.LEAVING, "worker is draining"))
+        if self._is_leaving(local_worker):
+            self._clear_queue(_make_leaving_refusal())
 
     def limit_deadlines(self, deadline: float) -> None:
         """Refuse requests, also waiting ones, that may outlast the node.
@@ -168,6 +170,18 @@
         """Entry of the worker beside this node, or None if it is not listed."""
         return self._local_worker
 
+    def _is_leaving(self, worker: Endpoint) -> bool:
+        """Return whether the list or the worker itself tells that it will stop."""
+        return worker.draining or self._worker_states.get(worker).is_leaving
+
+    @property
+    def leaving_worker(self) -> tuple[str, int] | None:
+        """Id and start time (Unix ms) of the local worker if it says that it leaves."""
+        worker = self._local_worker
+        if worker is None or not self._worker_states.get(worker).is_leaving:
+            return None
+        return worker.id, worker.born_ms
+
     @property
     def rate_limit(self) -> float:
         """Requests per second that the worker states that it takes.
@@ -216,8 +230,8 @@
         local_worker = self._local_worker
         if local_worker is None or local_worker.id != head.instance:
             raise AttemptError(_make_unlisted_refusal())
-        if local_worker.draining:
-            raise AttemptError(refuse(Cause.LEAVING, "worker is draining"))
+        if self._is_leaving(local_worker):
+            raise AttemptError(_make_leaving_refusal())
         if deadline > self._end_deadline:
             raise AttemptError(_make_stopping_refusal())
         self._adopt_rate_limit(local_worker, head.rate_limit)
@@ -253,7 +267,7 @@
         if (
             local_worker is None
             or local_worker.id != probe.instance
-            or local_worker.draining
+            or self._is_leaving(local_worker)
             or now + probe.remaining_s > self._end_deadline
         ):
             accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
@@ -358,6 +372,9 @@
         if state.is_leaving and not was_leaving:
             fields = {"backend": worker.id, "reason": "stated in an answer"}
             self._emit(Event(EventCode.BACKEND_LEAVING, fields))
+            if worker == self._local_worker:
+                self._clear_queue(_make_leaving_refusal())
+                self.on_worker_leaving()
         if worker == self._local_worker:
             self._log_rate_limit(worker, state.rate_limit)
             self._apply_rate_limit()
@@ -490,6 +507,10 @@
     )
 
 
+def _make_leaving_refusal() -> Refusal:
+    return refuse(Cause.LEAVING, "worker is leaving")
+
+
 def _make_stopping_refusal() -> Refusal:
     return refuse(Cause.LEAVING, "node is stopping")
 
@@ -498,5 +519,9 @@
     """Ignore a crash; replaced by `Gossip`."""
 
 
+def _ignore_leaving() -> None:
+    """Ignore a leaving worker; replaced by `Gossip`."""
+
+
 def _ignore_end(error: AttemptError | None) -> None:
     """Ignore the end of a streamed answer, whose slot is already released."""
