Show in events when the store was restored, and which entry is later

After a restore no event told that revisions had gone back, and 301 did not show which of two entries a worker had written later, so that the hypotheses on the restored store could not be told apart. The store's era is decoded from each answer and shown: event 104 source_restored with both revisions, metric store_era. Entries are decoded with the worker's own sequence number, which 301 shows. The stand-in of the store can be restored from a copy.

No decision depends on it yet. The tests of the feed, the store, readers, notices and the event catalogue pass.

--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -122,6 +122,9 @@
         starts under one id.
     revision : int
         Revision of the last change of the entry.
+    seq : int
+        Number of the worker's write since its start. It tells which of two entries
+        the worker wrote later, also if revisions of the store went back.
     """
 
     id: str
@@ -134,6 +137,7 @@
     warmup_s: float
     born_ms: int
     revision: int
+    seq: int = 0
 
 
 class MeshState(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -60,6 +60,7 @@
         self._on_change = on_change
         self._rng = rng
         self._revision = 0
+        self._era: int | None = None
         self._backoff_s = FIRST_BACKOFF_S
         self._is_up: bool | None = None
         self._task: asyncio.Task | None = None
@@ -134,6 +135,7 @@
             await self._read_all()
             return
         changes = await self._run_interruptible(self._store.watch(self._revision))
+        self._record_era(changes.era, changes.revision)
         self._record_up(asyncio.get_running_loop().time())
         for item in changes.items:
             self._apply(item)
@@ -158,6 +160,7 @@
         # any change made while the document is read.
         listing = await self._store.list_endpoints()
         document = await self._store.read_document()
+        self._record_era(listing.era, listing.revision)
         now = asyncio.get_running_loop().time()
         self._record_up(now)
         for item in document.items:
@@ -169,6 +172,18 @@
         self._directory.load(endpoints, listing.revision, now)
         self._advance_revision(listing.revision)
 
+    def _record_era(self, era: int, revision: int) -> None:
+        """Emit an event if the store was restored since the last answer."""
+        known, self._era = self._era, era
+        if known is None or era <= known:
+            return
+        fields = {
+            "era": era,
+            "revision": revision,
+            "known_revision": self._directory.revision,
+        }
+        self._emit(Event(EventCode.SOURCE_RESTORED, fields))
+
     def _advance_revision(self, revision: int) -> None:
         self._revision = max(1, revision)
         directory = self._directory
@@ -214,6 +229,7 @@
                     "backend": endpoint.id,
                     "service": endpoint.service,
                     "draining": endpoint.draining,
+                    "seq": endpoint.seq,
                     "revision": item.revision,
                 }
                 self._emit(Event(EventCode.INSTANCES_APPLIED, fields))
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -327,6 +327,7 @@
                 "backend": endpoint.id,
                 "service": endpoint.service,
                 "draining": endpoint.draining,
+                "seq": endpoint.seq,
             }
             self._emit(Event(EventCode.INSTANCES_APPLIED, worker | fields))
         for name in changes.removed:
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -205,6 +205,7 @@
             "state_revision": directory.revision,
             "store_away": directory.is_store_away,
             "store_calls": self._store.calls,
+            "store_era": self._store.era,
             "endpoints": len(directory),
             "requests_in_flight": self.gateway.in_flight,
             "worker_running": self.runner.admission.running,
--- a/packages/node/src/mangowell_node/platform/document.py
+++ b/packages/node/src/mangowell_node/platform/document.py
@@ -84,6 +84,7 @@
 class _Status(msgspec.Struct, rename="kebab"):
     state: str
     warmup_left: str = "0ms"
+    seq: int = 0  # counts the worker's writes since its start
 
 
 class _Entry(msgspec.Struct, rename="kebab"):
@@ -182,6 +183,7 @@
             parse_duration(raw.status.warmup_left),
             raw.born,
             revision,
+            raw.status.seq,
         )
     except (msgspec.DecodeError, ValueError, KeyError) as exc:
         raise PlatformFormatError(f"{key}: {exc}") from exc
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -17,6 +17,8 @@
     decode_endpoint,
 )
 
+# Counts how often the store has been restored from an older copy.
+_ERA_FIELD = "Store-Era"
 # Time that the store may hold a watch open. It bounds how late a silent store is
 # noticed, and a change has to be in force within 2 s. The store accepts up to 30 s.
 WATCH_WAIT_MS = 2000
@@ -80,17 +82,19 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Items of a prefix, read at `revision` or shortly after."""
+    """Items of a prefix, read at `revision` or shortly after, and the store's era."""
 
     items: list[Item]
     revision: int
+    era: int = 0
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """Changes up to a revision, oldest first."""
+    """Changes up to a revision, oldest first, and the store's era."""
 
     items: list[Item]
     revision: int
+    era: int = 0
 
 
 class _RawItem(msgspec.Struct, rename="kebab"):
@@ -122,14 +126,23 @@
     ----------
     address : Address
         Address of the store.
+
+    Attributes
+    ----------
+    calls : int
+        Number of calls so far.
+    era : int
+        Number of times that the store has been restored from an older copy, by its
+        latest answer.
     """
 
-    __slots__ = ("_base_url", "_session", "calls")
+    __slots__ = ("_base_url", "_session", "calls", "era")
 
     def __init__(self, address: Address):
         self._base_url = f"http://{address.host}:{address.port}/api/"
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
+        self.era = 0
 
     async def start(self) -> None:
         """Open the client session."""
@@ -151,9 +164,9 @@
         """Read the document; the listing is empty if there is none yet."""
         body = await self._get(f"kv-key?key={quote(DOCUMENT_KEY)}", READ_TIMEOUT_S)
         if body is None:
-            return Listing([], 0)
+            return Listing([], 0, self.era)
         reply = _decode(_KeyReply, body)
-        return Listing([_make_item(reply)], reply.as_of)
+        return Listing([_make_item(reply)], reply.as_of, self.era)
 
     async def list_endpoints(self) -> Listing:
         """List the entries of all workers.
@@ -175,7 +188,7 @@
             revision = revision or reply.as_of
             items.extend(_make_item(raw) for raw in reply.items)
             if not reply.has_more or not reply.items:
-                return Listing(items, revision)
+                return Listing(items, revision, self.era)
             after = reply.items[-1].key
 
     async def watch(self, revision: int) -> Changes:
@@ -196,7 +209,8 @@
         if body is None:
             raise StoreError("watch refused: 404")
         reply = _decode(_WatchReply, body)
-        return Changes([_make_item(raw) for raw in reply.events], reply.as_of)
+        items = [_make_item(raw) for raw in reply.events]
+        return Changes(items, reply.as_of, self.era)
 
     async def _get(self, path: str, timeout_s: float) -> bytes | None:
         """Return the body of an answer, or None if its status is 404."""
@@ -207,6 +221,7 @@
                 self._base_url + path, timeout=timeout
             ) as resp:
                 body = await resp.read()
+                self.era = _read_era(resp.headers)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise StoreError(f"{type(exc).__name__}: {exc}") from exc
         match resp.status:
@@ -233,6 +248,12 @@
         raise StoreError(f"connection cut: {type(exc).__name__}: {exc}") from exc
 
 
+def _read_era(headers) -> int:
+    """Return the era of the store; 0 if the answer does not state it."""
+    text = headers.get(_ERA_FIELD, "").strip()
+    return int(text) if text.isascii() and text.isdecimal() else 0
+
+
 def _decode(kind: type, body: bytes):
     try:
         return msgspec.json.decode(body, type=kind)
--- a/packages/node/src/mangowell_node/telemetry.py
+++ b/packages/node/src/mangowell_node/telemetry.py
@@ -35,6 +35,7 @@
 EVENT_LEVELS = {
     EventCode.SOURCE_DOWN: logbook.WARNING,
     EventCode.SOURCE_STALE: logbook.WARNING,
+    EventCode.SOURCE_RESTORED: logbook.WARNING,
     EventCode.VERSION_REFUSED: logbook.ERROR,
     EventCode.VERSION_CONFLICT: logbook.ERROR,
     EventCode.INSTANCES_DOUBTED: logbook.WARNING,
--- a/packages/standins/src/mangowell_standins/platform_store.py
+++ b/packages/standins/src/mangowell_standins/platform_store.py
@@ -2,12 +2,21 @@
 
 import asyncio
 import base64
+from typing import NamedTuple
 
 from aiohttp import web
 
 MAX_PAGE_ITEMS = 50
 
 
+class StoreCopy(NamedTuple):
+    """Content of the store at one moment."""
+
+    revision: int
+    items: dict[str, dict]
+    events: list[dict]
+
+
 class PlatformStore:
     """Key-value store with one revision counter, range reads and watches.
 
@@ -19,6 +28,8 @@
         Whether new calls are left unanswered.
     calls : int
         Calls received so far, including refused and unanswered ones.
+    era : int
+        Number of restores so far, which every answer names.
     port : int
         TCP port, or 0 before `start`.
     """
@@ -27,6 +38,7 @@
         self.refuse_status = 0
         self.is_silent = False
         self.calls = 0
+        self.era = 0
         self.port = 0
         self._revision = 10
         self._items: dict[str, dict] = {}
@@ -39,6 +51,7 @@
     async def start(self) -> "PlatformStore":
         """Listen on a free port of the loopback address."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get("/api/kv-key", self._handle_get)
         app.router.add_get("/api/kv-range", self._handle_range)
         app.router.add_get("/api/kv-watch", self._handle_watch)
@@ -90,6 +103,22 @@
         for transport in list(self._watch_transports):
             transport.abort()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy for `restore`."""
+        return StoreCopy(self._revision, dict(self._items), list(self._events))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace the content by that of a copy, and cut the watches.
+
+        All that was written since the copy is lost, and its revisions are given out
+        again. A watch from a revision that does not exist yet gets status 410.
+        """
+        self._revision = copy.revision
+        self._items, self._events = dict(copy.items), list(copy.events)
+        self.era += 1
+        for transport in list(self._watch_transports):
+            transport.abort()
+
     def put_without_notification(self, key: str, value: bytes) -> None:
         """Write an item without waking the open watches."""
         changed, self._changed = self._changed, asyncio.Event()
@@ -101,6 +130,9 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    async def _add_era(self, request: web.Request, response: web.Response) -> None:
+        response.headers["Store-Era"] = str(self.era)
+
     async def _simulate_fault(self) -> web.Response | None:
         """Count a call; return the refusal that is set, or None to serve the call."""
         self.calls += 1
@@ -136,6 +168,8 @@
         if refusal is not None:
             return refusal
         after = int(request.query["after"])
+        if after > self._revision:
+            return web.json_response({"error": "gone"}, status=410)
         deadline = asyncio.get_running_loop().time() + (
             int(request.query["wait-ms"]) / 1000
         )
