--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -102,6 +102,12 @@
             writer.close()
 
 
+async def restart(machine: Machine):
+    """Start the node of a machine again, without what it knew."""
+    await machine.node.abort()
+    await machine.start()
+
+
 def make_request(
     target="/x", method="GET", body=b"", request="id-1", timeout_ms=1500, host=HOST
 ):
--- a/tests/mesh/test_worker_limits.py
+++ b/tests/mesh/test_worker_limits.py
@@ -7,7 +7,7 @@
 import pytest
 
 from mangowell_standins.platform_worker import PlatformWorker
-from mesh.support_mesh import Machine, make_document, make_route, run_mesh, until
+from mesh.support_mesh import make_document, make_route, restart, run_mesh, until
 
 WINDOW_S = 4.0
 # Requests that a worker may get in a window, as a multiple of its limit, and more.
@@ -37,12 +37,6 @@
     return workers
 
 
-async def restart(machine: Machine):
-    """Start the node of a machine again, without what it knew."""
-    await machine.node.abort()
-    await machine.start()
-
-
 async def load(machines, seconds, callers=8):
     """Let callers of each node send requests; return the statuses."""
     statuses = []
