Put a document in force that arrives without a new revision

Callers got 404 on a route that had been added and acknowledged. A node that got a document from another node applied it to the routes only if the revision or the workers had changed too. After a restore of the store, whose revisions are lower than those known from before, a document comes alone, and its routes were served only after the next change of a worker.

Class: a change is recognized by a stand-in for what has changed. The directory now tells its generation: revision, version of the document and state of the workers. What arrives in changes or in a whole state is in force if any of them differs.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -162,6 +162,11 @@
             return False
         return self.apply_document(apply_delta(self.document, delta))
 
+    @property
+    def generation(self) -> tuple[int, int, int]:
+        """Value that changes with the revision, the document and the workers."""
+        return self.revision, self._document_version, self.epoch
+
     @property
     def _document_version(self) -> int:
         return 0 if self.document is None else self.document.version
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -305,7 +305,7 @@
 
     def _handle_changes(self, link: Link, changes: ChangeNotice) -> None:
         directory = self._directory
-        before = directory.revision, directory.epoch
+        before = directory.generation
         if not directory.apply_changes(changes, monotonic()):
             self._fetch_state(link)
             return
@@ -313,7 +313,7 @@
         self._publication.mark(
             directory.revision, directory.document, directory.endpoints
         )
-        if (directory.revision, directory.epoch) != before:
+        if directory.generation != before:
             self._emit_changes(link, changes)
             self._on_change()
 
@@ -519,13 +519,15 @@
             link.send_notice(encode_notice(FetchNotice(version)))
 
     def _handle_state(self, link: Link, notice: StateNotice) -> None:
-        now = monotonic()
-        was_store_away = self._directory.is_store_away
-        if not self._directory.apply_state(notice, now):
+        directory = self._directory
+        was_store_away = directory.is_store_away
+        before = directory.generation
+        is_newer = directory.apply_state(notice, monotonic())
+        if directory.generation == before:
             return
         fields = {"peer": link.address[0], "revision": notice.state.revision}
         self._emit(Event(EventCode.REPAIR_FETCH, fields))
         self._on_change()
-        if not was_store_away:
+        if is_newer and not was_store_away:
             # The local watch should have delivered this state, so it may be silent.
             self._feed.restart_watch()
