Order what the store has written across its restores

Cause: revisions from before and after a restore were compared as one sequence: in the watch, in the directory, between nodes, and when a reader takes over. An entry that says draining has revision 24, the one known from before 25, so it was dropped as older. Class: an order is used beyond the history that gives it.

A revision now has the store's era in its high bits, which the store's adapter puts there once, so that every comparison holds across restores. A watch whose answer has another era lists again. What is first read after a restore may come from the copy, and there revisions say nothing: such entries are compared by the worker's own start, write number and state. So a worker that drained stays out, one that was removed is withheld until it writes again or stays listed for 10 s, and one that is missing has the 2 s of an outage to register again. Nodes tell their document's version, so that a node that starts from the copy gets the newest document from the others; a version never goes back.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -11,10 +11,17 @@
     MeshState,
     StateNotice,
 )
+from mangowell_core.mesh.revisions import get_era, is_copy_of_departed, is_later_write
 
 # The platform states that an entry whose lease expired during a store outage is
 # listed again within this time after the outage, if its worker is alive.
 LAPSED_ENTRY_HOLD_S = 2.0
+# Time for which removed workers are remembered, in seconds. It exceeds the age of a
+# copy from which the store is restored and the outage before.
+DEPARTED_KEEP_S = 120.0
+# Time after which a worker that was removed before a restore is used again if the
+# store still lists it, in seconds. Entries of workers that have ended lapse sooner.
+WITHHELD_S = 10.0
 
 
 class Directory:
@@ -24,15 +31,23 @@
     shortly after an outage of the store. Leases expire while no worker can renew
     them, so missing entries are then held until the workers have had time to
     register again.
+
+    A store that was restored from a copy lists workers that have left since, and
+    says of others that they are ready although they drain. Such entries are
+    recognized by the worker's own order of writes.
     """
 
     __slots__ = (
         "_by_host",
         "_by_service",
+        "_departed",
         "_endpoints",
         "_hold_deadlines",
         "_is_store_away",
+        "_restored_through",
         "_store_returned_at",
+        "_withheld",
+        "_withheld_until",
         "document",
         "epoch",
         "history",
@@ -49,6 +64,13 @@
         self._hold_deadlines: dict[str, float] = {}
         self._is_store_away = False
         self._store_returned_at = float("-inf")
+        # Revision of the first state that was read after the latest restore.
+        self._restored_through = 0
+        # Last entries of removed workers, each with the time until which it is kept.
+        self._departed: dict[str, tuple[Endpoint, float]] = {}
+        # Entries of such workers in the copy, and the time at which they are used.
+        self._withheld: dict[str, Endpoint] = {}
+        self._withheld_until = 0.0
         self._by_service: dict[str, tuple[Endpoint, ...]] | None = None
         self._by_host: dict[str, list[Endpoint]] | None = None
 
@@ -69,6 +91,14 @@
             self._is_store_away = False
             self._store_returned_at = now
 
+    def record_store_restore(self, now: float) -> None:
+        """Record that the store was restored from a copy.
+
+        Workers that have registered since the copy have to register again, as after
+        an outage.
+        """
+        self._store_returned_at = now
+
     def apply_document(self, document: MeshDocument) -> bool:
         """Apply a document if it is newer than the current one.
 
@@ -83,11 +113,19 @@
         return True
 
     def put(self, endpoint: Endpoint) -> None:
-        """Add or replace an endpoint, unless a newer revision of it is known."""
+        """Add or replace an endpoint, unless a later write of it is known."""
+        restored_through = self._restored_through
         current = self._endpoints.get(endpoint.id)
-        if current is not None and current.revision > endpoint.revision:
-            return
+        if current is not None:
+            if not is_later_write(endpoint, current, restored_through):
+                return
+        elif endpoint.id in self._departed:
+            departed, _ = self._departed[endpoint.id]
+            if is_copy_of_departed(endpoint, departed, restored_through):
+                self._withheld[endpoint.id] = endpoint
+                return
         self._hold_deadlines.pop(endpoint.id, None)
+        self._withheld.pop(endpoint.id, None)
         if current == endpoint:
             return
         self._endpoints[endpoint.id] = endpoint
@@ -95,6 +133,7 @@
 
     def remove(self, endpoint_id: str, revision: int, now: float) -> None:
         """Remove an entry, or hold it if its lease may have expired in an outage."""
+        self._withheld.pop(endpoint_id, None)
         current = self._endpoints.get(endpoint_id)
         if current is None or current.revision > revision:
             return
@@ -103,18 +142,25 @@
                 endpoint_id, self._compute_hold_deadline(now)
             )
         else:
-            self._drop(endpoint_id)
+            self._drop(endpoint_id, now)
 
     def load(self, endpoints: Iterable[Endpoint], revision: int, now: float) -> None:
         """Apply the complete list at `revision`; remove entries missing from it."""
+        self._follow_restore(revision, now)
         listed_by_id = {endpoint.id: endpoint for endpoint in endpoints}
         for endpoint in listed_by_id.values():
             self.put(endpoint)
-        for endpoint_id in list(self._endpoints):
+        for endpoint_id in [*self._endpoints, *self._withheld]:
             if endpoint_id not in listed_by_id:
                 self.remove(endpoint_id, revision, now)
         self.revision = max(self.revision, revision)
 
+    def _follow_restore(self, revision: int, now: float) -> None:
+        """Note the revision of the first state that is known after a restore."""
+        if get_era(revision) > get_era(self.revision) and self.revision:
+            self._restored_through = revision
+            self._withheld_until = now + WITHHELD_S
+
     def apply_state(self, notice: StateNotice, now: float) -> bool:
         """Apply the state of another node if it is newer.
 
@@ -145,8 +191,9 @@
             return True
         if changes.since > self.revision or not self._apply_delta(changes.delta):
             return False
-        if self._document_version < changes.version:
+        if self.document_version < changes.version:
             return False
+        self._follow_restore(changes.revision, now)
         for endpoint in changes.endpoints:
             self.put(endpoint)
         for endpoint_id in changes.removed:
@@ -156,19 +203,20 @@
 
     def _apply_delta(self, delta: DocumentDelta | None) -> bool:
         """Apply a document change; return False if an earlier one is missing."""
-        if delta is None or delta.version <= self._document_version:
+        if delta is None or delta.version <= self.document_version:
             return True
-        if self.document is None or self._document_version != delta.base_version:
+        if self.document is None or self.document_version != delta.base_version:
             return False
         return self.apply_document(apply_delta(self.document, delta))
 
     @property
     def generation(self) -> tuple[int, int, int]:
         """Value that changes with the revision, the document and the workers."""
-        return self.revision, self._document_version, self.epoch
+        return self.revision, self.document_version, self.epoch
 
     @property
-    def _document_version(self) -> int:
+    def document_version(self) -> int:
+        """Version of the document; 0 for none."""
         return 0 if self.document is None else self.document.version
 
     def export(self, version: int = 0) -> StateNotice:
@@ -183,12 +231,22 @@
         return StateNotice(MeshState(self.revision, document, endpoints), delta)
 
     def expire(self, now: float) -> None:
-        """Drop held entries whose workers did not register again in time."""
+        """Drop held entries whose workers did not register again in time.
+
+        Withheld entries that the store still lists are used from their time on.
+        """
         if self._is_store_away:
             return
         for endpoint_id, deadline in list(self._hold_deadlines.items()):
             if now >= deadline:
-                self._drop(endpoint_id)
+                self._drop(endpoint_id, now)
+        if self._withheld and now >= self._withheld_until:
+            for endpoint in list(self._withheld.values()):
+                self._departed.pop(endpoint.id, None)
+                self.put(endpoint)
+        for endpoint_id, (_, deadline) in list(self._departed.items()):
+            if now >= deadline:
+                del self._departed[endpoint_id]
 
     def _may_have_lapsed_in_outage(self, now: float) -> bool:
         return (
@@ -199,9 +257,11 @@
         start = now if self._is_store_away else self._store_returned_at
         return start + LAPSED_ENTRY_HOLD_S
 
-    def _drop(self, endpoint_id: str) -> None:
+    def _drop(self, endpoint_id: str, now: float) -> None:
         self._hold_deadlines.pop(endpoint_id, None)
-        if self._endpoints.pop(endpoint_id, None) is not None:
+        endpoint = self._endpoints.pop(endpoint_id, None)
+        if endpoint is not None:
+            self._departed[endpoint_id] = endpoint, now + DEPARTED_KEEP_S
             self._invalidate_indexes()
 
     def _invalidate_indexes(self) -> None:
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -213,6 +213,8 @@
     leaving_worker : tuple of (str, int) or None
         Id and start time in Unix milliseconds of the sender's worker, if it has
         stated that it is about to stop.
+    version : int
+        Version of the sender's document; 0 for none.
     """
 
     instance: str
@@ -226,6 +228,7 @@
     demand: dict[str, tuple[int, int]] = {}
     ends_in_s: float | None = None
     leaving_worker: tuple[str, int] | None = None
+    version: int = 0
 
 
 class FetchNotice(msgspec.Struct, frozen=True, tag=True):
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -7,6 +7,7 @@
 
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import Directory
+from mangowell_core.mesh.revisions import get_era, get_number
 from mangowell_node.mesh.tasks import start_loop
 from mangowell_node.platform import (
     HistoryGoneError,
@@ -60,7 +61,6 @@
         self._on_change = on_change
         self._rng = rng
         self._revision = 0
-        self._era: int | None = None
         self._backoff_s = FIRST_BACKOFF_S
         self._is_up: bool | None = None
         self._task: asyncio.Task | None = None
@@ -88,7 +88,7 @@
         """Start or stop reading; while stopped, other nodes send the changes."""
         if is_reading == self._reading_enabled.is_set():
             return
-        fields = {"revision": self._directory.revision}
+        fields = {"revision": get_number(self._directory.revision)}
         if is_reading:
             self._emit(Event(EventCode.READER_STARTED, fields))
             self._revision = self._directory.revision
@@ -114,9 +114,9 @@
                 await self._read_next()
             except _ReadingStoppedError:
                 continue
-            except HistoryGoneError:
+            except HistoryGoneError as exc:
                 self._revision = 0
-                self._emit(Event(EventCode.SOURCE_STALE, {"reason": "history is gone"}))
+                self._emit(Event(EventCode.SOURCE_STALE, {"reason": str(exc)}))
             except StoreError as exc:
                 # Changes may have been missed, so all items are read again.
                 self._revision = 0
@@ -135,7 +135,6 @@
             await self._read_all()
             return
         changes = await self._run_interruptible(self._store.watch(self._revision))
-        self._record_era(changes.era, changes.revision)
         self._record_up(asyncio.get_running_loop().time())
         for item in changes.items:
             self._apply(item)
@@ -160,8 +159,8 @@
         # any change made while the document is read.
         listing = await self._store.list_endpoints()
         document = await self._store.read_document()
-        self._record_era(listing.era, listing.revision)
         now = asyncio.get_running_loop().time()
+        self._record_era(listing.revision, now)
         self._record_up(now)
         for item in document.items:
             self._apply(item)
@@ -172,15 +171,16 @@
         self._directory.load(endpoints, listing.revision, now)
         self._advance_revision(listing.revision)
 
-    def _record_era(self, era: int, revision: int) -> None:
-        """Emit an event if the store was restored since the last answer."""
-        known, self._era = self._era, era
-        if known is None or era <= known:
+    def _record_era(self, revision: int, now: float) -> None:
+        """Notice that the store was restored since the state that is known here."""
+        known = self._directory.revision
+        if not known or get_era(revision) <= get_era(known):
             return
+        self._directory.record_store_restore(now)
         fields = {
-            "era": era,
-            "revision": revision,
-            "known_revision": self._directory.revision,
+            "era": get_era(revision),
+            "revision": get_number(revision),
+            "known_revision": get_number(known),
         }
         self._emit(Event(EventCode.SOURCE_RESTORED, fields))
 
@@ -208,11 +208,14 @@
             self._emit_refused_document(str(exc), item)
             return
         if self._directory.apply_document(document):
-            fields = {"version": document.version, "revision": item.revision}
+            fields = {
+                "version": document.version,
+                "revision": get_number(item.revision),
+            }
             self._emit(Event(EventCode.VERSION_APPLIED, fields))
 
     def _emit_refused_document(self, reason: str, item: Item) -> None:
-        fields = {"reason": reason, "revision": item.revision}
+        fields = {"reason": reason, "revision": get_number(item.revision)}
         self._emit(Event(EventCode.VERSION_REFUSED, fields))
 
     def _apply_endpoint(self, item: Item) -> None:
@@ -230,12 +233,12 @@
                     "service": endpoint.service,
                     "draining": endpoint.draining,
                     "seq": endpoint.seq,
-                    "revision": item.revision,
+                    "revision": get_number(item.revision),
                 }
                 self._emit(Event(EventCode.INSTANCES_APPLIED, fields))
                 return
         self._directory.remove(item.endpoint_id, item.revision, now)
-        fields = {"backend": item.endpoint_id, "revision": item.revision}
+        fields = {"backend": item.endpoint_id, "revision": get_number(item.revision)}
         self._emit(Event(EventCode.INSTANCE_REMOVED, fields))
 
     def _read_endpoint(self, item: Item):
@@ -252,12 +255,16 @@
             return
         self._is_up = True
         self._directory.record_store_recovery(now)
-        self._emit(Event(EventCode.SOURCE_UP, {"revision": self._directory.revision}))
+        self._emit(
+            Event(
+                EventCode.SOURCE_UP, {"revision": get_number(self._directory.revision)}
+            )
+        )
 
     def _record_down(self, reason: str) -> None:
         if self._is_up is False:
             return
         self._is_up = False
         self._directory.record_store_outage()
-        fields = {"reason": reason, "revision": self._directory.revision}
+        fields = {"reason": reason, "revision": get_number(self._directory.revision)}
         self._emit(Event(EventCode.SOURCE_DOWN, fields))
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -34,6 +34,7 @@
 )
 from mangowell_core.mesh.placement import LoadReport, Placement
 from mangowell_core.mesh.retry_budget import ServiceDemand
+from mangowell_core.mesh.revisions import get_number
 from mangowell_node.exchange import AttemptError
 from mangowell_node.link import LinkPool, LinkServer
 from mangowell_node.link.connection import Link
@@ -150,9 +151,10 @@
         self._connect_tasks: dict[str, asyncio.Task] = {}
         # Failure domain of each host, also of hosts whose worker is no longer listed.
         self._domains: dict[str, str] = {}
-        # Highest revision reported by another node, the link that reported it, and
-        # the time since when this node has been behind.
+        # Highest revision and version reported by other nodes, the link of the latest
+        # such report, and the time since when this node has been behind.
         self._highest_seen_revision = 0
+        self._highest_seen_version = 0
         self._ahead_link: Link | None = None
         self._behind_since = 0.0
         self._fetched_at = float("-inf")
@@ -318,7 +320,7 @@
             self._on_change()
 
     def _emit_changes(self, link: Link, changes: ChangeNotice) -> None:
-        fields = {"revision": changes.revision, "peer": link.address[0]}
+        fields = {"revision": get_number(changes.revision), "peer": link.address[0]}
         if changes.delta is not None:
             version = {"version": changes.delta.version}
             self._emit(Event(EventCode.VERSION_APPLIED, version | fields))
@@ -433,6 +435,7 @@
             },
             max(0.0, self._end_deadline - monotonic()) if self._is_leaving else None,
             self._runner.leaving_worker,
+            directory.document_version,
         )
 
     def _handle_notice(self, link: Link, payload: bytes) -> None:
@@ -482,29 +485,42 @@
         if self._is_same_domain(link):
             report = ReaderReport(notice.link_mbps, notice.reads, notice.leaving)
             self._election.record_report(notice.instance, report, now)
-        local_revision = self._directory.revision
-        if notice.needs_state and notice.revision < local_revision:
+        directory = self._directory
+        if notice.needs_state and notice.revision < directory.revision:
             # The peer fetches the state when it learns that a newer one exists.
             link.send_notice(encode_notice(self._make_status()))
-        elif notice.revision > local_revision:
-            self._record_behind(link, notice.revision, now)
+        elif (
+            notice.revision > directory.revision
+            or notice.version > directory.document_version
+        ):
+            self._record_behind(link, notice, now)
 
-    def _record_behind(self, link: Link, revision: int, now: float) -> None:
-        """Record that another node has a higher revision."""
-        if self._directory.revision >= self._highest_seen_revision:
+    @property
+    def _is_behind(self) -> bool:
+        """Whether another node has reported a higher revision or a newer document.
+
+        After a restore of the store, nodes may know a document that it has lost.
+        """
+        directory = self._directory
+        return (
+            directory.revision < self._highest_seen_revision
+            or directory.document_version < self._highest_seen_version
+        )
+
+    def _record_behind(self, link: Link, notice: StatusNotice, now: float) -> None:
+        """Record that another node has a higher revision or a newer document."""
+        if not self._is_behind:
             # This node was up to date until now.
             self._behind_since = now
-        self._highest_seen_revision = max(self._highest_seen_revision, revision)
+        self._highest_seen_revision = max(self._highest_seen_revision, notice.revision)
+        self._highest_seen_version = max(self._highest_seen_version, notice.version)
         self._ahead_link = link
         if not self._has_state:
             self._fetch_state(link)
 
     def _catch_up(self, now: float) -> None:
         """Fetch the state from the node ahead if no reader has sent it in time."""
-        if (
-            self._ahead_link is None
-            or self._directory.revision >= self._highest_seen_revision
-        ):
+        if self._ahead_link is None or not self._is_behind:
             return
         if now - self._behind_since >= CATCH_UP_DELAY_S and not self._ahead_link.closed:
             self._fetch_state(self._ahead_link)
@@ -514,8 +530,7 @@
         now = monotonic()
         if now - self._fetched_at >= FETCH_INTERVAL_S:
             self._fetched_at = now
-            document = self._directory.document
-            version = 0 if document is None else document.version
+            version = self._directory.document_version
             link.send_notice(encode_notice(FetchNotice(version)))
 
     def _handle_state(self, link: Link, notice: StateNotice) -> None:
@@ -525,7 +540,8 @@
         is_newer = directory.apply_state(notice, monotonic())
         if directory.generation == before:
             return
-        fields = {"peer": link.address[0], "revision": notice.state.revision}
+        revision = get_number(notice.state.revision)
+        fields = {"peer": link.address[0], "revision": revision}
         self._emit(Event(EventCode.REPAIR_FETCH, fields))
         self._on_change()
         if is_newer and not was_store_away:
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -7,6 +7,7 @@
 
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import CrashCounter, Directory, MeshSettings, StopSchedule
+from mangowell_core.mesh.revisions import get_number
 from mangowell_core.mesh.worker_states import WorkerStates
 from mangowell_node.ingress import IncomingCall, IngressServer, Reply
 from mangowell_node.link import LinkPool, LinkServer, derive_link_key
@@ -202,7 +203,7 @@
         gauges = {
             "ready": self.is_ready,
             "document_version": document.version if document else 0,
-            "state_revision": directory.revision,
+            "state_revision": get_number(directory.revision),
             "store_away": directory.is_store_away,
             "store_calls": self._store.calls,
             "store_era": self._store.era,
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from mangowell_core.mesh.model import Endpoint, MeshDocument
+from mangowell_core.mesh.revisions import get_era, get_number, make_revision
 from mangowell_core.mesh.settings import Address
 from mangowell_node.platform.document import (
     DOCUMENT_KEY,
@@ -40,7 +41,10 @@
 
 
 class HistoryGoneError(StoreError):
-    """The store has dropped changes after a revision, so all items must be listed."""
+    """The store lacks changes after a revision, so all items must be listed.
+
+    It has dropped its history, or was restored from a copy.
+    """
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -82,19 +86,17 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Items of a prefix, read at `revision` or shortly after, and the store's era."""
+    """Items of a prefix, read at `revision` or shortly after."""
 
     items: list[Item]
     revision: int
-    era: int = 0
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """Changes up to a revision, oldest first, and the store's era."""
+    """Changes up to a revision, oldest first."""
 
     items: list[Item]
     revision: int
-    era: int = 0
 
 
 class _RawItem(msgspec.Struct, rename="kebab"):
@@ -162,11 +164,12 @@
 
     async def read_document(self) -> Listing:
         """Read the document; the listing is empty if there is none yet."""
-        body = await self._get(f"kv-key?key={quote(DOCUMENT_KEY)}", READ_TIMEOUT_S)
+        path = f"kv-key?key={quote(DOCUMENT_KEY)}"
+        era, body = await self._get(path, READ_TIMEOUT_S)
         if body is None:
-            return Listing([], 0, self.era)
+            return Listing([], 0)
         reply = _decode(_KeyReply, body)
-        return Listing([_make_item(reply)], reply.as_of, self.era)
+        return Listing([_make_item(reply, era)], make_revision(era, reply.as_of))
 
     async def list_endpoints(self) -> Listing:
         """List the entries of all workers.
@@ -181,14 +184,16 @@
             path = f"kv-range?prefix={quote(ENDPOINT_PREFIX, safe='')}"
             if after:
                 path += f"&after={quote(after, safe='')}"
-            body = await self._get(path, READ_TIMEOUT_S)
+            era, body = await self._get(path, READ_TIMEOUT_S)
             if body is None:
                 raise StoreError("list refused: 404")
             reply = _decode(_RangeReply, body)
-            revision = revision or reply.as_of
-            items.extend(_make_item(raw) for raw in reply.items)
+            revision = revision or make_revision(era, reply.as_of)
+            if era != get_era(revision):
+                raise StoreError("store was restored between two pages")
+            items.extend(_make_item(raw, era) for raw in reply.items)
             if not reply.has_more or not reply.items:
-                return Listing(items, revision, self.era)
+                return Listing(items, revision)
             after = reply.items[-1].key
 
     async def watch(self, revision: int) -> Changes:
@@ -202,18 +207,22 @@
         Raises
         ------
         HistoryGoneError
-            If the store has dropped some of the changes.
+            If the store has dropped some of the changes, or was restored from a
+            copy: it may then have given out the revision again.
         """
-        path = f"kv-watch?prefix=&after={revision}&wait-ms={WATCH_WAIT_MS}"
-        body = await self._get(path, WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S)
+        after = get_number(revision)
+        path = f"kv-watch?prefix=&after={after}&wait-ms={WATCH_WAIT_MS}"
+        era, body = await self._get(path, WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S)
         if body is None:
             raise StoreError("watch refused: 404")
         reply = _decode(_WatchReply, body)
-        items = [_make_item(raw) for raw in reply.events]
-        return Changes(items, reply.as_of, self.era)
+        if era != get_era(revision):
+            raise HistoryGoneError("store was restored from a copy")
+        items = [_make_item(raw, era) for raw in reply.events]
+        return Changes(items, make_revision(era, reply.as_of))
 
-    async def _get(self, path: str, timeout_s: float) -> bytes | None:
-        """Return the body of an answer, or None if its status is 404."""
+    async def _get(self, path: str, timeout_s: float) -> tuple[int, bytes | None]:
+        """Return era and body of an answer; the body is None if its status is 404."""
         self.calls += 1
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=READ_TIMEOUT_S)
         try:
@@ -221,14 +230,14 @@
                 self._base_url + path, timeout=timeout
             ) as resp:
                 body = await resp.read()
-                self.era = _read_era(resp.headers)
+                era = self.era = _read_era(resp.headers)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise StoreError(f"{type(exc).__name__}: {exc}") from exc
         match resp.status:
             case 200:
-                return body
+                return era, body
             case 404:
-                return None
+                return era, None
             case 410:
                 raise HistoryGoneError("status 410: history is gone")
             case status:
@@ -261,15 +270,16 @@
         raise StoreError(f"unreadable answer: {exc}") from exc
 
 
-def _make_item(raw: _RawItem) -> Item:
+def _make_item(raw: _RawItem, era: int) -> Item:
+    revision = make_revision(era, raw.mod_rev)
     if raw.tombstone:
-        return Item(raw.key, None, raw.mod_rev)
+        return Item(raw.key, None, revision)
     try:
         value = base64.b64decode(raw.value, validate=True)
     except binascii.Error:
         # The raw text is kept, so that its decoder reports an error with the key.
         value = raw.value.encode()
-    return Item(raw.key, value, raw.mod_rev)
+    return Item(raw.key, value, revision)
 
 
 def _make_socket(address_info) -> socket.socket:
--- /dev/null
+++ b/tests/mesh/test_revisions.py
@@ -0,0 +1,196 @@
+"""Order of what nodes know of the workers, across restores of the store."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mangowell_core.mesh import Directory, Endpoint
+from mangowell_core.mesh.directory import WITHHELD_S
+from mangowell_core.mesh.revisions import (
+    get_era,
+    get_number,
+    is_copy_of_departed,
+    is_later_write,
+    make_revision,
+)
+
+
+def make_worker(number=1, seq=1, revision=1, draining=False, born_ms=1):
+    host = f"10.0.0.{number}"
+    return Endpoint(
+        f"w{number}", "s", host, 80, "a", 4, draining, 0.0, born_ms, revision, seq
+    )
+
+
+class ModelStore:
+    """Store of workers that can be restored, and the workers that write to it."""
+
+    def __init__(self):
+        self.era, self.number, self.now = 1, 0, 100.0
+        self.entries = {}
+        self.seqs = {}
+        self.draining, self.gone = set(), set()
+        self.copy = (0, {})
+
+    def write(self, number):
+        """Let a worker write its state, or remove it once it has drained."""
+        if number in self.gone:
+            return
+        self.number += 1
+        self.seqs[number] = self.seqs.get(number, 0) + 1
+        self.entries[number] = make_worker(
+            number,
+            self.seqs[number],
+            make_revision(self.era, self.number),
+            number in self.draining,
+        )
+
+    def drain(self, number):
+        self.draining.add(number)
+        self.write(number)
+
+    def leave(self, number):
+        self.draining.add(number)
+        self.gone.add(number)
+        self.number += 1
+        self.entries.pop(number, None)
+
+    def take_copy(self):
+        self.copy = (self.number, dict(self.entries))
+
+    def restore(self):
+        number, entries = self.copy
+        self.era, self.number = self.era + 1, number
+        self.entries = dict(entries)
+        self.copy = (self.number, dict(self.entries))
+
+    def read(self, directory):
+        """Let a node list all entries; those of the copy have their old number."""
+        revision = make_revision(self.era, self.number)
+        entries = [
+            make_worker(
+                number,
+                entry.seq,
+                make_revision(self.era, get_number(entry.revision)),
+                entry.draining,
+            )
+            for number, entry in self.entries.items()
+        ]
+        directory.load(entries, revision, self.now)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ("write", "write", "drain", "leave", "copy", "restore", "read", "tell")
+        ),
+        st.integers(1, 4),
+        st.integers(0, 2),
+        st.integers(0, 2),
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+def test_no_node_uses_a_worker_again_that_it_knew_to_drain_or_gone(steps):
+    """Guards against a copy, or a node that is behind, that brings a worker back."""
+    store = ModelStore()
+    nodes = [Directory() for _ in range(3)]
+    unusable = [set() for _ in nodes]
+    for action, number, node, other in steps:
+        match action:
+            case "write" | "drain" | "leave":
+                getattr(store, action)(number)
+            case "copy":
+                store.take_copy()
+            case "restore":
+                store.restore()
+            case "read":
+                store.read(nodes[node])
+            case "tell":
+                nodes[node].apply_state(nodes[other].export(), store.now)
+        for directory, known in zip(nodes, unusable, strict=True):
+            used = {e.id for e in directory.get_workers() if not e.draining}
+            assert not used & known
+            listed = {e.id for e in directory.get_workers() if e.draining}
+            ended = {f"w{n}" for n in store.gone} - set(directory.endpoints)
+            known |= listed
+            if directory.revision == make_revision(store.era, store.number):
+                known |= ended
+
+
+@given(STEPS)
+def test_nodes_agree_with_the_store_once_all_workers_have_written_again(steps):
+    """Guards against a worker that is kept out, or kept, for good."""
+    store = ModelStore()
+    nodes = [Directory() for _ in range(3)]
+    for action, number, node, other in steps:
+        match action:
+            case "write" | "drain" | "leave":
+                getattr(store, action)(number)
+            case "copy":
+                store.take_copy()
+            case "restore":
+                store.restore()
+            case "read":
+                store.read(nodes[node])
+            case "tell":
+                nodes[node].apply_state(nodes[other].export(), store.now)
+    for number in list(store.entries):
+        if number in store.gone:
+            store.leave(number)
+    for number in range(1, 5):
+        store.write(number)
+    store.read(nodes[0])
+    for directory in nodes[1:]:
+        directory.apply_state(nodes[0].export(), store.now)
+    for directory in nodes:
+        listed = {e.id: (e.seq, e.draining) for e in directory.get_workers()}
+        assert listed == {e.id: (e.seq, e.draining) for e in store.entries.values()}
+
+
+def test_revision_orders_by_era_then_number():
+    assert make_revision(0, 26) == 26
+    assert make_revision(1, 999) < make_revision(2, 3)
+    assert (get_era(make_revision(2, 3)), get_number(make_revision(2, 3))) == (2, 3)
+
+
+def test_entry_of_the_copy_is_compared_by_the_order_of_the_worker():
+    known = make_worker(seq=7, revision=make_revision(1, 30))
+    through = make_revision(2, 24)
+    older = make_worker(seq=3, revision=make_revision(2, 20))
+    newer = make_worker(seq=8, revision=make_revision(2, 24))
+    assert not is_later_write(older, known, through)
+    assert is_later_write(newer, known, through)
+    # The store alone orders what was written after the first state that was read.
+    after = make_worker(seq=1, revision=make_revision(2, 25), born_ms=0)
+    assert is_later_write(after, known, through)
+
+
+def test_worker_of_the_copy_does_not_stop_draining():
+    known = make_worker(seq=7, draining=True, revision=make_revision(1, 30))
+    same = make_worker(seq=7, revision=make_revision(2, 24))
+    assert not is_later_write(same, known, make_revision(2, 24))
+
+
+def test_worker_that_registers_again_is_no_copy():
+    departed = make_worker(seq=7, revision=make_revision(1, 30))
+    through = make_revision(2, 24)
+    copied = make_worker(seq=7, revision=make_revision(2, 20))
+    again = make_worker(seq=8, revision=make_revision(2, 20))
+    assert is_copy_of_departed(copied, departed, through)
+    assert not is_copy_of_departed(again, departed, through)
+
+
+def test_removed_worker_that_stays_listed_is_used_in_the_end():
+    """Guards against a live worker whose entry needs no further write."""
+    directory = Directory()
+    directory.load([make_worker(1), make_worker(2)], make_revision(1, 10), 0.0)
+    directory.load([make_worker(2)], make_revision(1, 12), 1.0)
+    listed = [make_worker(1, revision=make_revision(2, 1)), make_worker(2)]
+    directory.load(listed, make_revision(2, 8), 20.0)
+    assert set(directory.endpoints) == {"w2"}
+    directory.expire(20.0 + WITHHELD_S - 0.1)
+    assert set(directory.endpoints) == {"w2"}
+    directory.expire(20.0 + WITHHELD_S)
+    assert set(directory.endpoints) == {"w1", "w2"}
