Let the drawn histories of restores be longer and denser

With short histories over four workers and three nodes, the property that no node uses a departed worker again did not fail when the comparison with departed workers was taken out; only the example tests did. Two workers, two nodes and at least 20 steps, 400 examples: it fails then. On the code as it is, it passes.

--- a/tests/mesh/test_revisions.py
+++ b/tests/mesh/test_revisions.py
@@ -1,6 +1,6 @@
 """Order of what nodes know of the workers, across restores of the store."""
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from mangowell_core.mesh import Directory, Endpoint
@@ -78,24 +78,27 @@
         directory.load(entries, revision, self.now)
 
 
+WORKERS, NODES = 2, 2
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(
             ("write", "write", "drain", "leave", "copy", "restore", "read", "tell")
         ),
-        st.integers(1, 4),
-        st.integers(0, 2),
-        st.integers(0, 2),
+        st.integers(1, WORKERS),
+        st.integers(0, NODES - 1),
+        st.integers(0, NODES - 1),
     ),
+    min_size=20,
     max_size=60,
 )
 
 
+@settings(max_examples=400)
 @given(STEPS)
 def test_no_node_uses_a_worker_again_that_it_knew_to_drain_or_gone(steps):
     """Guards against a copy, or a node that is behind, that brings a worker back."""
     store = ModelStore()
-    nodes = [Directory() for _ in range(3)]
+    nodes = [Directory() for _ in range(NODES)]
     unusable = [set() for _ in nodes]
     for action, number, node, other in steps:
         match action:
@@ -119,11 +122,12 @@
                 known |= ended
 
 
+@settings(max_examples=400)
 @given(STEPS)
 def test_nodes_agree_with_the_store_once_all_workers_have_written_again(steps):
     """Guards against a worker that is kept out, or kept, for good."""
     store = ModelStore()
-    nodes = [Directory() for _ in range(3)]
+    nodes = [Directory() for _ in range(NODES)]
     for action, number, node, other in steps:
         match action:
             case "write" | "drain" | "leave":
@@ -139,7 +143,7 @@
     for number in list(store.entries):
         if number in store.gone:
             store.leave(number)
-    for number in range(1, 5):
+    for number in range(1, WORKERS + 1):
         store.write(number)
     store.read(nodes[0])
     for directory in nodes[1:]:
