Soak limits, leaving workers and restores of the store

The soak of planned stops cannot cap a worker, let it leave by its answers or bring the store back from a copy, so none of the faults of this issue could show there. bench.platform_soak adds these series to its stops, kills, settings and documents; the operator and the workers write again what a restore has lost, and checks compare what callers and workers saw with the stated bounds.

Schedules of bench.stop_soak are unchanged.

--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -58,14 +58,16 @@
     value: float
 
 
-def make_schedule(seed: int, seconds: float, count: int) -> list[Step]:
+def make_schedule(
+    seed: int, seconds: float, count: int, series: tuple[str, ...] = SERIES
+) -> list[Step]:
     """Return the actions of a run on `count` nodes; the last one joins later."""
     rng = random.Random(f"schedule {seed}")
     steps = [Step(rng.uniform(0.0, seconds / 2), "join", count, 0.0)]
     at = 0.0
     while at < seconds:
         nodes = rng.sample(range(1, count + 1), count)
-        match series := rng.choice(SERIES):
+        match kind := rng.choice(series):
             case "roll":
                 half = enumerate(nodes[: count // 2])
                 new = [(at + number * STOP_STEP_S, "stop", n) for number, n in half]
@@ -73,7 +75,7 @@
                 later = at + rng.uniform(1.0, 5.0)
                 new = [(at, "stop", nodes[0]), (later, "stop", nodes[1])]
             case _:
-                new = [(at, series, nodes[0])]
+                new = [(at, kind, nodes[0])]
         steps += [Step(*step, rng.random()) for step in new if step[0] < seconds]
         at += rng.uniform(MIN_GAP_S, MAX_GAP_S)
     return sorted(steps)
@@ -82,11 +84,15 @@
 class StopSoak:
     """Runs one schedule against nodes, each in a process of its own."""
 
+    series = SERIES
+    journal_type = Journal
+    store_type = PlatformStore
+
     def __init__(self, seed: int, seconds: float, count: int):
-        self.journal = Journal()
+        self.journal = self.journal_type()
         self.started_at = 0.0
         self._seed, self._seconds, self._count = seed, seconds, count
-        self._store = PlatformStore()
+        self._store = self.store_type()
         self._nodes: dict[int, NodeProcess] = {}
         self._workers: dict[int, SoakWorker] = {}
         self._signals: dict[int, signal.Signals] = {}  # that end the process
@@ -107,7 +113,7 @@
             ]
             self._tasks += callers
             self.started_at = monotonic()
-            steps = make_schedule(self._seed, self._seconds, self._count)
+            steps = make_schedule(self._seed, self._seconds, self._count, self.series)
             await asyncio.gather(*(self._run_step(step) for step in steps))
             await self._wait_for_answers(RECOVERY_S)
             self._is_over = True
@@ -269,35 +275,53 @@
         self._leaving.remove(number)
 
 
-def run_stop_soak(seed: int, seconds: float, count: int) -> tuple[Journal, str]:
-    """Run one soak; return its record, and a report that is empty if it passes."""
-    soak = StopSoak(seed, seconds, count)
+def run_stop_soak(
+    seed: int,
+    seconds: float,
+    count: int,
+    soak_type: type[StopSoak] = StopSoak,
+    find_more_problems=lambda journal: [],
+) -> tuple[Journal, str]:
+    """Run one soak; return its record, and a report that is empty if it passes.
+
+    Parameters
+    ----------
+    seed, seconds, count
+        Seed and length of the schedule, and number of nodes.
+    soak_type : type
+        `StopSoak` or a class with further series.
+    find_more_problems : callable
+        Takes the record; returns the failed checks of those series.
+    """
+    soak = soak_type(seed, seconds, count)
     with tempfile.TemporaryDirectory(prefix="stop-soak-") as name:
         uvloop.run(soak.run(Path(name)))
         paths = Path(name).glob("*.log")
         logs = sorted(line for path in paths for line in path.open())
     journal = soak.journal
     faults = [line for line in logs if "internal_fault" in line or "Traceback" in line]
-    problems = find_problems(journal, GRACE_S) + [Problem("FAULT", f) for f in faults]
+    problems = find_problems(journal, GRACE_S) + find_more_problems(journal)
+    problems += [Problem("FAULT", f) for f in faults]
     if not problems:
         return journal, ""
+    module = f"bench.{Path(sys.modules[soak_type.__module__].__file__).stem}"
     lines = [f"{len(problems)} problems; the first {MAX_PROBLEMS_SHOWN}:"]
     for problem in problems[:MAX_PROBLEMS_SHOWN]:
         lines += describe(problem, journal, soak.started_at)
         words = problem.log_words
         lines += [li.strip() for li in logs if words and all(w in li for w in words)]
     command = f"--seed {seed} --seconds {seconds:g} --nodes {count}"
-    return journal, "\n".join([*lines, f"replay: python -m bench.stop_soak {command}"])
+    return journal, "\n".join([*lines, f"replay: python -m {module} {command}"])
 
 
-def main() -> None:
-    """Run one soak; exit with 1 if it fails."""
-    parser = argparse.ArgumentParser(prog="bench.stop_soak")
+def run_command(name: str, run) -> None:
+    """Run one soak with the arguments of the command; exit with 1 if it fails."""
+    parser = argparse.ArgumentParser(prog=name)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--nodes", type=int, default=8)
     args = parser.parse_args()
-    journal, report = run_stop_soak(args.seed, args.seconds, args.nodes)
+    journal, report = run(args.seed, args.seconds, args.nodes)
     statuses = Counter(request.status for request in journal.requests)
     acts = Counter(what.split(" ")[0] for _, _, what in journal.acts)
     print(f"seed {args.seed}: by status {dict(statuses)}, {dict(acts)}\n{report}")
@@ -305,4 +329,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    run_command("bench.stop_soak", run_stop_soak)
--- a/bench/stop_soak_traffic.py
+++ b/bench/stop_soak_traffic.py
@@ -8,6 +8,7 @@
 
 from mangowell_standins.node_process import CALLER_PORT, NodeProcess
 from mangowell_standins.platform_values import HOST
+from mangowell_standins.platform_worker import Statements
 from mangowell_standins.scripted_http import ScriptedBackend, make_answer, read_response
 
 MIN_WORK_S, MAX_WORK_S = 0.02, 1.8
@@ -28,6 +29,7 @@
     started_at: float
     ended_at: float = 0.0
     was_cut: bool = False
+    worker: tuple[str, int] = ("", 0)  # id and number of its start
 
 
 @dataclass(slots=True)
@@ -65,6 +67,8 @@
     def __init__(self, number: int, node: NodeProcess, journal: Journal, seed: int):
         self.number, self.node, self.journal = number, node, journal
         self.id = f"i-{number}-1"
+        self.start = 1
+        self.statements = Statements()
         self.rng = random.Random(f"worker {seed} {number}")
         self.server = ScriptedBackend(self._handle)
 
@@ -73,7 +77,7 @@
         stamp = f"Request-Id: {name}\r\n"
         if request.headers["expected-instance"] != self.id:
             return make_answer(b"", "421 Misdirected Request", stamp)
-        run = Run(self.number, monotonic())
+        run = Run(self.number, monotonic(), worker=(self.id, self.start))
         deadline = run.started_at + int(request.headers["timeout-ms"]) / 1000
         self.journal.runs.setdefault(name, []).append(run)
         stamp += f"Response-Stamp: {self.id}\r\n"
@@ -84,6 +88,7 @@
             async with asyncio.timeout(deadline - monotonic()):
                 await asyncio.sleep(work_s / 2)
                 if makes_call and not await self.call(f"{name}.", deadline):
+                    stamp += self.statements.fields
                     return make_answer(b"", "500 Internal Server Error", stamp)
                 await asyncio.sleep(work_s / 2)
         except TimeoutError:
@@ -93,6 +98,7 @@
             raise
         finally:
             run.ended_at = monotonic()
+        stamp += self.statements.fields
         return make_answer(make_body(name), "200 OK", stamp)
 
     async def call(self, prefix: str, deadline: float) -> bool:
