Act on a statement also if the worker's entry has changed meanwhile

Found in review: a node compared the entry that it had when it sent a request with the entry of now. If the list had changed it since, such as the end of a warm-up, the answer counted as that of another worker: requests that waited for a worker that leaves were still sent to it, and a limit was applied only with the next answer. The two are now compared by id and start.

--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -366,16 +366,18 @@
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             # Another worker has answered.
             return
+        # The entry may have changed since the request was sent.
+        is_local = _is_same_start(worker, self._local_worker)
         was_leaving = self._worker_states.get(worker).is_leaving
         self._worker_states.record(worker, head.rate_limit, head.is_leaving)
         state = self._worker_states.get(worker)
         if state.is_leaving and not was_leaving:
             fields = {"backend": worker.id, "reason": "stated in an answer"}
             self._emit(Event(EventCode.BACKEND_LEAVING, fields))
-            if worker == self._local_worker:
+            if is_local:
                 self._clear_queue(_make_leaving_refusal())
                 self.on_worker_leaving()
-        if worker == self._local_worker:
+        if is_local:
             self._log_rate_limit(worker, state.rate_limit)
             self._apply_rate_limit()
 
--- a/tests/mesh/test_worker_limits.py
+++ b/tests/mesh/test_worker_limits.py
@@ -199,6 +199,28 @@
         assert sorted(answer.status for answer in answers) == [200] * 4 + [503] * 6
 
 
+async def test_statement_holds_if_the_entry_of_the_worker_has_changed_meanwhile():
+    """Guards against an answer that is taken for that of another worker."""
+    routes = {"r": make_route(**{"target-latency": "3000ms", "timeout": "4000ms"})}
+    async with run_mesh(2, make_document(1, routes)) as (store, machines):
+        workers = set_workers(machines, work_s=1.0)
+        store.delete(f"servers/{machines[1].id}")
+        await until(lambda: all(len(m.node.directory) == 1 for m in machines))
+        runner = machines[0].node.runner
+        revision = runner.local_worker.revision
+        workers[0].is_leaving, workers[0].rate_limit = True, 5.0
+        calls = [
+            asyncio.create_task(machines[1].call(request=f"r{n}", timeout_ms=4000))
+            for n in range(6)
+        ]
+        await until(lambda: len(workers[0].arrivals) == 4)
+        store.put(f"servers/{machines[0].id}", machines[0].entry)
+        await until(lambda: runner.local_worker.revision > revision, 0.9)
+        await asyncio.gather(*calls)
+        assert len(workers[0].arrivals) == 4
+        assert runner.admission.rate_limit.per_s == 5.0
+
+
 async def test_restarted_node_beside_a_leaving_worker_gets_no_requests_for_it():
     """Guards against a sender that forgets what an answer told it."""
     async with run_mesh(3) as (_, machines):
