--- a/tests/mesh/test_revisions.py
+++ b/tests/mesh/test_revisions.py
@@ -13,7 +13,6 @@
     make_revision,
 )
 
-
 WORKERS, NODES = 2, 2
 
 
