Draw the restores of a soak from its seed

The copy and the outage followed from one number by an odd multiple. They are drawn from the seed and the step now, so that ages of copies and lengths of outages are independent.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -40,7 +41,7 @@
 # A document that was acknowledged this long before an outage has been read.
 READ_AFTER_S = 1.5
 WRITE_AGAIN_S = 0.3
-SILENT_ABOVE = 0.5
+SILENT_SHARE = 0.5
 
 
 class Limit(NamedTuple):
@@ -150,15 +151,14 @@
         store = self._store
         if store.is_away or not store.copies:
             return
+        rng = random.Random(f"restore {self._seed} {value}")
         began_at = monotonic()
         store.is_away = True
-        if value > SILENT_ABOVE:
-            store.is_silent = True
-        else:
-            store.refuse_status = 503
-        copy = store.copies[int(value * 7919) % len(store.copies)]
+        store.is_silent = rng.random() < SILENT_SHARE
+        store.refuse_status = 0 if store.is_silent else 503
+        copy = rng.choice(store.copies)
         self._record(0, f"store away, to return at {copy.revision}")
-        await asyncio.sleep(MIN_OUTAGE_S + value * (MAX_OUTAGE_S - MIN_OUTAGE_S))
+        await asyncio.sleep(rng.uniform(MIN_OUTAGE_S, MAX_OUTAGE_S))
         store.restore(copy)
         store.copies.clear()
         store.is_away = store.is_silent = False
