Show the loss of payments in the case of silent connections

The worker that left now ends 1.5 s after drain, so that the requests which reached it too late are lost.

--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -14,13 +14,14 @@
 # Time from the silence to the removal of the worker's entry.
 REMOVED_AFTER_S = 0.3
 # Time for which the worker serves beyond `drain`, before it ends.
-LINGER_S = 4.0
+LINGER_S = 1.5
+WORK_S = 0.4
 
 
 async def run(case: Case) -> bool:
     """Return whether a request reached the worker too late."""
     for service in ("checkout", "checkout", "checkout", "catalogue"):
-        await case.add(service)
+        await case.add(service, work_s=WORK_S)
     routes = [
         make_route("browse", "catalogue"),
         make_route("pay", "checkout", "unsafe"),
@@ -41,6 +42,8 @@
     leaving = case.nodes[0].worker
     ack = case.store.delete(leaving.key)
     await asyncio.sleep(DRAIN_S + LINGER_S)
+    leaving.crash()
+    await asyncio.sleep(3.0)
 
     sent = {reply.request: reply for reply in case.replies}
     in_touch_from = silent_at + CONTACT_S
@@ -57,6 +60,8 @@
             f"by {sent[late_run.request].node}"
         )
     case.record.write(f"{len(late)} requests reached {leaving.id} too late")
+    lost = [run for run in late if sent[run.request].status != 200]
+    case.record.write(f"{len(lost)} of them were lost when the worker ended")
     return bool(late)
 
 
