--- a/review/harness.py
+++ b/review/harness.py
@@ -456,7 +456,9 @@
         deadline = time.monotonic() + READY_TIMEOUT_S
         while not await self.is_ready():
             if time.monotonic() > deadline:
-                raise NotRunError(f"{self.name} is not ready")
+                log = (self.case.folder / f"{self.name}.log").read_text()
+                ended = self.process.returncode
+                raise NotRunError(f"{self.name} is not ready ({ended}): {log[-600:]}")
             await asyncio.sleep(0.1)
 
     async def end(self) -> None:
