--- a/review/harness.py
+++ b/review/harness.py
@@ -139,13 +139,6 @@
             self._silent |= writers
         self._record.write(f"store: {len(self._silent)} connections are silent")
 
-    def reset_connections(self, node: str) -> None:
-        """Reset the connections of one node."""
-        writers = self._writers.get(node, set())
-        for writer in list(writers):
-            reset(writer)
-        self._record.write(f"store: {len(writers)} connections of {node} are reset")
-
     async def _serve(self, node, reader, writer) -> None:
         writers = self._writers.setdefault(node, set())
         writers.add(writer)
@@ -363,8 +356,6 @@
         self.fields: dict[str, str] = {}
         self.body = b""
         self.error = ""
-        # Number of the request on its connection, counted from 1.
-        self.position = 1
 
 
 class Node:
@@ -601,52 +592,6 @@
         self.record.write(f"requester: {request} gets {reply.status} {reply.error}")
         return reply
 
-    async def send_on_kept_connection(
-        self, node: Node, host: str, path: str, method: str, pause_s: float
-    ) -> None:
-        """Send one request after another on a connection that is kept open.
-
-        A new connection follows once the node has closed one or said that it will.
-        """
-        connection: tuple | None = None
-        position = 0
-        try:
-            while True:
-                self._request_count += 1
-                request = f"k{self._request_count:06d}"
-                reply = Reply(request, node.name, time.monotonic())
-                position = position + 1 if connection else 1
-                reply.position = position
-                length = "" if method == "GET" else "Content-Length: 0\r\n"
-                head = (
-                    f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
-                    f"Request-Id: {request}\r\nTimeout-Ms: 3000\r\n{length}\r\n"
-                )
-                try:
-                    async with asyncio.timeout(4):
-                        connection = connection or await asyncio.open_connection(
-                            node.host, node.callers_port
-                        )
-                        reply.sent = time.monotonic()
-                        self.replies.append(reply)
-                        connection[1].write(head.encode())
-                        await read_reply(connection[0], reply)
-                except TimeoutError:
-                    reply.error = "no answer"
-                except (OSError, asyncio.IncompleteReadError) as exc:
-                    reply.error = f"connection: {exc!r}"
-                reply.ended = time.monotonic()
-                text = f"number {position} gets {reply.status} {reply.error}"
-                self.record.write(f"requester: {request} {text}")
-                is_last = reply.fields.get("connection", "").lower() == "close"
-                if connection and (reply.error or is_last):
-                    connection[1].close()
-                    connection = None
-                await asyncio.sleep(0.2 if reply.error else pause_s)
-        finally:
-            if connection:
-                connection[1].close()
-
     def spawn(self, coroutine) -> asyncio.Task:
         """Start a background task of the case."""
         task = asyncio.create_task(coroutine)
