Make the stand-ins of the review sound and read TROUBLE in each case

The platform's readiness checks, the end of a crashed worker's requests and what a leaving worker says were missing. Each scenario passes TROUBLE on itself.

--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -1,6 +1,7 @@
 """An entry of another writer that cannot be read stops the reading of the store."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -54,10 +55,12 @@
     # A route moves, and a worker of the other service drains.
     config_ack = case.put_config(make_routes("checkout"), SERVICES)
     leaving = case.nodes[2].worker
+    leaving.is_leaving = True
     drain_ack = case.store.put(leaving.key, leaving.make_entry("draining", 2))
     await asyncio.sleep(DRAIN_S + LINGER_S)
     lost_before = len(find_lost(case, leaving))
     leaving.crash()
+    case.store.delete(leaving.key)
     await asyncio.sleep(6.0)
     lost = find_lost(case, leaving)[lost_before:]
 
@@ -81,4 +84,4 @@
 
 
 if __name__ == "__main__":
-    main(__file__, run)
+    main(__file__, run, os.environ.get("TROUBLE"))
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import socket
 import sys
@@ -21,7 +22,10 @@
 WINDOW_BYTES = 12_000
 CONNECTIONS = 12
 # Time from SIGTERM to the first of the pages.
-FIRST_PAGE_AFTER_S = 0.5
+FIRST_PAGE_AFTER_S = 0.1
+# With this interval, all requests are sent within 1 s of SIGTERM, before a platform
+# that asks once a second can have missed two answers.
+PAGE_INTERVAL_S = 0.05
 
 
 async def answer_page(worker, reader, writer, run, number) -> bool:
@@ -144,7 +148,7 @@
     await case.start_all()
     start = time.monotonic() + 0.3 + FIRST_PAGE_AFTER_S
     pages = [
-        case.spawn(read_pages(case, node, number, start + 0.15 * number))
+        case.spawn(read_pages(case, node, number, start + PAGE_INTERVAL_S * number))
         for number in range(CONNECTIONS)
     ]
     await asyncio.sleep(0.3)
@@ -161,4 +165,4 @@
 
 
 if __name__ == "__main__":
-    main(__file__, run)
+    main(__file__, run, os.environ.get("TROUBLE"))
--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import signal
 import sys
 import time
@@ -70,6 +71,9 @@
 async def repeat_crashing_request(case: Case) -> None:
     """Send the request that crashes workers again and again, at any machine."""
     for node in itertools.cycle(case.nodes):
+        if not node.takes_work:
+            await asyncio.sleep(0.01)
+            continue
         request = case.request(
             node, "pay.example", CRASHING_PATH, "POST", 1500, b"the same body"
         )
@@ -146,4 +150,4 @@
 
 
 if __name__ == "__main__":
-    main(__file__, run)
+    main(__file__, run, os.environ.get("TROUBLE"))
--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -1,6 +1,7 @@
 """After silent connections, a worker that has left is used for two more seconds."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -40,6 +41,7 @@
     silent_at = asyncio.get_running_loop().time()
     await asyncio.sleep(REMOVED_AFTER_S)
     leaving = case.nodes[0].worker
+    leaving.is_leaving = True
     ack = case.store.delete(leaving.key)
     await asyncio.sleep(DRAIN_S + LINGER_S)
     leaving.crash()
@@ -66,4 +68,4 @@
 
 
 if __name__ == "__main__":
-    main(__file__, run)
+    main(__file__, run, os.environ.get("TROUBLE"))
--- a/review/harness.py
+++ b/review/harness.py
@@ -236,6 +236,9 @@
         self.born_ms = int(time.time() * 1000)
         self.runs: list[Run] = []
         self.running = 0
+        # Whether the worker leaves; its answers then close their connections.
+        self.is_leaving = False
+        self._handlers: set[asyncio.Task] = set()
         # Replaces the answer of the worker, if it is set.
         self.behaviour: Callable[..., Awaitable[bool]] | None = None
         self._server: asyncio.Server | None = None
@@ -273,10 +276,13 @@
             self._server.close()
         for writer in list(self._writers):
             reset(writer)
+        for task in self._handlers - {asyncio.current_task()}:
+            task.cancel()
         self._record.write(f"worker {self.id}: ends with {self.running} requests")
 
     async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
+        self._handlers.add(asyncio.current_task())
         self.connections += 1
         number = 0
         try:
@@ -291,6 +297,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._handlers.discard(asyncio.current_task())
             writer.close()
 
     async def _handle(self, reader, writer, head, body, number) -> bool:
@@ -316,7 +323,7 @@
             else:
                 await asyncio.sleep(self.work_s)
                 answer(writer, self, run)
-                is_open = True
+                is_open = not self.is_leaving
             await writer.drain()
         finally:
             self.running -= 1
@@ -336,6 +343,8 @@
         "Response-Stamp": f"stamp.{worker.id}.{run.request}",
         "Server-Load": f"{worker.running - 1},0,{worker.slots}",
     }
+    if worker.is_leaving:
+        fields["Connection"] = "close"
     write_answer(writer, "200 OK", fields, make_body(run.request))
 
 
@@ -372,6 +381,13 @@
         self.metrics_port = pick_port(self.host)
         self.store_port = 0
         self.process: asyncio.subprocess.Process | None = None
+        # Readiness checks in a row without a 200.
+        self.misses = 0
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether requesters get new work; not after two missed checks in a row."""
+        return self.misses < 2
 
     def write_settings(self) -> Path:
         """Write the settings file as the platform fills in the template."""
@@ -480,10 +496,10 @@
 class Case:
     """One run of a script: the store, the nodes and their workers."""
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, has_trouble: bool):
         self.record = Record(folder / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="mangowell-review-"))
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.has_trouble = has_trouble
         self.store = Store(self.record)
         self.nodes: list[Node] = []
         self.replies: list[Reply] = []
@@ -499,7 +515,7 @@
             self.record,
             f"i-{service}-{number}",
             service,
-            f"127.0.0.{10 + number}",
+            f"127.{1 + os.getpid() % 250}.0.{10 + number}",
             zone=zone,
             **options,
         )
@@ -546,9 +562,17 @@
         await asyncio.gather(*(node.start() for node in self.nodes))
         for node in self.nodes:
             await node.wait_until_ready()
+        for node in self.nodes:
+            self.spawn(self._check_readiness(node))
         # The nodes open their links and elect the readers of the store.
         await asyncio.sleep(3.0)
 
+    async def _check_readiness(self, node: Node) -> None:
+        """Ask a node once a second whether it is ready."""
+        while True:
+            node.misses = 0 if await node.is_ready() else node.misses + 1
+            await asyncio.sleep(1.0)
+
     async def request(
         self,
         node: Node,
@@ -601,7 +625,8 @@
     async def send_stream(self, rate: float, node: Node, **request) -> None:
         """Send requests at a steady rate until cancelled."""
         while True:
-            self.spawn(self.request(node, **request))
+            if node.takes_work:
+                self.spawn(self.request(node, **request))
             await asyncio.sleep(1 / rate)
 
     async def close(self) -> None:
@@ -653,11 +678,16 @@
     return route | fields
 
 
-def main(file: str, scenario: Callable[[Case], Awaitable[bool]]) -> None:
-    """Run a scenario, which returns whether the rule was broken, and exit."""
+def main(
+    file: str, scenario: Callable[[Case], Awaitable[bool]], trouble: str | None
+) -> None:
+    """Run a scenario, which returns whether the rule was broken, and exit.
+
+    `trouble` is the value of TROUBLE; "0" leaves the disruption out.
+    """
 
     async def run() -> int:
-        case = Case(Path(file).resolve().parent)
+        case = Case(Path(file).resolve().parent, trouble != "0")
         code = EXIT_NOT_RUN
         try:
             async with asyncio.timeout(110):
