Report in metrics whether and how a node reads the store

After an entry of the store had ended the reading task of every node, the metrics of the nodes showed nothing unusual: store_away was 0, and no gauge told whether the node was to read, whether its task still ran, and when the store had answered last.

--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -4,6 +4,8 @@
 import contextlib
 import random
 from collections.abc import Callable
+from enum import StrEnum
+from time import monotonic
 
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import Directory
@@ -26,6 +28,17 @@
 MAX_BACKOFF_S = 0.8
 
 
+class ReaderState(StrEnum):
+    """What the reader of the store does, for operators."""
+
+    IDLE = "idle"  # other nodes read for this one
+    STARTING = "starting"  # no answer of the store yet
+    READING = "reading"
+    SILENT = "silent"  # running, but without progress for too long
+    STORE_AWAY = "store-away"  # the last call was not answered
+    FAILED = "failed"  # the task has ended
+
+
 class _ReadingStoppedError(Exception):
     """The open watch was cancelled because other nodes read the store."""
 
@@ -63,6 +76,8 @@
         self._revision = 0
         self._backoff_s = FIRST_BACKOFF_S
         self._is_up: bool | None = None
+        # Monotonic time of the last answer of the store.
+        self._answered_at: float | None = None
         self._task: asyncio.Task | None = None
         self._watch_task: asyncio.Task | None = None
         self._reading_enabled = asyncio.Event()
@@ -84,6 +99,34 @@
         """Whether this node reads the store and the last call was answered."""
         return self._reading_enabled.is_set() and bool(self._is_up)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the task that reads the store has been started and not ended."""
+        return self._task is not None and not self._task.done()
+
+    @property
+    def is_elected(self) -> bool:
+        """Whether this node has to read the store for its failure domain."""
+        return self._reading_enabled.is_set()
+
+    @property
+    def state(self) -> ReaderState:
+        """What the reader does now."""
+        if not self.is_running:
+            return ReaderState.FAILED
+        if not self.is_elected:
+            return ReaderState.IDLE
+        match self._is_up:
+            case None:
+                return ReaderState.STARTING
+            case False:
+                return ReaderState.STORE_AWAY
+        return ReaderState.READING if self.is_up else ReaderState.SILENT
+
+    def compute_answer_age(self, now: float) -> float:
+        """Return the seconds since the last answer of the store; -1 for none yet."""
+        return -1.0 if self._answered_at is None else now - self._answered_at
+
     def set_reading(self, is_reading: bool) -> None:
         """Start or stop reading; while stopped, other nodes send the changes."""
         if is_reading == self._reading_enabled.is_set():
@@ -251,6 +294,7 @@
 
     def _record_up(self, now: float) -> None:
         self._backoff_s = FIRST_BACKOFF_S
+        self._answered_at = monotonic()
         if self._is_up:
             return
         self._is_up = True
