Start long-lived tasks again that end

An exception that no one expected ended the task that reads the store, and nothing started it again: no later configuration or drain came into force at any node.

The tasks had no owner: each part started its own and looked at it only when the node stopped. TaskSupervisor runs the store reader, both gossip tasks, the expiry and the settings reload. MeshNode takes the class from supervisor_type, so tests can replace it.

--- a/packages/core/src/mangowell_core/events.py
+++ b/packages/core/src/mangowell_core/events.py
@@ -69,6 +69,7 @@
     PEER_REFUSED = 712
     EVENTS_OMITTED = 801
     INTERNAL_FAULT = 802
+    TASK_FAILED = 803
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -10,7 +10,7 @@
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import Directory
 from mangowell_core.mesh.revisions import get_era, get_number
-from mangowell_node.mesh.tasks import start_loop
+from mangowell_node.mesh.tasks import TaskSupervisor
 from mangowell_node.platform import (
     HistoryGoneError,
     Item,
@@ -19,6 +19,8 @@
     StoreError,
 )
 
+# Name of the supervised task.
+READER_TASK = "store-reader"
 # Mean pause between two watches, in seconds. Further changes collect meanwhile:
 # each call to the store has a cost, and a change may take 2 s to be in force.
 COALESCE_S = 0.4
@@ -78,21 +80,20 @@
         self._is_up: bool | None = None
         # Monotonic time of the last answer of the store.
         self._answered_at: float | None = None
-        self._task: asyncio.Task | None = None
+        self._supervisor: TaskSupervisor | None = None
         self._watch_task: asyncio.Task | None = None
         self._reading_enabled = asyncio.Event()
         self._reading_enabled.set()
 
-    def start(self) -> None:
+    def start(self, supervisor: TaskSupervisor) -> None:
         """Start the task that reads the store."""
-        self._task = start_loop(self._run())
+        self._supervisor = supervisor
+        supervisor.start(READER_TASK, self._run)
 
     async def stop(self) -> None:
         """Cancel the task and wait for its end."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        if self._supervisor is not None:
+            await self._supervisor.end(READER_TASK)
 
     @property
     def is_up(self) -> bool:
@@ -102,7 +103,10 @@
     @property
     def is_running(self) -> bool:
         """Whether the task that reads the store has been started and not ended."""
-        return self._task is not None and not self._task.done()
+        if self._supervisor is None:
+            return False
+        task = self._supervisor.tasks.get(READER_TASK)
+        return task is not None and not task.done()
 
     @property
     def is_elected(self) -> bool:
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 import math
 from collections import deque
@@ -46,8 +45,11 @@
 )
 from mangowell_node.mesh.prober import Prober
 from mangowell_node.mesh.runner import WorkerRunner
-from mangowell_node.mesh.tasks import start_loop
+from mangowell_node.mesh.tasks import TaskSupervisor, start_loop
 
+# Names of the supervised tasks.
+STATUS_TASK = "gossip-status"
+LINKS_TASK = "gossip-links"
 # Interval of status notices in a fleet of up to `FULL_MESH_NODES`, in seconds.
 STATUS_INTERVAL_S = 0.5
 # In a larger fleet the interval grows in proportion to the number of nodes, so that
@@ -144,8 +146,7 @@
         runner.on_worker_leaving = self.announce
         self._emit = emit
         self._on_change = on_change
-        self._status_task: asyncio.Task | None = None
-        self._links_task: asyncio.Task | None = None
+        self._supervisor: TaskSupervisor | None = None
         self._reconnect_at: dict[str, float] = {}
         self._reconnect_waits_s: dict[str, float] = {}
         self._connect_tasks: dict[str, asyncio.Task] = {}
@@ -170,22 +171,22 @@
         server.on_notice = self._handle_notice
         server.on_authenticated = self._send_status
 
-    def start(self) -> None:
+    def start(self, supervisor: TaskSupervisor) -> None:
         """Start the tasks that keep links open and send notices."""
-        self._status_task = start_loop(self._run_status())
-        self._links_task = start_loop(self._run_links())
+        self._supervisor = supervisor
+        supervisor.start(STATUS_TASK, self._run_status)
+        supervisor.start(LINKS_TASK, self._run_links)
 
     async def stop(self) -> None:
         """Cancel all tasks and wait for their end."""
-        for task in (
-            self._status_task,
-            self._links_task,
-            *self._connect_tasks.values(),
-        ):
-            if task is not None:
-                task.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await task
+        if self._supervisor is not None:
+            await self._supervisor.end(STATUS_TASK)
+            await self._supervisor.end(LINKS_TASK)
+        tasks = list(self._connect_tasks.values())
+        for task in tasks:
+            task.cancel()
+        # Failures were reported when they occurred.
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def announce_stop(self, deadline: float) -> None:
         """Tell the other nodes that this one ends at `deadline` (monotonic seconds)."""
@@ -387,7 +388,7 @@
             link = self._links.get_link(host, port)
             if link is not None and not link.leaving:
                 continue
-            task = asyncio.create_task(self._connect(host, port, deadline))
+            task = start_loop(self._connect(host, port, deadline))
             self._connect_tasks[host] = task
             task.add_done_callback(
                 lambda _, host=host: self._connect_tasks.pop(host, None)
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -15,7 +15,7 @@
 from mangowell_node.mesh.gateway import Gateway
 from mangowell_node.mesh.gossip import Gossip
 from mangowell_node.mesh.runner import WorkerRunner
-from mangowell_node.mesh.tasks import start_loop
+from mangowell_node.mesh.tasks import TaskSupervisor
 from mangowell_node.platform import READY_PATH, StoreClient
 from mangowell_node.reach import AddressFilter
 from mangowell_node.telemetry import Telemetry
@@ -24,6 +24,7 @@
 # from others; docs/decisions/0008 describes the remaining risk.
 LINK_SECRET = ""
 METRICS_PATH = "/metrics"
+EXPIRY_TASK = "expiry"
 EXPIRE_INTERVAL_S = 0.25
 LINGER_POLL_S = 0.02
 
@@ -39,12 +40,21 @@
         Receives events and metrics.
     rng : random.Random
         Source of random numbers.
+
+    Attributes
+    ----------
+    supervisor : TaskSupervisor
+        Runs all tasks that live as long as the node.
     """
 
+    # Tests replace it to let tasks fail.
+    supervisor_type = TaskSupervisor
+
     def __init__(self, settings: MeshSettings, telemetry: Telemetry, rng):
         self._settings = settings
         self._telemetry = telemetry
         emit = telemetry.emit
+        self.supervisor = self.supervisor_type(emit, rng)
         self.directory = directory = Directory()
         self._store = StoreClient(settings.store)
         self._feed = StateFeed(
@@ -90,7 +100,6 @@
         self._ready_server = IngressServer(self._handle_ready)
         self._metrics_server = IngressServer(self._handle_metrics)
         self._draining = False
-        self._expiry_task: asyncio.Task | None = None
 
     @classmethod
     def from_settings(cls, settings: MeshSettings, telemetry: Telemetry) -> "MeshNode":
@@ -106,9 +115,9 @@
         await self._metrics_server.start(settings.ready.host, settings.metrics_port)
         await self._link_server.start(settings.link.host, settings.link.port)
         await self._ingress.start(settings.callers.host, settings.callers.port)
-        self._feed.start()
-        self._gossip.start()
-        self._expiry_task = start_loop(self._run_expiry())
+        self._feed.start(self.supervisor)
+        self._gossip.start(self.supervisor)
+        self.supervisor.start(EXPIRY_TASK, self._run_expiry)
 
     def reload(self, settings: MeshSettings) -> None:
         """Apply changed settings; addresses change only at the next start."""
@@ -160,10 +169,8 @@
         await self._close()
 
     async def _close(self) -> None:
-        if self._expiry_task is not None:
-            self._expiry_task.cancel()
+        await self.supervisor.stop()
         await self._gossip.stop()
-        await self._feed.stop()
         await self._store.close()
         await self._ready_server.stop(0.0)
         await self._metrics_server.stop(0.0)
@@ -209,6 +216,8 @@
             "reads_store": self._feed.is_up,
             "reader_elected": self._feed.is_elected,
             "reader_running": self._feed.is_running,
+            "tasks_running": self.supervisor.count_running(),
+            "tasks_failing": len(self.supervisor.failing),
             "store_answer_age_s": self._feed.compute_answer_age(monotonic()),
             "store_era": self._store.era,
             "endpoints": len(directory),
--- a/packages/node/src/mangowell_node/mesh/program.py
+++ b/packages/node/src/mangowell_node/mesh/program.py
@@ -12,11 +12,11 @@
 from mangowell_core.mesh import MeshSettings, parse_mesh_settings
 from mangowell_node.event_log import EventLog
 from mangowell_node.mesh.node import MeshNode
-from mangowell_node.mesh.tasks import start_loop
 from mangowell_node.settings_file import load_settings
 from mangowell_node.telemetry import Telemetry
 
 EVENTS_KEPT = 200
+RELOAD_TASK = "settings-reload"
 SETTINGS_POLL_S = 1.0
 
 
@@ -100,9 +100,8 @@
     reloader = SettingsReloader(path, settings, node, telemetry)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     await node.start()
-    reload_task = start_loop(reloader.run())
+    node.supervisor.start(RELOAD_TASK, reloader.run)
     await stop_requested.wait()
-    reload_task.cancel()
     await node.stop()
     log.flush()
 
--- a/packages/node/src/mangowell_node/telemetry.py
+++ b/packages/node/src/mangowell_node/telemetry.py
@@ -54,6 +54,7 @@
     EventCode.LINK_SILENT: logbook.WARNING,
     EventCode.PEER_MESSAGE_DROPPED: logbook.WARNING,
     EventCode.PEER_REFUSED: logbook.WARNING,
+    EventCode.TASK_FAILED: logbook.ERROR,
 }
 
 
