Hand the reading of the store over when the reading task fails or is stuck

After one unreadable entry, nodes took no later change of the store, and each of them went on to report that it reads, so no other node took over.

StateFeed.is_up only followed the answers of the store, not the task. A node whose reader fails repeatedly reports a link speed of 0 for 30 s, which makes all others preferred without a change of the protocol; if none can read, it goes on trying, at least every 1.6 s.

--- a/tests/mesh/test_readers.py
+++ b/tests/mesh/test_readers.py
@@ -19,6 +19,7 @@
 from mangowell_core.mesh.changes import MAX_KEPT_DOCUMENTS, apply_delta, compute_delta
 from mangowell_core.mesh.model import ChangeNotice
 from mangowell_core.mesh.readers import (
+    FAILED_READER_PAUSE_S,
     READERS_PER_DOMAIN,
     REPORT_TTL_S,
     RESUME_DELAY_S,
@@ -40,6 +41,7 @@
         self.link_speeds = dict(zip(self.nodes, link_speeds, strict=True))
         self.crashed = set()
         self.rejected_by_store = set()
+        self.failing = set()
         self.now = 0.0
         self.store_clients = set()
 
@@ -48,7 +50,9 @@
             self.now = round(self.now + STEP_S, 3)
             for name, election in self.nodes.items():
                 if name not in self.crashed:
-                    is_store_up = name not in self.rejected_by_store
+                    if name in self.failing:
+                        election.record_failure(self.now)
+                    is_store_up = name not in self.rejected_by_store | self.failing
                     if election.decide(self.now, is_store_up):
                         self.store_clients.add(name)
             if not round(self.now / STEP_S) % round(STATUS_INTERVAL_S / STEP_S):
@@ -58,8 +62,9 @@
         for name, election in self.nodes.items():
             if name in self.crashed:
                 continue
-            is_reading = election.is_reading and name not in self.rejected_by_store
-            report = ReaderReport(self.link_speeds[name], is_reading, False)
+            unable = self.rejected_by_store | self.failing
+            is_reading = election.is_reading and name not in unable
+            report = ReaderReport(election.get_link_mbps(self.now), is_reading, False)
             for other, peer in self.nodes.items():
                 if other != name:
                     peer.record_report(name, report, self.now)
@@ -71,7 +76,7 @@
             for name, election in self.nodes.items()
             if election.is_reading
             and name not in self.crashed
-            and name not in self.rejected_by_store
+            and name not in self.rejected_by_store | self.failing
         }
 
 
@@ -119,6 +124,34 @@
     assert domain.serving == {"n0", "n1"}
 
 
+def test_failing_reader_is_not_elected_again_at_once():
+    """Its task may run for seconds before the input that ends it comes again."""
+    domain = SimulatedDomain([100, 100, 5, 5, 5])
+    domain.run(5)
+    domain.failing = {"n0"}
+    domain.run(1.9)
+    assert len(domain.serving) >= READERS_PER_DOMAIN
+    domain.run(2)
+    domain.failing = set()
+    domain.run(RESUME_DELAY_S + STEP_DOWN_DELAY_S + 1)
+    assert "n0" not in domain.serving
+    assert len(domain.serving) == READERS_PER_DOMAIN
+    domain.run(FAILED_READER_PAUSE_S)
+    assert domain.serving == {"n0", "n1"}
+
+
+@pytest.mark.parametrize("nodes", [1, 2, 5])
+def test_last_possible_readers_go_on_though_they_fail(nodes):
+    domain = SimulatedDomain([5] * nodes)
+    domain.run(5)
+    domain.failing = set(domain.nodes)
+    domain.run(5)
+    assert sum(e.is_reading for e in domain.nodes.values()) >= min(2, nodes)
+    domain.failing = set()
+    domain.run(0.5)
+    assert len(domain.serving) >= min(2, nodes)
+
+
 def test_node_without_reports_from_others_reads():
     """An isolated failure domain, or a single node, has to read by itself."""
     election = ReaderElection("n1", 5)
