--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable
+from enum import StrEnum
+from time import monotonic
 
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import Directory
 from mangowell_core.mesh.revisions import get_era, get_number
-from mangowell_node.mesh.tasks import start_loop
+from mangowell_node.mesh.tasks import TaskSupervisor
 from mangowell_node.platform import (
     HistoryGoneError,
     Item,
@@ -16,7 +19,10 @@
     StoreClient,
     StoreError,
 )
+from mangowell_node.platform.store import WATCH_MARGIN_S, WATCH_WAIT_MS
 
+# Name of the supervised task.
+READER_TASK = "store-reader"
 # Mean pause between two watches, in seconds. Further changes collect meanwhile:
 # each call to the store has a cost, and a change may take 2 s to be in force.
 COALESCE_S = 0.4
@@ -24,6 +30,23 @@
 FIRST_BACKOFF_S = 0.2
 # Less than the 3 s within which a machine must notice that the store is back.
 MAX_BACKOFF_S = 0.8
+# Time within which a watch ends, with a margin for a busy node, and time within which
+# all pages of a slow store are read, in seconds. A reader that takes longer is stuck.
+WATCH_LIMIT_S = WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S + 0.4
+LISTING_LIMIT_S = 15.0
+# Time between two checks of the reader above which the process was paused, in seconds.
+PAUSE_S = 1.0
+
+
+class ReaderState(StrEnum):
+    """What the reader of the store does, for operators."""
+
+    IDLE = "idle"  # other nodes read for this one
+    STARTING = "starting"  # no answer of the store yet
+    READING = "reading"
+    SILENT = "silent"  # running, but without progress for too long
+    STORE_AWAY = "store-away"  # the last call was not answered
+    FAILED = "failed"  # the task has ended
 
 
 class _ReadingStoppedError(Exception):
@@ -63,26 +86,95 @@
         self._revision = 0
         self._backoff_s = FIRST_BACKOFF_S
         self._is_up: bool | None = None
-        self._task: asyncio.Task | None = None
+        # Monotonic time of the last check whether the task is stuck.
+        self._checked_at = monotonic()
+        # Monotonic time by which the task has to take its next step.
+        self._progress_deadline = math.inf
+        # Monotonic time of the last answer of the store.
+        self._answered_at: float | None = None
+        self._supervisor: TaskSupervisor | None = None
         self._watch_task: asyncio.Task | None = None
         self._reading_enabled = asyncio.Event()
         self._reading_enabled.set()
 
-    def start(self) -> None:
+    def start(self, supervisor: TaskSupervisor) -> None:
         """Start the task that reads the store."""
-        self._task = start_loop(self._run())
+        self._supervisor = supervisor
+        supervisor.start(READER_TASK, self._run)
 
     async def stop(self) -> None:
         """Cancel the task and wait for its end."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        if self._supervisor is not None:
+            await self._supervisor.end(READER_TASK)
 
     @property
     def is_up(self) -> bool:
-        """Whether this node reads the store and the last call was answered."""
-        return self._reading_enabled.is_set() and bool(self._is_up)
+        """Whether this node reads the store and the last call was answered.
+
+        Other nodes take over if not. The task may have ended, be stuck, or fail again
+        each time that it is started.
+        """
+        return (
+            bool(self._is_up)
+            and self.is_elected
+            and self.is_running
+            and not self.is_stuck(monotonic())
+            and not self.is_failing
+        )
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the task has failed repeatedly and was not healthy since."""
+        supervisor = self._supervisor
+        return supervisor is not None and READER_TASK in supervisor.lastingly_failing
+
+    def is_stuck(self, now: float) -> bool:
+        """Return whether the task has not taken its next step in time."""
+        return self.is_elected and now > self._progress_deadline
+
+    def restart_if_stuck(self, now: float) -> None:
+        """Start the task again if it has not taken its next step in time."""
+        pause_s = now - self._checked_at
+        self._checked_at = now
+        if pause_s > PAUSE_S:
+            # The store may have answered while the process was paused.
+            self._progress_deadline += pause_s
+        if self.is_running and self.is_stuck(now):
+            # Until the new task runs, other nodes read.
+            self._is_up = None
+            self._progress_deadline = math.inf
+            self._supervisor.restart(READER_TASK, "no progress")
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the task that reads the store has been started and not ended."""
+        if self._supervisor is None:
+            return False
+        task = self._supervisor.tasks.get(READER_TASK)
+        return task is not None and not task.done()
+
+    @property
+    def is_elected(self) -> bool:
+        """Whether this node has to read the store for its failure domain."""
+        return self._reading_enabled.is_set()
+
+    @property
+    def state(self) -> ReaderState:
+        """What the reader does now."""
+        if not self.is_running or self.is_failing:
+            return ReaderState.FAILED
+        if not self.is_elected:
+            return ReaderState.IDLE
+        match self._is_up:
+            case None:
+                return ReaderState.STARTING
+            case False if not self.is_stuck(monotonic()):
+                return ReaderState.STORE_AWAY
+        return ReaderState.READING if self.is_up else ReaderState.SILENT
+
+    def compute_answer_age(self, now: float) -> float:
+        """Return the seconds since the last answer of the store; -1 for none yet."""
+        return -1.0 if self._answered_at is None else now - self._answered_at
 
     def set_reading(self, is_reading: bool) -> None:
         """Start or stop reading; while stopped, other nodes send the changes."""
@@ -107,9 +199,19 @@
             self._watch_task.cancel()
 
     async def _run(self) -> None:
+        # A task that ended may have missed changes, so all items are read again.
+        self._revision = 0
+        try:
+            await self._read_forever()
+        finally:
+            self._is_up = None
+            self._progress_deadline = math.inf
+
+    async def _read_forever(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await self._reading_enabled.wait()
+            self._expect_progress(WATCH_LIMIT_S if self._revision else LISTING_LIMIT_S)
             try:
                 await self._read_next()
             except _ReadingStoppedError:
@@ -129,6 +231,9 @@
                 # Jitter keeps nodes that got a change together from calling together.
                 await asyncio.sleep(COALESCE_S * (0.6 + 0.8 * self._rng.random()))
 
+    def _expect_progress(self, limit_s: float) -> None:
+        self._progress_deadline = monotonic() + limit_s
+
     async def _read_next(self) -> None:
         """Read all items, or wait for changes if they have been read."""
         if not self._revision:
@@ -251,6 +356,8 @@
 
     def _record_up(self, now: float) -> None:
         self._backoff_s = FIRST_BACKOFF_S
+        self._answered_at = monotonic()
+        self._expect_progress(WATCH_LIMIT_S)
         if self._is_up:
             return
         self._is_up = True
