Decide in one place what is a format error of bytes from outside

formats.decode turns whatever a decoder raises, except MemoryError, into the error class of the caller's layer. Entries, documents, answers of the store, notices and link frames are decoded through it. Messages are cut to 300 characters and made ASCII, as they may quote foreign bytes.

Tests: an entry and a document nested 6,000 deep, each for the decoder, a node that runs and a node that starts meanwhile.

--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import os
-import struct
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
 from time import monotonic
 
-import msgspec
-
+from mangowell_core import formats
 from mangowell_node.exchange import (
     AttemptError,
     Body,
@@ -222,29 +220,31 @@
                 return
             data = bytes(self._buffer)
             self._buffer.clear()
+        try:
+            formats.decode(self._handle_frames, data, LinkError)
+        except LinkError as exc:
+            self.close(f"malformed frame: {exc}")
+
+    def _handle_frames(self, data: bytes) -> None:
         offset = 0
         size = len(data)
         header = FRAME_HEADER.size
-        try:
-            while not self.closed:
-                if size - offset < header:
-                    self._needed_bytes = header
-                    break
-                length, frame_type, stream_id = FRAME_HEADER.unpack_from(data, offset)
-                if length > self._max_frame_bytes:
-                    raise LinkError(f"frame of {length} bytes is too large")
-                end = offset + header + length
-                if end > size:
-                    self._needed_bytes = header + length
-                    break
-                handler = self._handlers.get(frame_type)
-                if handler is None:
-                    raise LinkError(f"unexpected frame of type {frame_type}")
-                handler(stream_id, data[offset + header : end])
-                offset = end
-        except (LinkError, msgspec.DecodeError, struct.error, ValueError) as exc:
-            self.close(f"malformed frame: {exc}")
-            return
+        while not self.closed:
+            if size - offset < header:
+                self._needed_bytes = header
+                break
+            length, frame_type, stream_id = FRAME_HEADER.unpack_from(data, offset)
+            if length > self._max_frame_bytes:
+                raise LinkError(f"frame of {length} bytes is too large")
+            end = offset + header + length
+            if end > size:
+                self._needed_bytes = header + length
+                break
+            handler = self._handlers.get(frame_type)
+            if handler is None:
+                raise LinkError(f"unexpected frame of type {frame_type}")
+            handler(stream_id, data[offset + header : end])
+            offset = end
         if offset < size:
             self._buffer += data[offset:] if offset else data
 
--- a/packages/node/src/mangowell_node/mesh/notices.py
+++ b/packages/node/src/mangowell_node/mesh/notices.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mangowell_core import formats
 from mangowell_core.mesh.model import Notice
 
 # Above this size compression saves more than it costs. A status is smaller.
@@ -43,12 +44,13 @@
     NoticeFormatError
         If the bytes are malformed, or too many after decompression.
     """
-    try:
-        if payload[:1] == _COMPRESSED:
-            decompressor = zlib.decompressobj()
-            payload = decompressor.decompress(payload[1:], MAX_NOTICE_BYTES)
-            if not decompressor.eof:
-                raise NoticeFormatError("cut off or too long")
-        return _decoder.decode(payload)
-    except (msgspec.DecodeError, zlib.error) as exc:
-        raise NoticeFormatError(str(exc)) from exc
+    return formats.decode(_read_notice, payload, NoticeFormatError)
+
+
+def _read_notice(payload: bytes) -> Notice:
+    if payload[:1] == _COMPRESSED:
+        decompressor = zlib.decompressobj()
+        payload = decompressor.decompress(payload[1:], MAX_NOTICE_BYTES)
+        if not decompressor.eof:
+            raise NoticeFormatError("cut off or too long")
+    return _decoder.decode(payload)
--- a/packages/node/src/mangowell_node/platform/document.py
+++ b/packages/node/src/mangowell_node/platform/document.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mangowell_core import formats
 from mangowell_core.mesh.model import (
     CallerLimits,
     Endpoint,
@@ -111,24 +112,24 @@
     PlatformFormatError
         If any part of the document is invalid.
     """
-    try:
-        raw = _document_decoder.decode(value)
-        routes = tuple(
-            _make_route(name, route)
-            for name, route in raw.routes.convert(_Route).items()
-        )
-        services = tuple(
-            MeshService(name, service.max_connections)
-            for name, service in raw.services.convert(_Service).items()
-        )
-        limits = CallerLimits(
-            raw.limits.max_header_bytes,
-            raw.limits.max_body_bytes,
-            parse_duration(raw.limits.header_timeout),
-            parse_duration(raw.limits.idle_timeout),
-        )
-    except (msgspec.DecodeError, ValueError, KeyError, TypeError) as exc:
-        raise PlatformFormatError(f"document: {exc}") from exc
+    return formats.decode(_read_document, value, PlatformFormatError, "document")
+
+
+def _read_document(value: bytes) -> MeshDocument:
+    raw = _document_decoder.decode(value)
+    routes = tuple(
+        _make_route(name, route) for name, route in raw.routes.convert(_Route).items()
+    )
+    services = tuple(
+        MeshService(name, service.max_connections)
+        for name, service in raw.services.convert(_Service).items()
+    )
+    limits = CallerLimits(
+        raw.limits.max_header_bytes,
+        raw.limits.max_body_bytes,
+        parse_duration(raw.limits.header_timeout),
+        parse_duration(raw.limits.idle_timeout),
+    )
     return MeshDocument(raw.version, routes, services, limits)
 
 
@@ -169,21 +170,27 @@
     PlatformFormatError
         If the entry does not describe a worker that can be used.
     """
-    try:
-        raw = _entry_decoder.decode(value)
-        host, _, port = raw.address.rpartition(":")
-        return Endpoint(
-            key.removeprefix(ENDPOINT_PREFIX),
-            raw.node_info.service,
-            host,
-            int(port),
-            raw.node_info.zone,
-            raw.node_info.slots,
-            _DRAINING_BY_STATE[raw.status.state],
-            parse_duration(raw.status.warmup_left),
-            raw.born,
-            revision,
-            raw.status.seq,
-        )
-    except (msgspec.DecodeError, ValueError, KeyError) as exc:
-        raise PlatformFormatError(f"{key}: {exc}") from exc
+    return formats.decode(
+        lambda value: _read_endpoint(key, value, revision),
+        value,
+        PlatformFormatError,
+        formats.quote(key),
+    )
+
+
+def _read_endpoint(key: str, value: bytes, revision: int) -> Endpoint:
+    raw = _entry_decoder.decode(value)
+    host, _, port = raw.address.rpartition(":")
+    return Endpoint(
+        key.removeprefix(ENDPOINT_PREFIX),
+        raw.node_info.service,
+        host,
+        int(port),
+        raw.node_info.zone,
+        raw.node_info.slots,
+        _DRAINING_BY_STATE[raw.status.state],
+        parse_duration(raw.status.warmup_left),
+        raw.born,
+        revision,
+        raw.status.seq,
+    )
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from mangowell_core import formats
 from mangowell_core.mesh.model import Endpoint, MeshDocument
 from mangowell_core.mesh.revisions import get_era, get_number, make_revision
 from mangowell_core.mesh.settings import Address
@@ -264,10 +265,12 @@
 
 
 def _decode(kind: type, body: bytes):
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as exc:
-        raise StoreError(f"unreadable answer: {exc}") from exc
+    return formats.decode(
+        lambda body: msgspec.json.decode(body, type=kind),
+        body,
+        StoreError,
+        "unreadable answer",
+    )
 
 
 def _make_item(raw: _RawItem, era: int) -> Item:
