Bound the fields of entries, documents and notices to what can be carried on

Callers saw old routes and old workers after one entry of another writer with a `born` of 10**20, and attempts went to workers at ports 0 and 70000. The number was decoded, and encode_notice raised OverflowError in Gossip.publish, which ended the task that reads the store. A `priority` of the document did the same.

The types of the decoders bounded no number and no text. Besides the incident, they took: times of 400 digits as infinity, weights that are zero or negative, names that are no text, duplicate rows and columns, prefixes without slashes, hosts that need a lookup, ids with line breaks (they are written to Expected-Instance), and names of 300,000 characters, of which a few make a state larger than a frame of a link.

mesh.model now states the bounds in its types, and the decoders of the store use the same types, so what is accepted can be encoded, decoded by another node, calculated with and written to a header field. Unknown fields are still ignored. An invalid document is refused as a whole and an invalid entry names no worker, as before.

Tests: numbers too large and ports out of range in entries and in the document, for the decoder, a node that runs and a node that starts meanwhile, and each other bound.

--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -1,9 +1,55 @@
 """Values of the platform's document and its list of workers.
 
-They are `msgspec` structures because nodes also send them to each other.
+They are `msgspec` structures because nodes also send them to each other. The bounds
+of their fields hold for whatever is decoded: a value that is accepted from the store
+or from another node can be calculated with, sent on, and written to a header field.
 """
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
+
+# Largest number of a version, write or worker that all encodings carry.
+MAX_INTEGER = 2**63 - 1
+# Longest time in seconds, about 30 years. Timers and sums of times stay exact.
+MAX_DURATION_S = 1e9
+# Longest name, in characters. A key of the store has at most 200 bytes, and many
+# entries have to fit into one frame of a link.
+MAX_NAME_CHARS = 255
+
+Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+# Slots of a worker or requests at it: far above any worker, so that products and
+# sums of them stay exact.
+Slots = Annotated[int, Meta(ge=1, le=1_000_000)]
+Load = Annotated[int, Meta(ge=0, le=1_000_000_000)]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+# No infinity and no NaN, which pass no comparison.
+Seconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
+# Time that may have passed already.
+RemainingTime = Annotated[float, Meta(ge=-MAX_DURATION_S, le=MAX_DURATION_S)]
+Rate = Annotated[float, Meta(ge=0, le=1e9)]
+Weight = Annotated[float, Meta(ge=0, le=1e12)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+# Infinity for no limit, negative if unknown.
+RateLimit = Annotated[float, Meta(ge=-1)]
+# Text without control characters, as names appear in header fields and log lines.
+Name = Annotated[
+    str,
+    Meta(min_length=1, max_length=MAX_NAME_CHARS, pattern=r"^[^\x00-\x1f\x7f]+\Z"),
+]
+# The id of a worker is sent in a header field, which loses spaces at its ends.
+WorkerId = Annotated[str, Meta(max_length=MAX_NAME_CHARS, pattern=r"^[!-~]+\Z")]
+# Address of one machine; names are not looked up.
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+Host = Annotated[
+    str,
+    Meta(
+        pattern=rf"^(?:22[0-3]|2[01][0-9]|1[0-9][0-9]|[1-9][0-9]?)(?:\.{_OCTET}){{3}}\Z"
+    ),
+]
+# Routes are matched by prefixes that begin and end with a slash.
+Prefix = Annotated[str, Meta(pattern=r"^/(?:[^\x00-\x1f\x7f]*/)?\Z")]
 
 
 class MeshRoute(msgspec.Struct, frozen=True, array_like=True):
@@ -31,15 +77,15 @@
         Services and their weights in the distribution of the requests.
     """
 
-    name: str
-    host: str
-    prefix: str
+    name: Name
+    host: Name
+    prefix: Prefix
     idempotent: bool
-    timeout_s: float
-    objective_s: float
-    priority: int
-    max_attempts: int
-    parts: tuple[tuple[str, float], ...]
+    timeout_s: Seconds
+    objective_s: Seconds
+    priority: Count
+    max_attempts: Count
+    parts: tuple[tuple[Name, Weight], ...]
 
 
 class MeshService(msgspec.Struct, frozen=True, array_like=True):
@@ -53,8 +99,8 @@
         Maximum number of connections that one worker accepts.
     """
 
-    name: str
-    max_connections: int
+    name: Name
+    max_connections: Count
 
 
 class CallerLimits(msgspec.Struct, frozen=True, array_like=True):
@@ -70,10 +116,10 @@
         Maximum time that a connection stays idle, in seconds.
     """
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 67_108_864
-    header_timeout_s: float = 5.0
-    idle_timeout_s: float = 60.0
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 67_108_864
+    header_timeout_s: Seconds = 5.0
+    idle_timeout_s: Seconds = 60.0
 
 
 class MeshDocument(msgspec.Struct, frozen=True, array_like=True):
@@ -91,7 +137,7 @@
         Limits that apply to all callers.
     """
 
-    version: int
+    version: Count
     routes: tuple[MeshRoute, ...]
     services: tuple[MeshService, ...]
     limits: CallerLimits
@@ -127,17 +173,17 @@
         the worker wrote later, also if revisions of the store went back.
     """
 
-    id: str
-    service: str
-    host: str
-    port: int
-    failure_domain: str
-    slots: int
+    id: WorkerId
+    service: Name
+    host: Host
+    port: Port
+    failure_domain: Name
+    slots: Slots
     draining: bool
-    warmup_s: float
-    born_ms: int
-    revision: int
-    seq: int = 0
+    warmup_s: Seconds
+    born_ms: Count
+    revision: Count
+    seq: Count = 0
 
 
 class MeshState(msgspec.Struct, frozen=True, array_like=True):
@@ -153,7 +199,7 @@
         Entries of all workers.
     """
 
-    revision: int
+    revision: Count
     document: MeshDocument | None
     endpoints: tuple[Endpoint, ...]
 
@@ -175,10 +221,10 @@
         Limits, if they have changed.
     """
 
-    base_version: int
-    version: int
+    base_version: Count
+    version: Count
     routes: tuple[MeshRoute, ...]
-    removed: tuple[str, ...]
+    removed: tuple[Name, ...]
     services: tuple[MeshService, ...] | None
     limits: CallerLimits | None
 
@@ -217,18 +263,18 @@
         Version of the sender's document; 0 for none.
     """
 
-    instance: str
-    revision: int
+    instance: Name
+    revision: Count
     needs_state: bool
-    pending: int
-    limit: int
+    pending: Load
+    limit: Load
     leaving: bool
     reads: bool
-    link_mbps: float
-    demand: dict[str, tuple[int, int]] = {}
-    ends_in_s: float | None = None
-    leaving_worker: tuple[str, int] | None = None
-    version: int = 0
+    link_mbps: Rate
+    demand: dict[Name, tuple[Load, Load]] = {}
+    ends_in_s: Seconds | None = None
+    leaving_worker: tuple[WorkerId, Count] | None = None
+    version: Count = 0
 
 
 class FetchNotice(msgspec.Struct, frozen=True, tag=True):
@@ -240,7 +286,7 @@
         Version of the requesting node's document; 0 for none.
     """
 
-    version: int
+    version: Count
 
 
 class StateNotice(msgspec.Struct, frozen=True, tag=True):
@@ -276,12 +322,12 @@
         Ids of the removed workers.
     """
 
-    since: int
-    revision: int
-    version: int
+    since: Count
+    revision: Count
+    version: Count
     delta: DocumentDelta | None
     endpoints: tuple[Endpoint, ...]
-    removed: tuple[str, ...]
+    removed: tuple[WorkerId, ...]
 
 
 class CrashNotice(msgspec.Struct, frozen=True, tag=True):
@@ -323,14 +369,14 @@
         infinity for no limit, negative if unknown.
     """
 
-    probe: int
+    probe: Count
     instance: str
     route: str
-    priority: int
-    objective_s: float
-    remaining_s: float
+    priority: Count
+    objective_s: Seconds
+    remaining_s: RemainingTime
     is_call: bool
-    rate_limit: float = -1.0
+    rate_limit: RateLimit = -1.0
 
 
 class ProbeReply(msgspec.Struct, frozen=True, tag=True):
@@ -354,13 +400,13 @@
         Requests that run or wait at the worker, and its number of slots.
     """
 
-    probe: int
+    probe: Count
     accepted: bool
-    delay_s: float
-    work_s: float
-    failure_rate: float
-    pending: int
-    limit: int
+    delay_s: Seconds
+    work_s: Seconds
+    failure_rate: Share
+    pending: Load
+    limit: Load
 
 
 Notice = (
--- a/packages/core/src/mangowell_core/mesh/settings.py
+++ b/packages/core/src/mangowell_core/mesh/settings.py
@@ -12,6 +12,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from mangowell_core.mesh.model import MAX_DURATION_S
+
 # Replaces an unusable grace period, in seconds. A node that stops too early finishes
 # fewer requests; one that stops too late is killed with all that are open.
 DEFAULT_GRACE_S = 5.0
@@ -136,12 +138,16 @@
     Raises
     ------
     ValueError
-        If the text is not a number followed by one of these units.
+        If the text is not a number followed by one of these units, or the time is
+        longer than `MAX_DURATION_S`.
     """
     match = _DURATION.fullmatch(text)
     if match is None:
         raise ValueError("expected a number with the unit ms or s")
-    return float(match[1]) * _UNIT_S[match[2]]
+    duration_s = float(match[1]) * _UNIT_S[match[2]]
+    if duration_s > MAX_DURATION_S:
+        raise ValueError(f"must not be longer than {MAX_DURATION_S:.0f} s")
+    return duration_s
 
 
 def _parse_window(text: str) -> float:
--- a/packages/node/src/mangowell_node/platform/document.py
+++ b/packages/node/src/mangowell_node/platform/document.py
@@ -1,16 +1,27 @@
 """Decoding of the values that operators and workers write to the store."""
 
-from typing import Any
+import re
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from mangowell_core import formats
 from mangowell_core.mesh.model import (
+    MAX_INTEGER,
     CallerLimits,
+    Count,
     Endpoint,
+    Host,
     MeshDocument,
     MeshRoute,
     MeshService,
+    Name,
+    Port,
+    Prefix,
+    Slots,
+    Weight,
+    WorkerId,
 )
 from mangowell_core.mesh.settings import parse_duration
 
@@ -20,6 +31,8 @@
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 # Whether requests are idempotent, by the type of their route.
 _IDEMPOTENT_BY_ROUTE_TYPE = {"safe": True, "unsafe": False}
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
+Positive = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
 
 
 class PlatformFormatError(Exception):
@@ -27,29 +40,31 @@
 
 
 class _Part(msgspec.Struct):
-    service: str
-    weight: float
+    service: Name
+    weight: Weight
 
 
 class _Route(msgspec.Struct, rename="kebab"):
-    hostname: str
-    prefix: str
+    name: Name
+    hostname: Name
+    prefix: Prefix
     route_type: str  # `safe` or `unsafe`: whether a request may be repeated
     timeout: str
     target_latency: str  # an answer within this time has its full value
-    priority: int
-    max_attempts: int  # including the first attempt
-    service: str | None = None
+    priority: Count
+    max_attempts: Positive  # including the first attempt
+    service: Name | None = None
     traffic_split: list[_Part] | None = None
 
 
 class _Service(msgspec.Struct, rename="kebab"):
-    max_connections: int  # at one worker
+    name: Name
+    max_connections: Count  # at one worker
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: Count
+    max_body_bytes: Count
     header_timeout: str
     idle_timeout: str
 
@@ -58,41 +73,43 @@
     columns: list[str]  # field names, among them `name`
     rows: list[list[Any]]
 
-    def convert(self, row_type: type) -> dict[str, Any]:
-        """Return the rows as values of `row_type`, by name."""
-        name_column = self.columns.index("name")
-        return {
-            row[name_column]: msgspec.convert(
-                dict(zip(self.columns, row, strict=True)), row_type
-            )
+    def convert(self, row_type: type) -> list[Any]:
+        """Return the rows as values of `row_type`, which have different names."""
+        if len(set(self.columns)) < len(self.columns):
+            raise ValueError("duplicate columns")
+        rows = [
+            msgspec.convert(dict(zip(self.columns, row, strict=True)), row_type)
             for row in self.rows
-        }
+        ]
+        if len({row.name for row in rows}) < len(rows):
+            raise ValueError("duplicate names")
+        return rows
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: Count
     routes: _Table
     services: _Table
     limits: _Limits
 
 
 class _Info(msgspec.Struct):
-    service: str
-    zone: str
-    slots: int
+    service: Name
+    zone: Name
+    slots: Slots
 
 
 class _Status(msgspec.Struct, rename="kebab"):
     state: str
     warmup_left: str = "0ms"
-    seq: int = 0  # counts the worker's writes since its start
+    seq: Count = 0  # counts the worker's writes since its start
 
 
 class _Entry(msgspec.Struct, rename="kebab"):
     address: str
     node_info: _Info  # of the worker; the platform lists no nodes
     status: _Status
-    born: int = 0  # Unix ms
+    born: Count = 0  # Unix ms
 
 
 _document_decoder = msgspec.json.Decoder(_Document)
@@ -117,12 +134,10 @@
 
 def _read_document(value: bytes) -> MeshDocument:
     raw = _document_decoder.decode(value)
-    routes = tuple(
-        _make_route(name, route) for name, route in raw.routes.convert(_Route).items()
-    )
+    routes = tuple(_make_route(route) for route in raw.routes.convert(_Route))
     services = tuple(
-        MeshService(name, service.max_connections)
-        for name, service in raw.services.convert(_Service).items()
+        MeshService(service.name, service.max_connections)
+        for service in raw.services.convert(_Service)
     )
     limits = CallerLimits(
         raw.limits.max_header_bytes,
@@ -133,15 +148,17 @@
     return MeshDocument(raw.version, routes, services, limits)
 
 
-def _make_route(name: str, raw: _Route) -> MeshRoute:
+def _make_route(raw: _Route) -> MeshRoute:
     if raw.traffic_split:
         parts = tuple((part.service, part.weight) for part in raw.traffic_split)
+        if not any(weight for _, weight in parts):
+            raise ValueError(f"route {raw.name} gives no service a weight")
     elif raw.service:
         parts = ((raw.service, 1.0),)
     else:
-        raise ValueError(f"route {name} names no service")
+        raise ValueError(f"route {raw.name} names no service")
     return MeshRoute(
-        name,
+        raw.name,
         raw.hostname.lower(),
         raw.prefix,
         _IDEMPOTENT_BY_ROUTE_TYPE[raw.route_type],
@@ -181,11 +198,13 @@
 def _read_endpoint(key: str, value: bytes, revision: int) -> Endpoint:
     raw = _entry_decoder.decode(value)
     host, _, port = raw.address.rpartition(":")
+    if _PORT.fullmatch(port) is None:
+        raise ValueError("expected an address with a port")
     return Endpoint(
-        key.removeprefix(ENDPOINT_PREFIX),
+        msgspec.convert(key.removeprefix(ENDPOINT_PREFIX), WorkerId),
         raw.node_info.service,
-        host,
-        int(port),
+        msgspec.convert(host, Host),
+        msgspec.convert(int(port), Port),
         raw.node_info.zone,
         raw.node_info.slots,
         _DRAINING_BY_STATE[raw.status.state],
