Take a refusal for "not run" only if it belongs to the request

A faulty worker may write an earlier refusal once more on a kept connection, without a Request-Id. The node took it for the refusal of the next request and told the caller that the request had not run, or offered it to another worker, while the worker ran it. A failure without an id was passed on to the wrong caller likewise, and a request without an id got any answer.

An answer without an id now belongs to a request only if it is the first exchange of the connection and nothing else was answered on it. Otherwise it is skipped if the worker is known to echo ids in refusals, since the real answer follows; if not, the outcome is unknown and the connection ends. While a worker is seen to refuse without ids, requests that may not be repeated go out on new connections, where its refusals are certain; a sound worker of that kind costs one such request in ten seconds at most.

--- a/packages/node/src/mangowell_node/backend/__init__.py
+++ b/packages/node/src/mangowell_node/backend/__init__.py
@@ -1,7 +1,7 @@
 """Connections to the local backend server."""
 
 from mangowell_node.backend.connection import BackendConnection
-from mangowell_node.backend.dialect import BackendDialect, NativeDialect
+from mangowell_node.backend.dialect import BackendDialect, NativeDialect, RefusalIds
 from mangowell_node.backend.health import HealthPoller
 from mangowell_node.backend.pool import BackendPool
 
@@ -11,4 +11,5 @@
     "BackendPool",
     "HealthPoller",
     "NativeDialect",
+    "RefusalIds",
 ]
--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -12,6 +12,7 @@
 from mangowell_core.policy.deadlines import compute_remaining_ms
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause
+from mangowell_node.backend.dialect import RefusalIds
 from mangowell_node.exchange import (
     DROPPED_ANSWER_HEADERS,
     AnswerHead,
@@ -57,6 +58,8 @@
         "_expected_id",
         "_expects_body",
         "_framing_bytes",
+        "_has_skipped_answer",
+        "_has_skipped_refusal",
         "_head",
         "_head_bytes",
         "_heads_bytes",
@@ -98,6 +101,10 @@
         self._reads_until_eof = False
         self._sent_body_bytes = 0
         self._expected_id = ""
+        # Whether this exchange has skipped an answer to another request, and whether
+        # one of these was a refusal without an id.
+        self._has_skipped_answer = False
+        self._has_skipped_refusal = False
         self.max_idle_s = float("inf")
         self.used = False
         self.exchanges = 0
@@ -163,6 +170,7 @@
         self._heads_bytes = self._framing_bytes = 0
         self._body_bytes_left = None
         self._reads_until_eof = False
+        self._has_skipped_answer = self._has_skipped_refusal = False
         waiter = self._waiter = self._loop.create_future()
         self._timer = self._loop.call_later(deadline - now, self._on_deadline)
         self.transport.write(
@@ -262,6 +270,7 @@
     def abort(self) -> None:
         """Close the connection, which cancels the request at the backend server."""
         self._stop_timer()
+        self._record_unanswered()
         self._waiter = None
         self._head = None
         self._is_aborted = True
@@ -302,6 +311,7 @@
         if body is not None and not body.is_eof() and body.exception() is None:
             body.set_exception(error)
         self._stop_timer()
+        self._record_unanswered()
         self._is_aborted = True
         if self.transport is not None:
             self.transport.abort()
@@ -418,14 +428,21 @@
             self._is_reusable = False
         if dialect.echoes_request_id:
             found = dialect.read_request_id(headers)
-            if self._expected_id and self._is_for_other_request(found, message.code):
+            head.is_not_run = dialect.is_not_run(message.code, headers)
+            if found is None:
+                # The worker may write a copy of this answer later.
+                self._is_reusable = False
+            if self._is_for_other_request(found, head):
                 # A late answer to an earlier request; the answer to the current
                 # request may follow.
                 self._is_reusable = False
+                self._has_skipped_answer = True
                 if self._body_bytes_left is not None and self._body_bytes_left < 0:
                     raise ValueError("answer to another request")
                 return
-            head.is_not_run = dialect.is_not_run(message.code, headers)
+            self._has_skipped_refusal = False
+            if head.is_not_run:
+                self._pool.record_refusal(found is not None)
             head.slots = dialect.read_slots(headers)
             head.rate_limit = dialect.read_rate_limit(headers)
             head.is_leaving = dialect.is_leaving(headers)
@@ -436,12 +453,36 @@
         if not waiter.done():
             waiter.set_result(None)
 
-    def _is_for_other_request(self, found: str | None, status: int) -> bool:
-        if found is None:
-            # An answer without an id is accepted only if the connection has carried
-            # no other request, or if the answer reports a failure.
-            return self.exchanges > 1 and status < 400
-        return found != self._expected_id
+    def _is_for_other_request(self, found: str | None, head: AnswerHead) -> bool:
+        """Return whether an answer belongs to another request than the current one.
+
+        An answer without an id belongs to the current request only if nothing else
+        can have been answered on the connection. Otherwise it may be a copy of an
+        earlier answer, and the backend server may run the current request.
+
+        Raises
+        ------
+        ValueError
+            If the answer may belong to the current request or to another one.
+        """
+        if found is not None:
+            return found != self._expected_id
+        if self.exchanges == 1 and not self._has_skipped_answer:
+            return False
+        if head.status < 400:
+            return True
+        if self._pool.refusal_ids is RefusalIds.ECHOED:
+            self._has_skipped_refusal |= head.is_not_run
+            return True
+        if head.is_not_run:
+            self._pool.record_refusal(False)
+        raise ValueError("no request id, and the connection had other requests")
+
+    def _record_unanswered(self) -> None:
+        """Record that a skipped refusal without an id was the only answer."""
+        if self._has_skipped_refusal:
+            self._has_skipped_refusal = False
+            self._pool.record_refusal(False)
 
     def _read_keep_alive(self, value: str) -> None:
         for option in value.split(","):
--- a/packages/node/src/mangowell_node/backend/dialect.py
+++ b/packages/node/src/mangowell_node/backend/dialect.py
@@ -1,5 +1,6 @@
 """Header fields that the node and the backend server add for each other."""
 
+from enum import Enum
 from typing import Protocol
 
 from multidict import CIMultiDictProxy
@@ -7,6 +8,14 @@
 from mangowell_node.exchange import RequestHead
 
 
+class RefusalIds(Enum):
+    """Whether the refusals of a backend server bear the id of their request."""
+
+    UNKNOWN = "unknown"
+    ECHOED = "echoed"
+    OMITTED = "omitted"
+
+
 class BackendDialect(Protocol):
     """Writes and reads the header fields of one kind of backend server."""
 
--- a/packages/node/src/mangowell_node/backend/pool.py
+++ b/packages/node/src/mangowell_node/backend/pool.py
@@ -11,7 +11,7 @@
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause
 from mangowell_node.backend.connection import BackendConnection
-from mangowell_node.backend.dialect import BackendDialect, NativeDialect
+from mangowell_node.backend.dialect import BackendDialect, NativeDialect, RefusalIds
 from mangowell_node.exchange import (
     MAX_INLINE_BODY,
     Answer,
@@ -23,6 +23,9 @@
 CONNECT_TIMEOUT_S = 1.0
 # Below the 5 s after which common HTTP servers close an idle connection.
 MAX_IDLE_S = 4.0
+# Time for which a refusal without a request id counts, in seconds. It covers a burst
+# of refusals; afterwards requests are sent on kept connections again.
+REFUSAL_IDS_TTL_S = 10.0
 
 
 class BackendBody:
@@ -108,6 +111,8 @@
         self._idle: deque[BackendConnection] = deque()
         self._open: set[BackendConnection] = set()
         self._opening = 0
+        self._echoes_in_refusals = False
+        self._omitted_until = float("-inf")
         self.opened = 0
         self._waiters: deque[asyncio.Future] = deque()
         self._loss_times: deque[float] = deque(maxlen=32)
@@ -118,6 +123,28 @@
         """Connections that are currently open."""
         return frozenset(self._open)
 
+    @property
+    def refusal_ids(self) -> RefusalIds:
+        """Whether the refusals of the backend server bear the id of their request."""
+        if monotonic() < self._omitted_until:
+            return RefusalIds.OMITTED
+        return RefusalIds.ECHOED if self._echoes_in_refusals else RefusalIds.UNKNOWN
+
+    def record_refusal(self, has_id: bool) -> None:
+        """Record whether a refusal bore the id of its request."""
+        if has_id:
+            # A backend server may omit the id in some refusals only.
+            is_omitted = self.refusal_ids is RefusalIds.OMITTED
+            self._echoes_in_refusals = not is_omitted
+        else:
+            self._echoes_in_refusals = False
+            self._omitted_until = monotonic() + REFUSAL_IDS_TTL_S
+
+    def forget_refusals(self) -> None:
+        """Forget the refusals of a backend server that is no longer there."""
+        self._echoes_in_refusals = False
+        self._omitted_until = float("-inf")
+
     def record_loss(self, conn: BackendConnection) -> None:
         """Record that the backend server has closed a connection."""
         self._loss_times.append(monotonic())
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -26,7 +26,7 @@
 )
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause, Refusal
-from mangowell_node.backend import BackendConnection, BackendPool
+from mangowell_node.backend import BackendConnection, BackendPool, RefusalIds
 from mangowell_node.exchange import (
     Answer,
     AnswerHead,
@@ -135,6 +135,7 @@
         previous, self._local_worker = self._local_worker, local_worker
         if previous is not None and not _is_same_start(previous, local_worker):
             self._clear_queue(_make_unlisted_refusal())
+            self.pool.forget_refusals()
         if local_worker is None:
             return
         self._apply_rate_limit()
@@ -420,16 +421,28 @@
     # Exchange
 
     async def _exchange(self, head: RequestHead, deadline: float) -> Answer:
-        if head.idempotent:
-            conn = self.pool.take_idle()
-        else:
-            conn = self.pool.take_idle(MAX_UNSAFE_IDLE_S)
+        conn = self._take_idle_connection(head)
         if conn is None:
             conn = await self.pool.open(deadline)
         if not conn.is_open:
             raise AttemptError.at(Cause.CONNECT_FAILED, Stage.UNSENT, "worker closed")
         return await self._send(conn, head, deadline)
 
+    def _take_idle_connection(self, head: RequestHead) -> BackendConnection | None:
+        """Return a kept connection for a request, or None if it needs a new one.
+
+        A refusal without a request id belongs for certain to the current request
+        only on a new connection. An uncertain refusal costs a request that may not
+        be repeated.
+        """
+        if not head.request:
+            return None
+        if head.idempotent:
+            return self.pool.take_idle()
+        if self.pool.refusal_ids is RefusalIds.OMITTED:
+            return None
+        return self.pool.take_idle(MAX_UNSAFE_IDLE_S)
+
     async def _send(
         self, conn: BackendConnection, head: RequestHead, deadline: float
     ) -> Answer:
