Do not reuse a connection with bytes behind a chunked answer

The parser took bytes that arrived together with the end of a chunked answer for the start of the next one, and the connection went back to the pool. A part of an extra answer was then completed by the answer to the next request.

tests/node/test_kept_connections.py, extra answer cut at each byte.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -55,6 +55,7 @@
     __slots__ = (
         "_body",
         "_body_bytes_left",
+        "_chunks_end",
         "_expected_id",
         "_expects_body",
         "_framing_bytes",
@@ -98,6 +99,8 @@
         # Body bytes of the current answer that have not arrived; -1 if only the
         # parser can find the end, None while no body is being read.
         self._body_bytes_left: int | None = None
+        # Last bytes of a chunked body that have arrived.
+        self._chunks_end = b""
         self._reads_until_eof = False
         self._sent_body_bytes = 0
         self._expected_id = ""
@@ -169,6 +172,7 @@
         self._head_bytes.clear()
         self._heads_bytes = self._framing_bytes = 0
         self._body_bytes_left = None
+        self._chunks_end = b""
         self._reads_until_eof = False
         self._has_skipped_answer = self._has_skipped_refusal = False
         waiter = self._waiter = self._loop.create_future()
@@ -240,6 +244,9 @@
             and body is not None
             and body.is_eof()
             and body.exception() is None
+            # The parser takes bytes behind a chunked body for the next answer. As
+            # it does not report them, the connection must end with the body.
+            and (not self._chunks_end or self._chunks_end == _HEAD_END)
             and not self._may_have_unread_upload(head)
         ):
             if self.is_pooled:
@@ -340,8 +347,9 @@
         received both together, an error in the later bytes would fail the answer.
         Without bytes, it continues with those that it kept while reading was paused.
         """
-        if not data and self._body_bytes_left is not None:
-            self._feed(data)
+        if not data and self._body_bytes_left is not None and self._feed(data):
+            # Another answer in the bytes behind a chunked body.
+            self._is_reusable = False
         while data:
             if self._body_bytes_left is None:
                 if self._waiter is None:
@@ -390,7 +398,10 @@
         """
         body = self._body
         received = body.total_bytes
-        self._feed(data)
+        if self._feed(data):
+            # Another answer in the bytes behind the body.
+            self._is_reusable = False
+        self._chunks_end = (self._chunks_end + data[-4:])[-4:]
         self._framing_bytes += len(data) - (body.total_bytes - received)
         limit = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body.total_bytes
         if self._framing_bytes > limit:
--- /dev/null
+++ b/tests/node/test_kept_connections.py
@@ -0,0 +1,51 @@
+"""Guards against bytes that a backend server sends after a complete answer."""
+
+import asyncio
+
+import pytest
+
+from node.support_calls import make_answer
+from node.test_backend import HEAD, exchange, make_head, run_pool
+
+EXTRA = make_answer(b"second", headers="X-Other: 1\r\n")
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n"
+TRAILED = CHUNKED[:-2] + b"X-Trailer: 1\r\n\r\n"
+
+
+async def read_body(pool):
+    answer = await exchange(pool, make_head())
+    body = answer.head.body
+    while answer.stream is not None and (chunk := await answer.stream.read()):
+        body += chunk
+    return body
+
+
+@pytest.mark.parametrize("answer", [CHUNKED, TRAILED], ids=["chunks", "trailers"])
+async def test_connection_with_a_part_of_an_extra_answer_is_not_reused(answer):
+    """The parser kept that part, and took the next answer for its continuation."""
+    cuts = iter(range(1, len(EXTRA) + 1))
+
+    async def handler(request):
+        cut = next(cuts)
+        return answer + EXTRA[:cut]
+
+    async with run_pool(handler) as (_, pool):
+        for cut in range(1, len(EXTRA) + 1):
+            assert await read_body(pool) == b"first"
+            assert pool.take_idle() is None, EXTRA[:cut]
+
+
+@pytest.mark.parametrize("answer", [CHUNKED, TRAILED], ids=["chunks", "trailers"])
+async def test_connection_is_reused_after_chunks_in_any_split(answer):
+    cuts = iter(range(1, len(answer) + 1))
+
+    async def handler(request):
+        cut = next(cuts)
+        request.writer.write(answer[:cut])
+        await asyncio.sleep(0.001)
+        return answer[cut:]
+
+    async with run_pool(handler) as (backend, pool):
+        for _ in range(1, len(answer) + 1):
+            assert await read_body(pool) == b"first"
+        assert backend.connections == 1
