Send no request on a kept connection with unread bytes

Bytes that arrive just before a request is written are read after it, and look like its answer.

tests/node/test_kept_connections.py:: test_connection_on_which_bytes_wait_is_not_reused failed before and passes now.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection to the backend server."""
 
 import asyncio
+import select
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -137,6 +138,14 @@
         """Whether a request can be written to the connection."""
         return self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether bytes, or the end of the connection, wait to be read."""
+        sock = self.transport.get_extra_info("socket")
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def start(self, head: RequestHead, deadline: float) -> asyncio.Future:
         """Write a request's head and buffered body.
 
--- a/packages/node/src/mangowell_node/backend/pool.py
+++ b/packages/node/src/mangowell_node/backend/pool.py
@@ -206,7 +206,10 @@
             if not conn.is_open or idle_s >= min(MAX_IDLE_S, conn.max_idle_s):
                 conn.abort()
             elif idle_s < max_idle_s:
-                return conn
+                if not conn.has_unread_input:
+                    return conn
+                # Once the event loop has read the input, the connection ends.
+                conn.prevent_reuse()
             else:
                 self._idle.append(conn)
                 return None
--- a/tests/node/test_kept_connections.py
+++ b/tests/node/test_kept_connections.py
@@ -1,9 +1,12 @@
 """Guards against bytes that a backend server sends after a complete answer."""
 
 import asyncio
+import socket
 
 import pytest
 
+from mangowell_node.backend import BackendPool
+from mangowell_node.reach import AddressFilter
 from node.support_calls import make_answer
 from node.test_backend import HEAD, exchange, make_head, run_pool
 
@@ -49,3 +52,28 @@
         for _ in range(1, len(answer) + 1):
             assert await read_body(pool) == b"first"
         assert backend.connections == 1
+
+
+async def test_connection_on_which_bytes_wait_is_not_reused():
+    """They arrive before the request, but the loop reads them only after it."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        port = listener.getsockname()[1]
+        pool = BackendPool("127.0.0.1", port, AddressFilter())
+        calling = asyncio.create_task(exchange(pool, make_head()))
+        peer, _ = await loop.sock_accept(listener)
+        with peer:
+            await loop.sock_recv(peer, 65_536)
+            peer.send(make_answer(b"first"))
+            assert (await calling).head.body == b"first"
+            peer.send(EXTRA)
+            assert pool.take_idle() is None
+        pool.close()
+
+
+async def test_idle_connection_without_waiting_bytes_is_reused():
+    async with run_pool() as (backend, pool):
+        for _ in range(3):
+            await exchange(pool, make_head())
+        assert backend.connections == 1
