Discard the body of an answer that belongs to another request

Nobody reads such a body, so the parser paused after 128 KB and the answer to the current request behind it was never read.

tests/node/test_kept_connections.py:: test_late_answer_of_any_length_does_not_hold_up_the_next_one[300000], before: failed, "deadline passed". After: passes, as do the eight other tests of the file.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -68,6 +68,7 @@
         "_is_aborted",
         "_is_repeatable",
         "_is_reusable",
+        "_is_skipping_body",
         "_pool",
         "_reads_until_eof",
         "_sent_body_bytes",
@@ -109,6 +110,8 @@
         # one of these was a refusal without an id.
         self._has_skipped_answer = False
         self._has_skipped_refusal = False
+        # Whether the current body belongs to an answer that is skipped.
+        self._is_skipping_body = False
         self.max_idle_s = float("inf")
         self.used = False
         self.exchanges = 0
@@ -375,7 +378,8 @@
                     data[self._body_bytes_left :],
                 )
                 self._body_bytes_left -= len(part)
-                self._feed(part)
+                if not self._is_skipping_body:
+                    self._feed(part)
                 if not self._body_bytes_left:
                     self._body_bytes_left = None
 
@@ -459,7 +463,13 @@
                 self._has_skipped_answer = True
                 if self._body_bytes_left is not None and self._body_bytes_left < 0:
                     raise ValueError("answer to another request")
+                if self._body_bytes_left is not None:
+                    # Nobody reads this body, so the parser would pause. The next
+                    # answer needs a parser that has not begun a body.
+                    self._create_parser(self._expects_body)
+                self._is_skipping_body = True
                 return
+            self._is_skipping_body = False
             self._has_skipped_refusal = False
             if head.is_not_run:
                 self._pool.record_refusal(found is not None)
--- a/tests/node/test_kept_connections.py
+++ b/tests/node/test_kept_connections.py
@@ -6,8 +6,10 @@
 import pytest
 
 from mangowell_node.backend import BackendPool
+from mangowell_node.exchange import RequestHead
+from mangowell_node.platform import PlatformDialect
 from mangowell_node.reach import AddressFilter
-from node.support_calls import make_answer
+from node.support_calls import ScriptedBackend, make_answer
 from node.test_backend import HEAD, exchange, make_head, run_pool
 
 EXTRA = make_answer(b"second", headers="X-Other: 1\r\n")
@@ -77,3 +79,29 @@
         for _ in range(3):
             await exchange(pool, make_head())
         assert backend.connections == 1
+
+
+@pytest.mark.parametrize("size", [0, 70_000, 300_000])
+async def test_late_answer_of_any_length_does_not_hold_up_the_next_one(size):
+    """Nobody read its body, so that the connection stood still at 128 KB."""
+    late = make_answer(b"y" * size, headers="Request-Id: old\r\n")
+
+    async def handler(request):
+        request.writer.write(late)
+        request_id = request.headers["x-request"]
+        return make_answer(b"ok", headers=f"Request-Id: {request_id}\r\n")
+
+    backend = await ScriptedBackend(handler).start()
+    dialect = PlatformDialect()
+    pool = BackendPool("127.0.0.1", backend.port, AddressFilter(), 4, dialect)
+    try:
+        fields = b"Host: x\r\nX-Request: new\r\n"
+        head = RequestHead(
+            "new", "s", "GET", "/", fields, "", "c", 0, False, 0, True, instance="i"
+        )
+        answer = await exchange(pool, head, 1.0)
+        assert answer.head.body == b"ok"
+        assert pool.take_idle() is None
+    finally:
+        pool.close()
+        backend.crash()
