Read the end of a body that arrived while reading was paused

After the last byte of a body of more than 128 KB, the parser may be paused and has not reported the end. It was not called again when reading resumed, so the answer stayed open until its time limit, and the connection to the caller was then closed with the requests behind it, which a worker had run.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -359,7 +359,7 @@
         received both together, an error in the later bytes would fail the answer.
         Without bytes, it continues with those that it kept while reading was paused.
         """
-        if not data and self._body_bytes_left is not None and self._feed(data):
+        if not data and self._body is not None and self._feed(data):
             # Another answer in the bytes behind a chunked body.
             self._is_reusable = False
         while data:
