Do not complete an answer whose connection the node itself closes

An answer without a length ends with its connection. If the node closed the connection, as it does with all of them when it ends, the part that had arrived looked like the whole answer.

tests/node/test_kept_connections.py:: test_answer_that_the_node_itself_breaks_off_is_not_complete, before: no error, the 70,000 bytes that had arrived counted as whole. After: passes, with the nine others.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -528,8 +528,14 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the exchange; an incomplete body is an error."""
         super().connection_lost(exc)
-        if self._reads_until_eof and exc is None and self._body is not None:
-            # Only an orderly close, not a reset, completes an unframed answer.
+        if (
+            self._reads_until_eof
+            and exc is None
+            and self._body is not None
+            and not self._is_aborted
+        ):
+            # Only an orderly close by the backend server completes an unframed
+            # answer, not a reset or an abort by this node.
             if not self._body.is_eof():
                 self._parser.feed_eof()
             self._body_bytes_left = None
--- a/tests/node/test_kept_connections.py
+++ b/tests/node/test_kept_connections.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mangowell_node.backend import BackendPool
-from mangowell_node.exchange import RequestHead
+from mangowell_node.exchange import AttemptError, RequestHead
 from mangowell_node.platform import PlatformDialect
 from mangowell_node.reach import AddressFilter
 from node.support_calls import ScriptedBackend, make_answer
@@ -105,3 +105,29 @@
     finally:
         pool.close()
         backend.crash()
+
+
+async def test_answer_that_the_node_itself_breaks_off_is_not_complete():
+    """The end of the connection completes an answer without length, but not this."""
+
+    async def handler(request):
+        head = "HTTP/1.1 200 OK\r\nRequest-Id: new\r\n\r\n"
+        request.writer.write(head.encode() + b"x" * 70_000)
+        await asyncio.sleep(30)
+
+    backend = await ScriptedBackend(handler).start()
+    dialect = PlatformDialect()
+    pool = BackendPool("127.0.0.1", backend.port, AddressFilter(), 4, dialect)
+    try:
+        head = RequestHead(
+            "new", "s", "GET", "/", b"Host: x\r\n", "", "c", 0, False, 0, True
+        )
+        answer = await exchange(pool, head, 1.0)
+        size = len(await answer.stream.read())
+        with pytest.raises(AttemptError):
+            pool.close()
+            while chunk := await answer.stream.read():
+                size += len(chunk)
+    finally:
+        pool.close()
+        backend.crash()
