Isolate the users of a changed state and the steps of gossip from each other

If publishing a change, or any other use of it, raised, the task that had read the change ended, the later uses did not see it, and the changes counted as published although nothing was sent. In the gossip tasks, one failing step ended the status notices or the election of readers for good.

All uses ran in one call on the stack of the reading task or of the link that the change came from; Publication.collect marks before anything is encoded. A publication that fails is collected again with later changes; until then other nodes fetch the state by the revision in the status. A link that cannot send is closed, as its successor begins with a status. The gateway records a document only with its routes.

--- a/packages/core/src/mangowell_core/mesh/changes.py
+++ b/packages/core/src/mangowell_core/mesh/changes.py
@@ -110,6 +110,15 @@
         self._version = document.version if document else 0
         self._endpoints = dict(endpoints)
 
+    @property
+    def state(self) -> tuple[int, int, dict[str, Endpoint]]:
+        """What has been published, for `restore`."""
+        return self._revision, self._version, self._endpoints
+
+    def restore(self, state: tuple[int, int, dict[str, Endpoint]]) -> None:
+        """Return to an earlier state, as what was collected since was not sent."""
+        self._revision, self._version, self._endpoints = state
+
     def collect(
         self,
         revision: int,
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -165,8 +165,10 @@
         directory = self._directory
         document = directory.document
         if document is not None and document is not self._document:
-            self._document = document
+            # The document is only recorded with its routes, so that a failure is
+            # followed by another attempt.
             self._route_table = RouteTable(document)
+            self._document = document
             self._document_arrived.set()
             self._traffic_splitter.keep({route.name for route in document.routes})
         self.attempts.sync(monotonic())
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -37,6 +37,7 @@
 from mangowell_node.exchange import AttemptError
 from mangowell_node.link import LinkPool, LinkServer
 from mangowell_node.link.connection import Link
+from mangowell_node.mesh.call_group import CallGroup
 from mangowell_node.mesh.feed import StateFeed
 from mangowell_node.mesh.notices import (
     NoticeFormatError,
@@ -169,6 +170,26 @@
         self._publication = Publication()
         # Whether the last status has said that this node reads the store.
         self._announced_reads = False
+        # Steps of both tasks. Each is called even if one before it fails.
+        self._ticks = itertools.count()
+        self._status_steps = CallGroup(
+            emit,
+            {
+                "announce": self._announce_status,
+                "resend-crashes": self._resend_crashes,
+                "check-silence": self._check_silence,
+                "expire-stopping": self._expire_stopping_peers,
+            },
+        )
+        self._links_steps = CallGroup(
+            emit,
+            {
+                "check-links": self._check_links,
+                "keep-links": self.keep_links,
+                "update-reading": self._update_reading,
+                "catch-up": self._catch_up,
+            },
+        )
         links.on_notice = self._handle_notice
         server.on_notice = self._handle_notice
         server.on_authenticated = self._send_status
@@ -212,7 +233,7 @@
             if not link.is_authenticated or link.closed:
                 continue
             if to_all_domains or self._is_same_domain(link):
-                link.send_notice(payload)
+                _send(link, payload)
 
     def _send_status(self, link: Link) -> None:
         """Tell the peer of a new link whether this node runs or stops."""
@@ -235,7 +256,7 @@
     def _send_all(self, payload: bytes) -> None:
         for link in (*self._links.links, *self._server.links):
             if link.is_authenticated and not link.closed:
-                link.send_notice(payload)
+                _send(link, payload)
 
     def _resend_crashes(self) -> None:
         now = monotonic()
@@ -260,15 +281,17 @@
             self._emit(Event(EventCode.BACKEND_DOWN, fields))
 
     async def _run_status(self) -> None:
-        for tick in itertools.count():
-            self.announce(
-                to_all_domains=not tick % OTHER_DOMAIN_INTERVALS or not self._has_state
-            )
-            self._resend_crashes()
-            self._check_silence(monotonic())
-            self._prober.stopping_peers.expire(monotonic())
+        while True:
+            self._status_steps.run_due()
             await self._wait_for_next_status()
 
+    def _announce_status(self) -> None:
+        is_for_all = not next(self._ticks) % OTHER_DOMAIN_INTERVALS
+        self.announce(to_all_domains=is_for_all or not self._has_state)
+
+    def _expire_stopping_peers(self) -> None:
+        self._prober.stopping_peers.expire(monotonic())
+
     async def _wait_for_next_status(self) -> None:
         """Wait until the next status is due.
 
@@ -299,21 +322,28 @@
         """Send changes to the nodes of the failure domain, if this node publishes."""
         directory = self._directory
         state = directory.revision, directory.document
+        published = self._publication.state
         if not self._election.is_publisher(monotonic()):
             self._publication.mark(*state, directory.endpoints)
             return
-        changes = self._publication.collect(
-            *state, directory.history, directory.endpoints
-        )
-        if changes is None:
-            return
-        payload = encode_notice(changes)
-        # Other domains get only the revision, by which they notice changes even if
-        # the store is silent to both of their readers.
-        status = encode_notice(self._make_status())
+        try:
+            changes = self._publication.collect(
+                *state, directory.history, directory.endpoints
+            )
+            if changes is None:
+                return
+            payload = encode_notice(changes)
+            # Other domains get only the revision, by which they notice changes even
+            # if the store is silent to both of their readers.
+            status = encode_notice(self._make_status())
+        except Exception:
+            # The next call sends these changes too. Until then, other nodes learn of
+            # them by the revision in the status and fetch the whole state.
+            self._publication.restore(published)
+            raise
         for link in list(self._server.links):
             if link.is_authenticated and not link.closed:
-                link.send_notice(payload if self._is_same_domain(link) else status)
+                _send(link, payload if self._is_same_domain(link) else status)
 
     def _handle_changes(self, link: Link, changes: ChangeNotice) -> None:
         directory = self._directory
@@ -350,8 +380,9 @@
         """Whether other nodes are listed and all of them are silent."""
         return self._is_isolated
 
-    def _check_silence(self, now: float) -> None:
+    def _check_silence(self) -> None:
         """Find silent nodes and determine whether this node is isolated."""
+        now = monotonic()
         directory = self._directory
         intervals = max(1.0, len(directory.get_hosts()) / FULL_MESH_NODES)
         last_received_at = self._started_at
@@ -379,10 +410,10 @@
     async def _run_links(self) -> None:
         while True:
             await asyncio.sleep(RECONNECT_INTERVAL_S)
-            self._links.check(monotonic())
-            self.keep_links()
-            self._update_reading()
-            self._catch_up(monotonic())
+            self._links_steps.run_due()
+
+    def _check_links(self) -> None:
+        self._links.check(monotonic())
 
     def keep_links(self) -> None:
         """Open the missing links to listed nodes."""
@@ -406,7 +437,7 @@
     async def _connect(self, host: str, port: int, deadline: float) -> None:
         try:
             await self._links.connect(host, port, deadline)
-        except AttemptError:
+        except Exception as exc:
             # The pool has recorded that the node cannot be reached. A node that
             # restarts refuses connections for about a second.
             now = monotonic()
@@ -416,6 +447,8 @@
             )
             self._reconnect_waits_s[host] = wait_s
             self._reconnect_at[host] = now + wait_s
+            if not isinstance(exc, AttemptError):
+                raise
         else:
             self._reconnect_waits_s.pop(host, None)
             self._reconnect_at.pop(host, None)
@@ -529,8 +562,9 @@
         if not self._has_state:
             self._fetch_state(link)
 
-    def _catch_up(self, now: float) -> None:
+    def _catch_up(self) -> None:
         """Fetch the state from the node ahead if no reader has sent it in time."""
+        now = monotonic()
         if self._ahead_link is None or not self._is_behind:
             return
         if now - self._behind_since >= CATCH_UP_DELAY_S and not self._ahead_link.closed:
@@ -558,3 +592,14 @@
         if is_newer and not was_store_away:
             # The local watch should have delivered this state, so it may be silent.
             self._feed.restart_watch()
+
+
+def _send(link: Link, payload: bytes) -> None:
+    """Send a notice; a link that cannot send is closed, so that it is replaced.
+
+    The new link begins with a status, by which the peer notices what it has missed.
+    """
+    try:
+        link.send_notice(payload)
+    except Exception as exc:
+        link.close(f"send failed: {exc!r}")
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -11,6 +11,7 @@
 from mangowell_core.mesh.worker_states import WorkerStates
 from mangowell_node.ingress import IncomingCall, IngressServer, Reply
 from mangowell_node.link import LinkPool, LinkServer, derive_link_key
+from mangowell_node.mesh.call_group import CallGroup
 from mangowell_node.mesh.feed import StateFeed
 from mangowell_node.mesh.gateway import Gateway
 from mangowell_node.mesh.gossip import Gossip
@@ -96,6 +97,18 @@
             emit,
             self._on_directory_change,
         )
+        # The failure of one must neither keep a change from the others nor end the
+        # task that has read it.
+        self._consumers = CallGroup(
+            emit,
+            {
+                "runner-sync": self.runner.sync,
+                "gateway-sync": self.gateway.sync,
+                "keep-links": self._gossip.keep_links,
+                "publish": self._gossip.publish,
+                "ingress-sync": self._sync_ingress,
+            },
+        )
         self._ingress = IngressServer(self.gateway.serve)
         self._ready_server = IngressServer(self._handle_ready)
         self._metrics_server = IngressServer(self._handle_metrics)
@@ -235,16 +248,16 @@
     async def _run_expiry(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
+            self._consumers.repeat_failed()
             epoch = self.directory.epoch
             self.directory.expire(monotonic())
             if self.directory.epoch != epoch:
                 self._on_directory_change()
 
     def _on_directory_change(self) -> None:
-        self.runner.sync()
-        self.gateway.sync()
-        self._gossip.keep_links()
-        self._gossip.publish()
+        self._consumers.run_all()
+
+    def _sync_ingress(self) -> None:
         document = self.directory.document
         if document is not None:
             self._ingress.idle_timeout_s = document.limits.idle_timeout_s
--- a/packages/node/src/mangowell_node/mesh/tasks.py
+++ b/packages/node/src/mangowell_node/mesh/tasks.py
@@ -48,6 +48,12 @@
     return {"fault": repr(exc), "where": where}
 
 
+def compute_restart_delay(failures: int) -> float:
+    """Return the seconds to wait after a number of failures in a row."""
+    # The exponent is limited, as the power of a large number of failures overflows.
+    return min(MAX_RESTART_DELAY_S, FIRST_RESTART_DELAY_S * 2 ** min(failures - 1, 16))
+
+
 class _TaskRecord:
     """State of one supervised task."""
 
@@ -161,9 +167,7 @@
             record.failures = 0
         record.failures += 1
         record.healthy_at = float("inf")
-        delay_s = min(
-            MAX_RESTART_DELAY_S, FIRST_RESTART_DELAY_S * 2 ** (record.failures - 1)
-        )
+        delay_s = compute_restart_delay(record.failures)
         # Jitter keeps nodes that failed on the same input from reading it together.
         delay_s *= 0.75 + 0.25 * self._rng.random()
         loop = task.get_loop()
