Hold missing entries only after an outage in which leases can run out

Callers saw requests sent to a worker whose entry had been removed 2 s to 5 s before, also on machines that had no disruption.

Any failed call of a reader counted as an outage of the store, and entries missing afterwards were held for 2 s as if their leases could have run out. The reader published the new revision without the removal, so other nodes believed that they were up to date, and handed held entries out as live ones. A reader that stopped reading counted as a return of the store.

Nodes now track since when the store is known to have answered, by their own calls and by reports of other nodes, which travel with the status of readers and with each state and change. Entries are held only if no node was answered for three report intervals less one, the age of the last renewal. A report that another node was answered meanwhile ends the hold. Held entries are left out of states and published as removed; each node holds them by the same evidence. An entry that was written before the removal no longer brings a worker back, as from a late answer.

The interval is in the new setting heartbeat_s. If it is unknown, any failed call may still be an outage, as before.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -12,6 +12,7 @@
     StateNotice,
 )
 from mangowell_core.mesh.revisions import get_era, is_copy_of_departed, is_later_write
+from mangowell_core.mesh.uptime import StoreUptime
 
 # The platform states that an entry whose lease expired during a store outage is
 # listed again within this time after the outage, if its worker is alive.
@@ -27,14 +28,24 @@
 class Directory:
     """Holds the current document and workers; their revisions never decrease.
 
-    An entry that the store no longer lists is dropped at once, except during and
-    shortly after an outage of the store. Leases expire while no worker can renew
-    them, so missing entries are then held until the workers have had time to
-    register again.
+    An entry that the store no longer lists is dropped at once, except shortly after
+    an outage of the store that was long enough for leases to run out. Missing entries
+    are then held until their workers have had time to register again. Other nodes
+    are told that they are missing, and hold them or not by what they know.
 
     A store that was restored from a copy lists workers that have left since, and
     says of others that they are ready although they drain. Such entries are
     recognized by the worker's own order of writes.
+
+    Parameters
+    ----------
+    heartbeat_s : float
+        Interval at which workers renew their leases, in seconds; 0 if unknown.
+
+    Attributes
+    ----------
+    uptime : StoreUptime
+        Since when the store has answered without a long gap.
     """
 
     __slots__ = (
@@ -42,32 +53,32 @@
         "_by_service",
         "_departed",
         "_endpoints",
-        "_hold_deadlines",
-        "_is_store_away",
+        "_held",
         "_restored_through",
-        "_store_returned_at",
         "_withheld",
         "_withheld_until",
         "document",
         "epoch",
         "history",
         "revision",
+        "uptime",
     )
 
-    def __init__(self):
+    def __init__(self, heartbeat_s: float = 0.0):
         self.revision = 0
         self.document: MeshDocument | None = None
         self.history = DocumentHistory()
         # Increases with every change of the endpoints.
         self.epoch = 0
         self._endpoints: dict[str, Endpoint] = {}
-        self._hold_deadlines: dict[str, float] = {}
-        self._is_store_away = False
-        self._store_returned_at = float("-inf")
+        # Missing entries that are held, each with the revision at which it was missing.
+        self._held: dict[str, int] = {}
+        self.uptime = StoreUptime(heartbeat_s)
         # Revision of the first state that was read after the latest restore.
         self._restored_through = 0
-        # Last entries of removed workers, each with the time until which it is kept.
-        self._departed: dict[str, tuple[Endpoint, float]] = {}
+        # Last entries of removed workers, each with the revision of the removal and the
+        # time until which it is kept.
+        self._departed: dict[str, tuple[Endpoint, int, float]] = {}
         # Entries of such workers in the copy, and the time at which they are used.
         self._withheld: dict[str, Endpoint] = {}
         self._withheld_until = 0.0
@@ -78,18 +89,16 @@
 
     @property
     def is_store_away(self) -> bool:
-        """Whether the store left the last call unanswered."""
-        return self._is_store_away
+        """Whether the store left the last call of this node unanswered."""
+        return self.uptime.is_away
 
     def record_store_outage(self) -> None:
-        """Record that the store does not answer."""
-        self._is_store_away = True
+        """Record that the store does not answer this node."""
+        self.uptime.record_failure()
 
-    def record_store_recovery(self, now: float) -> None:
-        """Record that the store answers again."""
-        if self._is_store_away:
-            self._is_store_away = False
-            self._store_returned_at = now
+    def record_store_recovery(self, now: float, sent_at: float | None = None) -> None:
+        """Record that the store answered a call of this node, sent at `sent_at`."""
+        self.uptime.record_answer(now if sent_at is None else sent_at, now)
 
     def record_store_restore(self, now: float) -> None:
         """Record that the store was restored from a copy.
@@ -97,7 +106,7 @@
         Workers that have registered since the copy have to register again, as after
         an outage.
         """
-        self._store_returned_at = now
+        self.uptime.restored_at = now
 
     def apply_document(self, document: MeshDocument) -> bool:
         """Apply a document if it is newer than the current one.
@@ -119,12 +128,16 @@
         if current is not None:
             if not is_later_write(endpoint, current, restored_through):
                 return
+            if _was_removed_later(endpoint, self._held.get(endpoint.id)):
+                return
         elif endpoint.id in self._departed:
-            departed, _ = self._departed[endpoint.id]
+            departed, removed_at, _ = self._departed[endpoint.id]
             if is_copy_of_departed(endpoint, departed, restored_through):
                 self._withheld[endpoint.id] = endpoint
                 return
-        self._hold_deadlines.pop(endpoint.id, None)
+            if _was_removed_later(endpoint, removed_at):
+                return
+        self._held.pop(endpoint.id, None)
         self._withheld.pop(endpoint.id, None)
         if current == endpoint:
             return
@@ -137,12 +150,10 @@
         current = self._endpoints.get(endpoint_id)
         if current is None or current.revision > revision:
             return
-        if self._may_have_lapsed_in_outage(now):
-            self._hold_deadlines.setdefault(
-                endpoint_id, self._compute_hold_deadline(now)
-            )
+        if now < self._hold_deadline:
+            self._held.setdefault(endpoint_id, revision)
         else:
-            self._drop(endpoint_id, now)
+            self._drop(endpoint_id, revision, now)
 
     def load(self, endpoints: Iterable[Endpoint], revision: int, now: float) -> None:
         """Apply the complete list at `revision`; remove entries missing from it."""
@@ -169,6 +180,8 @@
         bool
             Whether the endpoints were replaced.
         """
+        if notice.store_uptime is not None:
+            self.uptime.merge(notice.store_uptime, now)
         state = notice.state
         if state.document is not None:
             self.apply_document(state.document)
@@ -187,6 +200,8 @@
         bool
             False if earlier changes are missing here.
         """
+        if changes.store_uptime is not None:
+            self.uptime.merge(changes.store_uptime, now)
         if changes.revision < self.revision:
             return True
         if changes.since > self.revision or not self._apply_delta(changes.delta):
@@ -222,12 +237,11 @@
     def export(self, version: int = 0) -> StateNotice:
         """Return the state for a node that has document `version`; 0 for none.
 
-        Held entries are included: the node that reads the store announces their
-        removal.
+        Held entries are left out: the store does not list them at this revision.
         """
         delta = self.history.compute_delta_from(version)
         document = self.document if delta is None else None
-        endpoints = tuple(self._endpoints.values())
+        endpoints = tuple(self.listed.values())
         return StateNotice(MeshState(self.revision, document, endpoints), delta)
 
     def expire(self, now: float) -> None:
@@ -235,33 +249,33 @@
 
         Withheld entries that the store still lists are used from their time on.
         """
-        if self._is_store_away:
+        deadline = self._hold_deadline
+        is_away = self.uptime.is_away
+        if now >= deadline and not (is_away and self.uptime.until < deadline):
+            for endpoint_id, revision in list(self._held.items()):
+                self._drop(endpoint_id, revision, now)
+        if is_away:
             return
-        for endpoint_id, deadline in list(self._hold_deadlines.items()):
-            if now >= deadline:
-                self._drop(endpoint_id, now)
         if self._withheld and now >= self._withheld_until:
             for endpoint in list(self._withheld.values()):
                 self._departed.pop(endpoint.id, None)
                 self.put(endpoint)
-        for endpoint_id, (_, deadline) in list(self._departed.items()):
+        for endpoint_id, (*_, deadline) in list(self._departed.items()):
             if now >= deadline:
                 del self._departed[endpoint_id]
 
-    def _may_have_lapsed_in_outage(self, now: float) -> bool:
-        return (
-            self._is_store_away or now < self._store_returned_at + LAPSED_ENTRY_HOLD_S
-        )
-
-    def _compute_hold_deadline(self, now: float) -> float:
-        start = now if self._is_store_away else self._store_returned_at
-        return start + LAPSED_ENTRY_HOLD_S
+    @property
+    def _hold_deadline(self) -> float:
+        """Time from which a worker whose entry is missing has left."""
+        uptime = self.uptime
+        return max(uptime.returned_at, uptime.restored_at) + LAPSED_ENTRY_HOLD_S
 
-    def _drop(self, endpoint_id: str, now: float) -> None:
-        self._hold_deadlines.pop(endpoint_id, None)
+    def _drop(self, endpoint_id: str, revision: int, now: float) -> None:
+        self._held.pop(endpoint_id, None)
         endpoint = self._endpoints.pop(endpoint_id, None)
         if endpoint is not None:
-            self._departed[endpoint_id] = endpoint, now + DEPARTED_KEEP_S
+            deadline = now + DEPARTED_KEEP_S
+            self._departed[endpoint_id] = endpoint, revision, deadline
             self._invalidate_indexes()
 
     def _invalidate_indexes(self) -> None:
@@ -306,6 +320,13 @@
         """All workers, by id."""
         return self._endpoints
 
+    @property
+    def listed(self) -> dict[str, Endpoint]:
+        """Workers that the store lists at the current revision, by id."""
+        if not self._held:
+            return self._endpoints
+        return {e.id: e for e in self._endpoints.values() if e.id not in self._held}
+
     def __len__(self) -> int:
         return len(self._endpoints)
 
@@ -323,5 +344,12 @@
         return {service: tuple(group) for service, group in groups.items()}
 
 
+def _was_removed_later(endpoint: Endpoint, removed_at: int | None) -> bool:
+    """Return whether the entry was missing at a later revision of the same era."""
+    if removed_at is None or get_era(removed_at) != get_era(endpoint.revision):
+        return False
+    return endpoint.revision <= removed_at
+
+
 def _get_start_order(endpoint: Endpoint) -> tuple[int, int]:
     return endpoint.born_ms, endpoint.revision
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from mangowell_core.mesh.uptime import UptimeReport
+
 
 class MeshRoute(msgspec.Struct, frozen=True, array_like=True):
     """Rule that maps requests to one or more services.
@@ -215,6 +217,8 @@
         stated that it is about to stop.
     version : int
         Version of the sender's document; 0 for none.
+    store_uptime : UptimeReport or None
+        When the store is known to have answered.
     """
 
     instance: str
@@ -229,6 +233,7 @@
     ends_in_s: float | None = None
     leaving_worker: tuple[str, int] | None = None
     version: int = 0
+    store_uptime: UptimeReport | None = None
 
 
 class FetchNotice(msgspec.Struct, frozen=True, tag=True):
@@ -252,10 +257,13 @@
         State; it has no document if `delta` is given.
     delta : DocumentDelta or None
         Change from the version of the requesting node to the current document.
+    store_uptime : UptimeReport or None
+        As in `StatusNotice`.
     """
 
     state: MeshState
     delta: DocumentDelta | None
+    store_uptime: UptimeReport | None = None
 
 
 class ChangeNotice(msgspec.Struct, frozen=True, tag=True):
@@ -274,6 +282,8 @@
         Entries of added and changed workers.
     removed : tuple of str
         Ids of the removed workers.
+    store_uptime : UptimeReport or None
+        As in `StatusNotice`.
     """
 
     since: int
@@ -282,6 +292,7 @@
     delta: DocumentDelta | None
     endpoints: tuple[Endpoint, ...]
     removed: tuple[str, ...]
+    store_uptime: UptimeReport | None = None
 
 
 class CrashNotice(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/mangowell_core/mesh/settings.py
+++ b/packages/core/src/mangowell_core/mesh/settings.py
@@ -17,6 +17,9 @@
 DEFAULT_GRACE_S = 5.0
 # Replaces an unusable window of the retry budget, in seconds.
 DEFAULT_RETRY_WINDOW_S = 10.0
+# Stands for an unknown report interval of the workers, in seconds. Their leases may
+# then be short, so entries that are missing after any failed call are held.
+DEFAULT_HEARTBEAT_S = 0.0
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _UNIT_S = {"ms": 0.001, "s": 1.0}
@@ -56,6 +59,9 @@
         Retries allowed to all nodes in each window in addition to that share.
     retry_window_s : float
         Length of the window, in seconds.
+    heartbeat_s : float
+        Interval at which workers renew their entries in the store, in seconds; 0 if
+        it is unknown.
     warnings : tuple of str
         One message for each value that was replaced by its default.
     """
@@ -74,6 +80,7 @@
     retry_ratio: float
     retry_floor: float
     retry_window_s: float
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S
     warnings: tuple[str, ...] = ()
 
 
@@ -178,6 +185,7 @@
     "link_mbps": ("node", _parse_number, 0.0),
     "worker": ("worker", _parse_address, None),
     "store": ("store", _parse_address, None),
+    "heartbeat_s": ("store", parse_duration, DEFAULT_HEARTBEAT_S),
     "grace_s": ("bounds", parse_duration, DEFAULT_GRACE_S),
     "retry_ratio": ("retries", _parse_number, 0.0),
     "retry_floor": ("retries", _parse_number, 0.0),
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -97,7 +97,8 @@
             return
         self._emit(Event(EventCode.READER_STOPPED, fields))
         self._reading_enabled.clear()
-        self._directory.record_store_recovery(asyncio.get_running_loop().time())
+        # Other nodes read from now on. That shows nothing about the store.
+        self._directory.uptime.stop_reading()
         if self._watch_task is not None:
             self._watch_task.cancel()
 
@@ -107,7 +108,6 @@
             self._watch_task.cancel()
 
     async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             await self._reading_enabled.wait()
             try:
@@ -125,7 +125,6 @@
                 self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
                 await asyncio.sleep(delay_s)
             else:
-                self._record_up(loop.time())
                 # Jitter keeps nodes that got a change together from calling together.
                 await asyncio.sleep(COALESCE_S * (0.6 + 0.8 * self._rng.random()))
 
@@ -135,7 +134,7 @@
             await self._read_all()
             return
         changes = await self._run_interruptible(self._store.watch(self._revision))
-        self._record_up(asyncio.get_running_loop().time())
+        self._record_up(asyncio.get_running_loop().time(), changes.sent_at)
         for item in changes.items:
             self._apply(item)
         self._advance_revision(changes.revision)
@@ -157,11 +156,12 @@
     async def _read_all(self) -> None:
         # The list comes first: the next watch starts at its revision, so it contains
         # any change made while the document is read.
+        sent_at = asyncio.get_running_loop().time()
         listing = await self._store.list_endpoints()
         document = await self._store.read_document()
         now = asyncio.get_running_loop().time()
         self._record_era(listing.revision, now)
-        self._record_up(now)
+        self._record_up(now, sent_at)
         for item in document.items:
             self._apply(item)
         endpoints = []
@@ -249,12 +249,12 @@
             self._emit(Event(EventCode.INSTANCES_DOUBTED, fields))
             raise
 
-    def _record_up(self, now: float) -> None:
+    def _record_up(self, now: float, sent_at: float) -> None:
         self._backoff_s = FIRST_BACKOFF_S
+        self._directory.record_store_recovery(now, sent_at)
         if self._is_up:
             return
         self._is_up = True
-        self._directory.record_store_recovery(now)
         self._emit(
             Event(
                 EventCode.SOURCE_UP, {"revision": get_number(self._directory.revision)}
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from time import monotonic
 
+import msgspec
+
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import (
     CrashCounter,
@@ -290,14 +292,12 @@
         directory = self._directory
         state = directory.revision, directory.document
         if not self._election.is_publisher(monotonic()):
-            self._publication.mark(*state, directory.endpoints)
+            self._publication.mark(*state, directory.listed)
             return
-        changes = self._publication.collect(
-            *state, directory.history, directory.endpoints
-        )
+        changes = self._publication.collect(*state, directory.history, directory.listed)
         if changes is None:
             return
-        payload = encode_notice(changes)
+        payload = encode_notice(self._add_store_uptime(changes))
         # Other domains get only the revision, by which they notice changes even if
         # the store is silent to both of their readers.
         status = encode_notice(self._make_status())
@@ -312,9 +312,7 @@
             self._fetch_state(link)
             return
         # The sender sends the changes to the other nodes too, so this node does not.
-        self._publication.mark(
-            directory.revision, directory.document, directory.endpoints
-        )
+        self._publication.mark(directory.revision, directory.document, directory.listed)
         if directory.generation != before:
             self._emit_changes(link, changes)
             self._on_change()
@@ -436,8 +434,14 @@
             max(0.0, self._end_deadline - monotonic()) if self._is_leaving else None,
             self._runner.leaving_worker,
             directory.document_version,
+            directory.uptime.export(monotonic()) if self._feed.is_up else None,
         )
 
+    def _add_store_uptime(self, notice):
+        """Return the notice with what a receiver needs to judge missing entries."""
+        uptime = self._directory.uptime.export(monotonic())
+        return msgspec.structs.replace(notice, store_uptime=uptime)
+
     def _handle_notice(self, link: Link, payload: bytes) -> None:
         try:
             notice = decode_notice(payload)
@@ -454,7 +458,7 @@
                 self._handle_status(link, notice)
             case FetchNotice():
                 state = self._directory.export(notice.version)
-                link.send_notice(encode_notice(state))
+                link.send_notice(encode_notice(self._add_store_uptime(state)))
             case StateNotice():
                 self._handle_state(link, notice)
             case ChangeNotice():
@@ -486,6 +490,8 @@
             report = ReaderReport(notice.link_mbps, notice.reads, notice.leaving)
             self._election.record_report(notice.instance, report, now)
         directory = self._directory
+        if notice.store_uptime is not None:
+            directory.uptime.merge(notice.store_uptime, now)
         if notice.needs_state and notice.revision < directory.revision:
             # The peer fetches the state when it learns that a newer one exists.
             link.send_notice(encode_notice(self._make_status()))
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -45,7 +45,7 @@
         self._settings = settings
         self._telemetry = telemetry
         emit = telemetry.emit
-        self.directory = directory = Directory()
+        self.directory = directory = Directory(settings.heartbeat_s)
         self._store = StoreClient(settings.store)
         self._feed = StateFeed(
             self._store, directory, emit, self._on_directory_change, rng
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -1,5 +1,6 @@
 """Read-only client of the metadata store of the platform."""
 
+import asyncio
 import base64
 import binascii
 import socket
@@ -93,10 +94,21 @@
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """Changes up to a revision, oldest first."""
+    """Changes up to a revision, oldest first.
+
+    Parameters
+    ----------
+    items : list of Item
+        Items as they were written or deleted.
+    revision : int
+        Revision through which they are complete.
+    sent_at : float
+        Time at which the answered call was sent, in seconds of the event loop.
+    """
 
     items: list[Item]
     revision: int
+    sent_at: float
 
 
 class _RawItem(msgspec.Struct, rename="kebab"):
@@ -212,6 +224,7 @@
         """
         after = get_number(revision)
         path = f"kv-watch?prefix=&after={after}&wait-ms={WATCH_WAIT_MS}"
+        sent_at = asyncio.get_running_loop().time()
         era, body = await self._get(path, WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S)
         if body is None:
             raise StoreError("watch refused: 404")
@@ -219,7 +232,7 @@
         if era != get_era(revision):
             raise HistoryGoneError("store was restored from a copy")
         items = [_make_item(raw, era) for raw in reply.events]
-        return Changes(items, make_revision(era, reply.as_of))
+        return Changes(items, make_revision(era, reply.as_of), sent_at)
 
     async def _get(self, path: str, timeout_s: float) -> tuple[int, bytes | None]:
         """Return era and body of an answer; the body is None if its status is 404."""
--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -42,6 +42,8 @@
         self.worker = ScriptedBackend(answer_with_id())
         self.link_port = link_port
         self.store_port = store_port
+        # Report interval of the workers, in seconds; 0 if the settings do not name it.
+        self.heartbeat_s = 0.0
         self.settings: MeshSettings | None = None
         self.node: MeshNode | None = None
         self.log_path = None if logs is None else logs / f"node-{number}.log"
@@ -64,6 +66,7 @@
             retry_ratio=1.0,
             retry_floor=100,
             retry_window_s=10.0,
+            heartbeat_s=self.heartbeat_s,
         )
         sink = None
         if self.log_path is not None:
@@ -119,7 +122,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_mesh(count=1, document=None, zones=("z",), logs=None):
+async def run_mesh(count=1, document=None, zones=("z",), logs=None, heartbeat_s=0.0):
     """Run a store and machines, and wait until every node lists all workers."""
     store = await PlatformStore().start()
     store.put("op/config", document or make_document())
@@ -130,6 +133,7 @@
     ]
     try:
         for machine in machines:
+            machine.heartbeat_s = heartbeat_s
             await machine.start()
             store.put(f"servers/{machine.id}", machine.entry)
         await until(lambda: all(len(m.node.directory) == count for m in machines))
--- a/tests/mesh/test_mesh_settings.py
+++ b/tests/mesh/test_mesh_settings.py
@@ -24,6 +24,7 @@
     "internal-ports.0": "7620",
     "app-addr": "10.0.0.1:8301",
     "platform.address": "10.9.0.1:8309",
+    "heartbeat": "1500ms",
     "bounds.grace": "6s",
     "bounds.retry-budget-ratio": "0.2",
     "bounds.budget-min-retries": "60",
@@ -41,6 +42,7 @@
     assert (settings.instance, settings.failure_domain) == ("sidecar-1", "z-a")
     assert (settings.link.host, settings.link.port) == ("10.0.0.1", 7620)
     assert (settings.grace_s, settings.retry_floor) == (6.0, 60)
+    assert settings.heartbeat_s == 1.5
 
 
 @pytest.mark.parametrize(
@@ -90,6 +92,7 @@
             "retry_window_s",
             10.0,
         ),
+        ({"heartbeat": "often"}, "[store] heartbeat_s='often'", "heartbeat_s", 0.0),
         ({"limits.link-mbps": ""}, "[node] link_mbps: missing", "link_mbps", 0.0),
     ],
 )
