--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -10,6 +10,8 @@
 import msgspec
 from msgspec import Meta
 
+from mangowell_core.mesh.uptime import UptimeReport
+
 # Largest number of a version, write or worker that all encodings carry.
 MAX_INTEGER = 2**63 - 1
 # Longest time in seconds, about 30 years. Timers and sums of times stay exact.
@@ -261,6 +263,8 @@
         stated that it is about to stop.
     version : int
         Version of the sender's document; 0 for none.
+    store_uptime : UptimeReport or None
+        When the store is known to have answered.
     """
 
     instance: Name
@@ -275,6 +279,7 @@
     ends_in_s: Seconds | None = None
     leaving_worker: tuple[WorkerId, Count] | None = None
     version: Count = 0
+    store_uptime: UptimeReport | None = None
 
 
 class FetchNotice(msgspec.Struct, frozen=True, tag=True):
@@ -298,10 +303,13 @@
         State; it has no document if `delta` is given.
     delta : DocumentDelta or None
         Change from the version of the requesting node to the current document.
+    store_uptime : UptimeReport or None
+        As in `StatusNotice`.
     """
 
     state: MeshState
     delta: DocumentDelta | None
+    store_uptime: UptimeReport | None = None
 
 
 class ChangeNotice(msgspec.Struct, frozen=True, tag=True):
@@ -320,6 +328,8 @@
         Entries of added and changed workers.
     removed : tuple of str
         Ids of the removed workers.
+    store_uptime : UptimeReport or None
+        As in `StatusNotice`.
     """
 
     since: Count
@@ -328,6 +338,7 @@
     delta: DocumentDelta | None
     endpoints: tuple[Endpoint, ...]
     removed: tuple[WorkerId, ...]
+    store_uptime: UptimeReport | None = None
 
 
 class CrashNotice(msgspec.Struct, frozen=True, tag=True):
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -56,7 +56,7 @@
         self._telemetry = telemetry
         emit = telemetry.emit
         self.supervisor = self.supervisor_type(emit, rng)
-        self.directory = directory = Directory()
+        self.directory = directory = Directory(settings.heartbeat_s)
         self._store = StoreClient(settings.store)
         self._feed = StateFeed(
             self._store, directory, emit, self._on_directory_change, rng
