Read on after the last reply until the caller has it

The connection of a caller was closed as soon as its last reply was written. A request that crossed the reply then arrived at a closed socket, and the reset dropped what had not been sent yet. The node now ends only its own direction, and reads and discards until the caller closes, for 0.5 s at most after the caller's TCP has acknowledged everything, or until the caller takes nothing more for 2 s. A stop waits for such connections within its deadline. A caller that has announced the close itself sends nothing more, so its connection is closed at once as before.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import fcntl
+import struct
+import termios
 from collections import deque
 from http import HTTPStatus
 from time import monotonic
@@ -31,8 +34,13 @@
 MAX_PIPELINED_REQUESTS = 16  # parsed but not started, on one connection
 MAX_CONCURRENT_REQUESTS = 16  # served at once, on one connection
 # Time for which the rest of a refused upload is read, so that the caller can read
-# the answer.
+# the answer. It is also the time after which a caller that takes no more bytes of its
+# last reply counts as gone.
 LINGER_S = 2.0
+# Time for which a closing connection is read after the caller's TCP has acknowledged
+# everything, so that the caller itself can read it.
+DELIVERED_LINGER_S = 0.5
+LINGER_CHECK_INTERVAL_S = 0.02
 _BODILESS_STATUSES = frozenset({204, 304})
 
 _log = logbook.Logger(__name__)
@@ -58,12 +66,16 @@
 
     __slots__ = (
         "_accepts_requests",
+        "_caller_closes",
         "_exchanges",
         "_is_closing",
+        "_linger_deadline",
+        "_linger_timer",
         "_messages",
         "_parse_error",
         "_parsed_count",
         "_server",
+        "_undelivered",
         "_writer",
         "idle_since",
         "peer",
@@ -88,7 +100,13 @@
         self._parsed_count = 0
         self._parse_error = ""
         self._is_closing = False
+        # Set while the connection waits for the caller to read its last reply.
+        self._linger_timer: asyncio.TimerHandle | None = None
+        self._linger_deadline = 0.0
+        self._undelivered = 0
         self._accepts_requests = True
+        # Whether the caller has announced that it sends no further request.
+        self._caller_closes = False
         self.idle_since = monotonic()
         self.peer = ""
 
@@ -109,6 +127,8 @@
         """Cancel the requests in progress."""
         super().connection_lost(exc)
         self._server.connections.discard(self)
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         for exchange in self._exchanges:
             _fail_content(exchange.content, "caller disconnected")
             exchange.task.cancel()
@@ -117,7 +137,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
-        if self._is_closing and not self._exchanges:
+        if self._linger_timer or (self._is_closing and not self._exchanges):
             return
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
@@ -224,9 +244,48 @@
                     pass
 
     def _close(self) -> None:
+        """Close the connection once the caller has got everything.
+
+        A caller may have sent a request that crosses the last reply. If it arrived at
+        a closed socket, the system would reset the connection and drop what has not
+        been sent yet. Until then, all that arrives is read and discarded.
+        """
         self._is_closing = True
-        if self.transport is not None:
+        transport = self.transport
+        if transport is None or transport.is_closing() or self._linger_timer:
+            return
+        self._undelivered = self._count_undelivered()
+        if self._caller_closes or not self._undelivered:
+            transport.close()
+            return
+        self._messages.clear()
+        transport.write_eof()
+        self._resume_transport_reading()
+        self._linger_deadline = monotonic() + LINGER_S
+        self._check_linger()
+
+    def _count_undelivered(self) -> int:
+        """Return how many bytes the caller's TCP has not acknowledged."""
+        transport = self.transport
+        fd = transport.get_extra_info("socket").fileno()
+        queued = fcntl.ioctl(fd, termios.TIOCOUTQ, bytes(4))
+        return transport.get_write_buffer_size() + struct.unpack("i", queued)[0]
+
+    def _check_linger(self) -> None:
+        """Close the connection if the caller has had enough time to read."""
+        if self.transport.is_closing():
+            return
+        undelivered, now = self._count_undelivered(), monotonic()
+        if undelivered < self._undelivered:
+            linger_s = LINGER_S if undelivered else DELIVERED_LINGER_S
+            self._linger_deadline = now + linger_s
+            self._undelivered = undelivered
+        if now >= self._linger_deadline:
             self.transport.close()
+            return
+        self._linger_timer = self._loop.call_later(
+            LINGER_CHECK_INTERVAL_S, self._check_linger
+        )
 
     def close_if_idle(self) -> None:
         """Close the connection now if it is idle, else after its last reply."""
@@ -280,6 +339,7 @@
         if not keep_alive:
             # A request that starts later would be cut off by the close.
             self._accepts_requests = False
+            self._caller_closes = not call.keep_alive
         body = reply.body
         framing = b""
         chunked = False
--- a/tests/node/test_ingress_stop.py
+++ b/tests/node/test_ingress_stop.py
@@ -1,11 +1,13 @@
 """Stops of the HTTP server for callers: every request that was read is answered."""
 
 import asyncio
+import socket
 from time import monotonic
 
 import pytest
 
 from mangowell_node.ingress import CallerConnection, IngressServer, Reply
+from mangowell_node.ingress import connection as connection_module
 from mangowell_node.ingress import server as server_module
 from node.support_calls import find_port, read_response, until
 
@@ -161,3 +163,63 @@
     assert (answer.status, answer.headers["connection"]) == (200, "close")
     assert await asyncio.wait_for(reader.read(), 5) == b""
     writer.close()
+
+
+async def send_behind_last_reply(ingress, body):
+    """Read a part of a last reply and send a further request; return the reader."""
+
+    async def serve(call):
+        return Reply(200, "OK", b"", body)
+
+    ingress.serve = serve
+    ingress.draining = True
+    sock = socket.socket()
+    # A small window, so that most of the reply waits at the node.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, ("127.0.0.1", ingress.port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+    writer.write(GET % b"last")
+    await reader.readuntil(b"\r\n\r\n")
+    for number in range(3):
+        writer.write(GET % b"behind%d" % number)
+        await asyncio.sleep(0.02)
+    return reader, writer
+
+
+@pytest.mark.parametrize("size", [30_000, 3_000_000])
+async def test_requests_behind_the_last_reply_do_not_cut_it(ingress, size):
+    """They arrived at a closed socket, whose reset dropped what was not sent yet."""
+    body = b"x" * size
+    reader, writer = await send_behind_last_reply(ingress, body)
+    stop = asyncio.create_task(ingress.stop(10.0))
+    received = b""
+    while chunk := await reader.read(65_536):
+        received += chunk
+        if len(received) < 20_000:
+            await asyncio.sleep(0.01)
+    assert received == body
+    assert not stop.done()
+    writer.close()
+    await asyncio.wait_for(stop, 0.3)
+    assert not ingress.connections
+
+
+async def test_caller_that_does_not_close_does_not_hold_up_the_stop(ingress):
+    reader, writer = await send_behind_last_reply(ingress, b"x" * 30_000)
+    assert len(await reader.read(-1)) == 30_000
+    started = monotonic()
+    await ingress.stop(10.0)
+    assert monotonic() - started < connection_module.DELIVERED_LINGER_S + 0.3
+    writer.close()
+
+
+async def test_caller_that_stops_reading_is_given_up(ingress, monkeypatch):
+    monkeypatch.setattr(connection_module, "LINGER_S", 0.2)
+    _, writer = await send_behind_last_reply(ingress, b"x" * 100_000)
+    writer.transport.pause_reading()
+    started = monotonic()
+    await ingress.stop(10.0)
+    assert 0.1 < monotonic() - started < 1.0
+    writer.transport.abort()
