Keep revisions of the store of up to 53 bits in full

A store whose revision counter is above 2**40 got watches from the lower 40 bits of its revision: with every watch it would send its whole history, or say that it is gone. make_revision cut off the upper bits without an error.

The number now has 53 bits, which JSON carries exactly, and the era 10, so that both still fit into the 64 bits of a notice. Numbers and eras beyond raise ValueError in place of another revision.

--- a/packages/core/src/mangowell_core/mesh/revisions.py
+++ b/packages/core/src/mangowell_core/mesh/revisions.py
@@ -8,14 +8,24 @@
 
 from mangowell_core.mesh.model import Endpoint
 
-# Bits of the store's own revision number.
-NUMBER_BITS = 40
-_NUMBER_MASK = (1 << NUMBER_BITS) - 1
+# Bits of the store's own revision number. JSON carries integers of 53 bits exactly.
+NUMBER_BITS = 53
+MAX_NUMBER = (1 << NUMBER_BITS) - 1
+# Era and number together take 63 bits, as much as a notice carries.
+MAX_ERA = (1 << 63 - NUMBER_BITS) - 1
 
 
 def make_revision(era: int, number: int) -> int:
-    """Return the revision for a number that the store gave out in an era."""
-    return era << NUMBER_BITS | number & _NUMBER_MASK
+    """Return the revision for a number that the store gave out in an era.
+
+    Raises
+    ------
+    ValueError
+        If the era or the number is out of range.
+    """
+    if not (0 <= era <= MAX_ERA and 0 <= number <= MAX_NUMBER):
+        raise ValueError(f"revision {number} of era {era} is out of range")
+    return era << NUMBER_BITS | number
 
 
 def get_era(revision: int) -> int:
@@ -25,7 +35,7 @@
 
 def get_number(revision: int) -> int:
     """Return the number of a revision in the store."""
-    return revision & _NUMBER_MASK
+    return revision & MAX_NUMBER
 
 
 def is_later_write(new: Endpoint, known: Endpoint, restored_through: int) -> bool:
--- a/tests/mesh/test_revisions.py
+++ b/tests/mesh/test_revisions.py
@@ -1,5 +1,6 @@
 """Order of what nodes know of the workers, across restores of the store."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -195,3 +196,18 @@
     assert set(directory.endpoints) == {"w2"}
     directory.expire(20.0 + WITHHELD_S)
     assert set(directory.endpoints) == {"w1", "w2"}
+
+
+@pytest.mark.parametrize("number", [0, 2**40, 2**40 + 7, 2**53 - 1])
+@pytest.mark.parametrize("era", [0, 3, 1023])
+def test_revision_keeps_era_and_number_and_fits_into_64_bits(era, number):
+    """Guards against revisions of 41 bits and more, whose upper bits were dropped."""
+    revision = make_revision(era, number)
+    assert (get_era(revision), get_number(revision)) == (era, number)
+    assert revision < 2**63
+
+
+@pytest.mark.parametrize(("era", "number"), [(0, 2**53), (1024, 1), (-1, 1), (0, -1)])
+def test_revision_out_of_range_is_an_error(era, number):
+    with pytest.raises(ValueError, match="range"):
+        make_revision(era, number)
