Let a malformed item in an answer of the store cost only itself

One item without a key, with a value of another type or with a revision that is no number made the whole listing or watch unreadable, so that the node knew no worker for as long as the item was there. A value that is not ASCII raised ValueError and an era of 5,000 digits too, both outside of the errors that the reading task handles. A page whose last key does not advance was read again without end.

The answer was decoded in one piece, and base64 and the era were decoded apart from the other fields.

Each item is now decoded on its own, and the listing reports those that are refused; the feed emits an event for each. Paging goes on after the last key that is readable. A page that brings no new key ends the listing with an error, because a partial list would remove the workers behind it. A value that is no base64 is empty, which no decoder accepts; its raw text was decoded before as if it were the value.

--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from mangowell_core import formats
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import Directory
 from mangowell_core.mesh.revisions import get_era, get_number
@@ -136,6 +137,7 @@
             return
         changes = await self._run_interruptible(self._store.watch(self._revision))
         self._record_up(asyncio.get_running_loop().time())
+        self._emit_refused_items(changes.refused)
         for item in changes.items:
             self._apply(item)
         self._advance_revision(changes.revision)
@@ -164,6 +166,7 @@
         self._record_up(now)
         for item in document.items:
             self._apply(item)
+        self._emit_refused_items(listing.refused)
         endpoints = []
         for item in listing.items:
             with contextlib.suppress(PlatformFormatError):
@@ -190,6 +193,10 @@
         directory.revision = max(directory.revision, revision)
         self._on_change()
 
+    def _emit_refused_items(self, reasons: Iterable[str]) -> None:
+        for reason in reasons:
+            self._emit(Event(EventCode.INSTANCES_DOUBTED, {"reason": reason}))
+
     def _apply(self, item: Item) -> None:
         if item.is_document:
             self._apply_document(item)
@@ -238,14 +245,17 @@
                 self._emit(Event(EventCode.INSTANCES_APPLIED, fields))
                 return
         self._directory.remove(item.endpoint_id, item.revision, now)
-        fields = {"backend": item.endpoint_id, "revision": get_number(item.revision)}
+        fields = {
+            "backend": formats.quote(item.endpoint_id),
+            "revision": get_number(item.revision),
+        }
         self._emit(Event(EventCode.INSTANCE_REMOVED, fields))
 
     def _read_endpoint(self, item: Item):
         try:
             return item.read_endpoint()
         except PlatformFormatError as exc:
-            fields = {"backend": item.endpoint_id, "reason": str(exc)}
+            fields = {"backend": formats.quote(item.endpoint_id), "reason": str(exc)}
             self._emit(Event(EventCode.INSTANCES_DOUBTED, fields))
             raise
 
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -1,16 +1,23 @@
 """Read-only client of the metadata store of the platform."""
 
 import base64
-import binascii
 import socket
+from typing import Annotated
 from urllib.parse import quote
 
 import aiohttp
 import msgspec
+from msgspec import Meta
 
 from mangowell_core import formats
 from mangowell_core.mesh.model import Endpoint, MeshDocument
-from mangowell_core.mesh.revisions import get_era, get_number, make_revision
+from mangowell_core.mesh.revisions import (
+    MAX_ERA,
+    MAX_NUMBER,
+    get_era,
+    get_number,
+    make_revision,
+)
 from mangowell_core.mesh.settings import Address
 from mangowell_node.platform.document import (
     DOCUMENT_KEY,
@@ -37,6 +44,13 @@
 USER_TIMEOUT_MS = 2500
 
 
+# Value of an item whose text is not valid base64.
+UNREADABLE = b""
+MAX_KEY_BYTES = 200
+MAX_ERA_DIGITS = 9
+_Number = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+
+
 class StoreError(Exception):
     """A call that the store did not answer, refused or answered unreadably."""
 
@@ -87,39 +101,50 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Items of a prefix, read at `revision` or shortly after."""
+    """Items of a prefix, read at `revision` or shortly after.
+
+    `refused` holds a reason for each item that could not be decoded.
+    """
 
     items: list[Item]
     revision: int
+    refused: tuple[str, ...] = ()
 
 
 class Changes(msgspec.Struct, frozen=True):
-    """Changes up to a revision, oldest first."""
+    """Changes up to a revision, oldest first.
+
+    `refused` holds a reason for each change that could not be decoded.
+    """
 
     items: list[Item]
     revision: int
+    refused: tuple[str, ...] = ()
 
 
 class _RawItem(msgspec.Struct, rename="kebab"):
-    key: str
-    mod_rev: int  # revision of the last change
+    key: Annotated[str, Meta(min_length=1, max_length=MAX_KEY_BYTES)]
+    mod_rev: _Number  # revision of the last change
     value: str = ""
     tombstone: bool = False
 
 
 class _KeyReply(_RawItem, rename="kebab"):
-    as_of: int = 0  # revision of the store, not of the item
+    as_of: _Number = 0  # revision of the store, not of the item
 
 
 class _RangeReply(msgspec.Struct, rename="kebab"):
-    items: list[_RawItem]
+    items: list[msgspec.Raw]
     has_more: bool
-    as_of: int
+    as_of: _Number
 
 
 class _WatchReply(msgspec.Struct, rename="kebab"):
-    events: list[_RawItem]
-    as_of: int
+    events: list[msgspec.Raw]
+    as_of: _Number
+
+
+_item_decoder = msgspec.json.Decoder(_RawItem)
 
 
 class StoreClient:
@@ -179,6 +204,8 @@
         contains all changes that are made while further pages are read.
         """
         items: list[Item] = []
+        refused: list[str] = []
+        keys: set[str] = set()
         revision = 0
         after = ""
         while True:
@@ -192,10 +219,15 @@
             revision = revision or make_revision(era, reply.as_of)
             if era != get_era(revision):
                 raise StoreError("store was restored between two pages")
-            items.extend(_make_item(raw, era) for raw in reply.items)
+            page = _read_items(reply.items, era, refused)
+            items += page
             if not reply.has_more or not reply.items:
-                return Listing(items, revision)
-            after = reply.items[-1].key
+                return Listing(items, revision, tuple(refused))
+            if not page or page[-1].key in keys:
+                # What follows is unknown, so no worker may be taken for removed.
+                raise StoreError("unreadable answer: page does not advance")
+            after = page[-1].key
+            keys.update(item.key for item in page)
 
     async def watch(self, revision: int) -> Changes:
         """Wait for changes of any key after a revision.
@@ -219,8 +251,9 @@
         reply = _decode(_WatchReply, body)
         if era != get_era(revision):
             raise HistoryGoneError("store was restored from a copy")
-        items = [_make_item(raw, era) for raw in reply.events]
-        return Changes(items, make_revision(era, reply.as_of))
+        refused: list[str] = []
+        items = _read_items(reply.events, era, refused)
+        return Changes(items, make_revision(era, reply.as_of), tuple(refused))
 
     async def _get(self, path: str, timeout_s: float) -> tuple[int, bytes | None]:
         """Return era and body of an answer; the body is None if its status is 404."""
@@ -261,7 +294,12 @@
 def _read_era(headers) -> int:
     """Return the era of the store; 0 if the answer does not state it."""
     text = headers.get(_ERA_FIELD, "").strip()
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    if not (text.isascii() and text.isdecimal()):
+        return 0
+    era = int(text[:MAX_ERA_DIGITS])
+    if len(text) > MAX_ERA_DIGITS or era > MAX_ERA:
+        raise StoreError(f"unreadable answer: era of {len(text)} digits")
+    return era
 
 
 def _decode(kind: type, body: bytes):
@@ -273,18 +311,37 @@
     )
 
 
+def _read_items(
+    raw_items: list[msgspec.Raw], era: int, refused: list[str]
+) -> list[Item]:
+    """Decode each item on its own; add the reasons of undecodable ones to `refused`."""
+    items = []
+    for raw in raw_items:
+        try:
+            item = formats.decode(_item_decoder.decode, raw, StoreError, "item")
+        except StoreError as exc:
+            refused.append(str(exc))
+        else:
+            items.append(_make_item(item, era))
+    return items
+
+
 def _make_item(raw: _RawItem, era: int) -> Item:
     revision = make_revision(era, raw.mod_rev)
     if raw.tombstone:
         return Item(raw.key, None, revision)
     try:
-        value = base64.b64decode(raw.value, validate=True)
-    except binascii.Error:
-        # The raw text is kept, so that its decoder reports an error with the key.
-        value = raw.value.encode()
+        value = formats.decode(_decode_base64, raw.value, StoreError)
+    except StoreError:
+        # No decoder accepts this value, so each reports an error with the key.
+        value = UNREADABLE
     return Item(raw.key, value, revision)
 
 
+def _decode_base64(text: str) -> bytes:
+    return base64.b64decode(text, validate=True)
+
+
 def _make_socket(address_info) -> socket.socket:
     """Return a socket with TCP keepalive probes."""
     family, kind, protocol, _, _ = address_info
--- a/tests/mesh/test_store.py
+++ b/tests/mesh/test_store.py
@@ -1,10 +1,20 @@
 """Guards the store client against any answer of the store."""
 
+import asyncio
+import base64
+import contextlib
+
 import pytest
 from aiohttp import web
 
+from mangowell_core.mesh.revisions import get_era, get_number, make_revision
 from mangowell_core.mesh.settings import Address
-from mangowell_node.platform import HistoryGoneError, StoreClient, StoreError
+from mangowell_node.platform import (
+    HistoryGoneError,
+    PlatformFormatError,
+    StoreClient,
+    StoreError,
+)
 from mangowell_standins.platform_store import PlatformStore
 from mesh.support_mesh import make_document, make_entry
 
@@ -96,3 +106,174 @@
     finally:
         await client.close()
         await runner.cleanup()
+
+
+class ScriptedStore:
+    """Store that gives one prepared answer after the other.
+
+    Parameters
+    ----------
+    answers : list of dict
+        Bodies of the answers; the last one is repeated.
+    era : str
+        Value of the header field that names the era.
+    """
+
+    def __init__(self, answers, era="0"):
+        self.answers = answers
+        self.era = era
+        self.queries = []
+
+    async def answer(self, request):
+        self.queries.append(dict(request.query))
+        body = self.answers[min(len(self.queries), len(self.answers)) - 1]
+        return web.json_response(body, headers={"Store-Era": self.era})
+
+
+@contextlib.asynccontextmanager
+async def open_client(scripted):
+    app = web.Application()
+    for name in ("kv-range", "kv-watch", "kv-key"):
+        app.router.add_get(f"/api/{name}", scripted.answer)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    client = StoreClient(Address("127.0.0.1", site._server.sockets[0].getsockname()[1]))
+    await client.start()
+    try:
+        yield client
+    finally:
+        await client.close()
+        await runner.cleanup()
+
+
+def make_item(key, **fields):
+    value = base64.b64encode(make_entry("10.0.0.1", 80)).decode()
+    return {"key": key, "mod-rev": 5, "value": value, **fields}
+
+
+MALFORMED_ITEMS = [
+    5,
+    None,
+    [],
+    "servers/x",
+    {},
+    {"key": "servers/x"},
+    {"mod-rev": 5},
+    make_item("servers/x", value=5),
+    make_item("servers/x", **{"mod-rev": "five"}),
+    make_item("servers/x", **{"mod-rev": 10**20}),
+    make_item("servers/x", **{"mod-rev": -1}),
+    make_item(""),
+    make_item("x" * 201),
+    make_item(["servers/x"]),
+]
+UNREADABLE_VALUES = ["\u4e16", "A", "====", "*", '{"address": "10.0.0.1:80"}']
+
+
+@pytest.mark.parametrize("malformed", MALFORMED_ITEMS)
+async def test_malformed_item_of_a_listing_costs_only_itself(malformed):
+    items = [make_item("servers/i-1"), malformed, make_item("servers/i-2")]
+    answer = {"items": items, "has-more": False, "as-of": 9}
+    async with open_client(ScriptedStore([answer])) as client:
+        listing = await client.list_endpoints()
+    assert [item.endpoint_id for item in listing.items] == ["i-1", "i-2"]
+    assert all(item.read_endpoint() for item in listing.items)
+    assert (len(listing.refused), listing.revision) == (1, 9)
+
+
+@pytest.mark.parametrize("malformed", MALFORMED_ITEMS)
+async def test_malformed_item_of_a_watch_costs_only_itself(malformed):
+    events = [
+        malformed,
+        {"key": "servers/i-1", "mod-rev": 8, "tombstone": True},
+        make_item("op/config"),
+    ]
+    async with open_client(ScriptedStore([{"events": events, "as-of": 9}])) as client:
+        changes = await client.watch(4)
+    assert [item.key for item in changes.items] == ["servers/i-1", "op/config"]
+    assert (len(changes.refused), changes.revision) == (1, 9)
+
+
+@pytest.mark.parametrize("value", UNREADABLE_VALUES)
+async def test_value_that_is_no_base64_costs_only_its_item(value):
+    """Guards against ValueError for text that is not ASCII, and against its use."""
+    items = [make_item("servers/i-1", value=value), make_item("servers/i-2")]
+    answer = {"items": items, "has-more": False, "as-of": 9}
+    async with open_client(ScriptedStore([answer])) as client:
+        unreadable, readable = (await client.list_endpoints()).items
+    with pytest.raises(PlatformFormatError):
+        unreadable.read_endpoint()
+    assert readable.read_endpoint()
+
+
+async def test_paging_goes_on_after_a_malformed_last_item():
+    pages = [
+        {"items": [make_item("servers/a"), 5], "has-more": True, "as-of": 9},
+        {"items": [5, make_item("servers/b\u4e16")], "has-more": True, "as-of": 9},
+        {"items": [make_item("servers/c")], "has-more": False, "as-of": 9},
+    ]
+    store = ScriptedStore(pages)
+    async with open_client(store) as client:
+        listing = await client.list_endpoints()
+    afters = [query.get("after", "") for query in store.queries]
+    assert afters == ["", "servers/a", "servers/b\u4e16"]
+    assert len(listing.items) == 3
+
+
+@pytest.mark.parametrize("items", [[make_item("servers/a")], [5]])
+async def test_page_that_does_not_advance_ends_the_listing(items):
+    """Guards against a listing that reads the same page without end."""
+    store = ScriptedStore([{"items": items, "has-more": True, "as-of": 9}])
+    async with open_client(store) as client:
+        with pytest.raises(StoreError, match="advance"):
+            async with asyncio.timeout(3):
+                await client.list_endpoints()
+    assert len(store.queries) <= 2
+
+
+@pytest.mark.parametrize("number", [2**40 + 5, 2**53 - 1])
+async def test_large_revision_is_kept_in_full(number):
+    """Guards against a revision that loses its upper bits.
+
+    A watch from the rest would return all changes again, or none.
+    """
+    event = make_item("servers/i-1", **{"mod-rev": number})
+    store = ScriptedStore([{"events": [event], "as-of": number}], era="3")
+    async with open_client(store) as client:
+        changes = await client.watch(make_revision(3, number))
+    (item,) = changes.items
+    assert changes.revision == item.revision == make_revision(3, number)
+    assert store.queries[0]["after"] == str(number)
+    assert (get_era(item.revision), get_number(item.revision)) == (3, number)
+
+
+@pytest.mark.parametrize("number", [2**53, 10**20, -1, "9", None, 1.5])
+async def test_unusable_revision_of_the_store_is_a_store_error(number):
+    store = ScriptedStore([{"events": [], "items": [], "as-of": number}])
+    async with open_client(store) as client:
+        for call in (client.watch(4), client.list_endpoints(), client.read_document()):
+            with pytest.raises(StoreError, match="unreadable"):
+                await call
+
+
+@pytest.mark.parametrize("era", ["1024", "9" * 30, "9" * 5000])
+async def test_era_out_of_range_is_a_store_error(era):
+    store = ScriptedStore([{"events": [], "as-of": 9}], era)
+    async with open_client(store) as client:
+        with pytest.raises(StoreError, match="era"):
+            await client.watch(4)
+
+
+async def test_answer_nested_too_deep_is_a_store_error():
+    store = ScriptedStore([])
+
+    async def answer(request):
+        nested = "[" * 6000 + "]" * 6000
+        return web.Response(text=f'{{"events": [], "as-of": 9, "x": {nested}}}')
+
+    store.answer = answer
+    async with open_client(store) as client:
+        with pytest.raises(StoreError, match="unreadable"):
+            await client.watch(4)
