Let a notice that cannot be handled cost only itself

A node that cannot read the store got no state from the others while one entry of it was malformed, and a fault in the handling of a notice closed the link, and with it every request that ran there. A notice of more than MAX_FRAME bytes did the same: the peer refuses the frame, and the next link gets it again.

decode_notice refused the notice as a whole, exceptions of the handlers went through Link.data_received, and send_notice did not know the limit of a frame.

The handlers run behind one guard, which gives their exceptions to the handler of the loop (an internal_fault event), and send_notice drops what does not fit into a frame.

--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -27,6 +27,7 @@
     WINDOW_UPDATE,
     FrameType,
     LinkError,
+    log,
 )
 
 
@@ -347,7 +348,14 @@
         return self._handshake_timer is None
 
     def send_notice(self, payload: bytes) -> None:
-        """Send control data outside any stream."""
+        """Send control data outside any stream.
+
+        A notice that exceeds a frame is dropped: the peer would close the link, and
+        every request on it would be lost.
+        """
+        if len(payload) > MAX_FRAME:
+            log.warning("notice of {} bytes to {} dropped", len(payload), self.address)
+            return
         self.send(FrameType.NOTICE, 0, payload)
 
     def _on_notice(self, stream_id: int, payload: bytes) -> None:
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -27,6 +27,7 @@
     ChangeNotice,
     CrashNotice,
     FetchNotice,
+    Notice,
     ProbeNotice,
     ProbeReply,
     StateNotice,
@@ -439,12 +440,29 @@
         )
 
     def _handle_notice(self, link: Link, payload: bytes) -> None:
+        """Handle one notice; whatever fails costs only this notice."""
+
+        def report(reason: str) -> None:
+            fields = {"peer": link.address[0], "reason": reason}
+            self._emit(Event(EventCode.PEER_MESSAGE_DROPPED, fields))
+
         try:
-            notice = decode_notice(payload)
+            notice = decode_notice(payload, report)
         except NoticeFormatError as exc:
-            fields = {"peer": link.address[0], "reason": str(exc)}
-            self._emit(Event(EventCode.PEER_MESSAGE_DROPPED, fields))
+            report(str(exc))
             return
+        try:
+            self._dispatch_notice(link, notice)
+        except Exception as exc:
+            # A fault of this node. The link also carries requests, which go on.
+            asyncio.get_running_loop().call_exception_handler(
+                {
+                    "message": f"{type(notice).__name__} not handled",
+                    "exception": exc,
+                }
+            )
+
+    def _dispatch_notice(self, link: Link, notice: Notice) -> None:
         match notice:
             case ProbeNotice():
                 self._prober.answer_probe(link, notice)
