Hold entries after a restore that another node has seen first

Callers lost workers that had registered after the copy was taken, from which the store was restored: a reader whose peer published the first state after the restore took its own listing for one without a restore, and dropped the entries that the copy lacks. Seen once, beside load, in tests/mesh/test_restored_store.py:: test_worker_registered_since_the_copy_is_used_throughout (1 of 3 runs; passed twice).

Cause: only the listing of a reader recorded the restore, and only if no notice had raised the era before. Every path that raises the era now records it. The new test replays the order of events without sockets: it fails before (the worker is gone after 0.2 s) and passes now.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -167,10 +167,14 @@
         self.revision = max(self.revision, revision)
 
     def _follow_restore(self, revision: int, now: float) -> None:
-        """Note the revision of the first state that is known after a restore."""
+        """Note a restore of the store at the first state that is known after it.
+
+        Another node may have read that state, before this one lists all items.
+        """
         if get_era(revision) > get_era(self.revision) and self.revision:
             self._restored_through = revision
             self._withheld_until = now + WITHHELD_S
+            self.record_store_restore(now)
 
     def apply_state(self, notice: StateNotice, now: float) -> bool:
         """Apply the state of another node if it is newer.
--- a/tests/mesh/test_revisions.py
+++ b/tests/mesh/test_revisions.py
@@ -6,6 +6,7 @@
 
 from mangowell_core.mesh import Directory, Endpoint
 from mangowell_core.mesh.directory import WITHHELD_S
+from mangowell_core.mesh.model import ChangeNotice
 from mangowell_core.mesh.revisions import (
     get_era,
     get_number,
@@ -211,3 +212,19 @@
 def test_revision_out_of_range_is_an_error(era, number):
     with pytest.raises(ValueError, match="range"):
         make_revision(era, number)
+
+
+def test_worker_missing_in_the_copy_is_held_though_a_peer_saw_the_restore_first():
+    """Guards against dropping workers that registered after the copy was taken."""
+    directory = Directory(heartbeat_s=1.5)
+    worker = make_worker(revision=make_revision(0, 20))
+    directory.load([worker], worker.revision, 100.0)
+    first = ChangeNotice(
+        worker.revision, make_revision(1, 12), 0, None, (make_worker(2),), ()
+    )
+    assert directory.apply_changes(first, 105.0)
+    directory.load([make_worker(2)], make_revision(1, 13), 105.1)
+    directory.expire(105.2)
+    assert worker.id in directory.endpoints
+    directory.expire(108.0)
+    assert worker.id not in directory.endpoints
