Bound the numbers in the headers of a worker's answer

Callers got 502 for an answer that was whole: a Keep-Alive field with 400 digits raised OverflowError in the protocol callback of the connection ("Fatal error: protocol.data_received() call failed"), one with 5,000 digits and such a Server-Load failed the answer as malformed.

`formats.parse_count` reads such numbers, and `formats.decode` decides what is a malformed answer.

--- a/packages/core/src/mangowell_core/formats.py
+++ b/packages/core/src/mangowell_core/formats.py
@@ -13,6 +13,9 @@
 # Longest message of a format error, in characters. A decoder may quote the input.
 MAX_REASON_CHARS = 300
 
+# Longest decimal number, in digits. Floats and 64-bit integers hold it exactly.
+MAX_COUNT_DIGITS = 15
+
 Data = TypeVar("Data")
 Value = TypeVar("Value")
 
@@ -64,3 +67,16 @@
     if text.isascii() and text.isprintable():
         return text
     return text.encode("unicode_escape").decode("ascii")
+
+
+def parse_count(text: str) -> int | None:
+    """Return a non-negative integer written in decimal; None if it is none or too long.
+
+    Parameters
+    ----------
+    text : str
+        ASCII digits, at most `MAX_COUNT_DIGITS`.
+    """
+    if not text.isascii() or not text.isdecimal() or len(text) > MAX_COUNT_DIGITS:
+        return None
+    return int(text)
--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpResponseParser
 from aiohttp.streams import StreamReader
 
+from mangowell_core import formats
 from mangowell_core.policy.deadlines import compute_remaining_ms
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause
@@ -347,8 +347,8 @@
             self.has_received = True
             self.last_received_at = monotonic()
         try:
-            self._parse_answers(data)
-        except (HttpProcessingError, ValueError, AssertionError) as exc:
+            formats.decode(self._parse_answers, data, MessageFormatError)
+        except MessageFormatError as exc:
             reason = f"backend server sent a malformed answer: {exc}"
             self._fail(AttemptError.at(Cause.BAD_ANSWER, Stage.ANSWERED, reason))
 
@@ -517,8 +517,9 @@
     def _read_keep_alive(self, value: str) -> None:
         for option in value.split(","):
             name, _, seconds = option.strip().partition("=")
-            if name.lower() == "timeout" and seconds.isdecimal():
-                self.max_idle_s = int(seconds) * KEEP_ALIVE_FRACTION
+            max_idle_s = formats.parse_count(seconds)
+            if name.lower() == "timeout" and max_idle_s is not None:
+                self.max_idle_s = max_idle_s * KEEP_ALIVE_FRACTION
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume reading if it is paused; the parser calls this after each answer."""
--- a/packages/node/src/mangowell_node/platform/headers.py
+++ b/packages/node/src/mangowell_node/platform/headers.py
@@ -4,6 +4,7 @@
 
 from multidict import CIMultiDictProxy, istr
 
+from mangowell_core import formats
 from mangowell_core.mesh.worker_states import NO_RATE_LIMIT, UNKNOWN_RATE_LIMIT
 from mangowell_node.exchange import HOP_BY_HOP, RequestHead
 
@@ -98,9 +99,9 @@
     def read_slots(self, headers: CIMultiDictProxy[str]) -> int:
         """Return the number of slots that the worker reports, or 0 if it is missing."""
         fields = headers.get(_SERVER_LOAD, "").split(",")
-        if len(fields) != 3 or not fields[2].strip().isdecimal():
+        if len(fields) != 3:
             return 0
-        return int(fields[2])
+        return formats.parse_count(fields[2].strip()) or 0
 
     def read_rate_limit(self, headers: CIMultiDictProxy[str]) -> float:
         """Return the requests per second that the worker takes from all nodes.
