Keep a request that crashes workers refused while nodes restart

The crashes were known only to nodes that had heard of them within 4 s. A node that started later passed such a request on until it had heard of two more crashes, and the node beside the worker ran it without looking at the crashes that it knew.

A node now tells the peer of each new link which crashes it knows, with their age, so that they expire everywhere at the same time. The node beside the worker refuses such a request too; it has not been sent, so "not run" holds.

--- a/packages/core/src/mangowell_core/mesh/crashes.py
+++ b/packages/core/src/mangowell_core/mesh/crashes.py
@@ -60,6 +60,30 @@
         self._expire(now)
         return len(self._crashes.get(fingerprint, ())) >= CRASHES_UNTIL_REFUSAL
 
+    def export(self, now: float) -> list[tuple[str, float, tuple[str, ...]]]:
+        """Return all crashes, for a node that has not heard of them.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        list of (str, float, tuple of str)
+            For each crash its id, the seconds since then, and the fingerprints of
+            the requests that were running.
+        """
+        self._expire(now)
+        fingerprints: dict[tuple[str, float], list[str]] = {}
+        for fingerprint, crash_times in self._crashes.items():
+            for crash_time in crash_times.items():
+                fingerprints.setdefault(crash_time, []).append(fingerprint)
+        return [
+            (crash_id, now - time, tuple(names))
+            for (crash_id, time), names in fingerprints.items()
+        ]
+
     def clear(self, fingerprint: str) -> None:
         """Drop the crashes of a request that a worker has completed."""
         self._crashes.pop(fingerprint, None)
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -293,10 +293,14 @@
         Id and start time of the worker.
     fingerprints : tuple of str
         Fingerprints of the requests.
+    age_s : float
+        Time since the crash, in seconds, if the notice is for a node that has started
+        since.
     """
 
     crash: str
     fingerprints: tuple[str, ...]
+    age_s: float = 0.0
 
 
 class ProbeNotice(msgspec.Struct, frozen=True, tag=True):
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -138,6 +138,9 @@
         """Make one attempt; return why no further one follows, or None if one may."""
         if not _may_offer(state, monotonic()):
             return EndReason.OFFER_LIMIT
+        if state.error and state.error.refusal.cause is Cause.QUARANTINED:
+            # All other nodes would refuse the request as well.
+            return EndReason.QUARANTINED
         try:
             endpoint = await self._select_worker(state)
         except AttemptError as exc:
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -23,6 +23,7 @@
     RetryBudget,
     WorkerStates,
 )
+from mangowell_core.mesh.crashes import CRASH_TTL_S
 from mangowell_core.mesh.model import (
     ChangeNotice,
     CrashNotice,
@@ -212,8 +213,13 @@
                 link.send_notice(payload)
 
     def _send_status(self, link: Link) -> None:
-        """Tell the peer of a new link whether this node runs or stops."""
+        """Tell the peer of a new link whether this node runs or stops.
+
+        The peer may have started since the last crashes, so it gets them too.
+        """
         link.send_notice(encode_notice(self._make_status()))
+        for crash, age_s, fingerprints in self._crash_counter.export(monotonic()):
+            link.send_notice(encode_notice(CrashNotice(crash, fingerprints, age_s)))
 
     def _is_same_domain(self, link: Link) -> bool:
         host = link.address[0]
@@ -242,13 +248,15 @@
             self._send_all(encode_notice(notice))
 
     def _record_crash(self, notice: CrashNotice) -> None:
-        now = monotonic()
+        if not 0 <= notice.age_s < CRASH_TTL_S:
+            return
+        crashed_at = monotonic() - notice.age_s
         new_fingerprints = [
             fingerprint
             for fingerprint in notice.fingerprints
-            if self._crash_counter.record_crash(fingerprint, notice.crash, now)
+            if self._crash_counter.record_crash(fingerprint, notice.crash, crashed_at)
         ]
-        if new_fingerprints:
+        if new_fingerprints and not notice.age_s:
             fields = {
                 "backend": notice.crash,
                 "reason": "crashed",
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -235,6 +235,7 @@
             raise AttemptError(_make_leaving_refusal())
         if deadline > self._end_deadline:
             raise AttemptError(_make_stopping_refusal())
+        self._check_crashes(head)
         self._adopt_rate_limit(local_worker, head.rate_limit)
         ticket = await self._admit(head, deadline)
         has_run = False
@@ -258,6 +259,19 @@
                 answer.head.pending = load.pending
                 answer.head.slots = load.limit
 
+    def _check_crashes(self, head: RequestHead) -> None:
+        """Refuse a request that has crashed workers.
+
+        The node at which it entered may have started since the crashes.
+        """
+        crash_counter = self._crash_counter
+        if crash_counter and crash_counter.is_refused(
+            compute_fingerprint(head), monotonic()
+        ):
+            raise AttemptError(
+                refuse(Cause.QUARANTINED, "the same request has crashed workers")
+            )
+
     # Admission
 
     def predict(self, probe: ProbeNotice) -> ProbeReply:
--- /dev/null
+++ b/tests/mesh/test_crashing_requests.py
@@ -0,0 +1,93 @@
+"""Guards against requests that crash workers and reach more of them."""
+
+from time import monotonic
+
+import pytest
+
+from mangowell_core.mesh import CrashCounter
+from mangowell_core.mesh.crashes import CRASH_TTL_S
+from mangowell_core.mesh.model import CrashNotice
+from mangowell_core.policy.request_digest import make_fingerprint
+from mangowell_node.mesh.notices import encode_notice
+from mesh.support_mesh import fill_slots, restart, run_mesh, until
+
+POISON = make_fingerprint("GET", "/x/poison", "", b"")
+OTHER = make_fingerprint("GET", "/x/other", "", b"")
+
+
+def report_crashes(machine):
+    """Report two crashes during one request and one during another."""
+    machine.node._gossip.report_crash("w1/1", (POISON, OTHER))
+    machine.node._gossip.report_crash("w2/1", (POISON,))
+
+
+def count_runs(machines):
+    return sum(m.worker.executions for m in machines)
+
+
+async def test_restarted_node_refuses_a_request_that_has_crashed_workers():
+    """It passed the request on until it had heard of two more crashes itself."""
+    async with run_mesh(3) as (_, machines):
+        *_, last = machines
+        await until(lambda: all(len(m.node._links.links) == 2 for m in machines))
+        report_crashes(machines[0])
+        # Crashes are repeated for 4 s, and this restart comes later.
+        for machine in machines:
+            machine.node._gossip._crashes.clear()
+        await restart(last)
+        await until(lambda: len(last.node.directory) == 3)
+        counter = last.node.gateway._crash_counter
+        await until(lambda: counter.is_refused(POISON, monotonic()))
+        assert (await last.call("/x/poison")).status == 503
+        assert count_runs(machines) == 0
+        # One crash may have been that of another request.
+        assert (await last.call("/x/other", request="other")).status == 200
+        # The crashes of the past are not reported as new ones.
+        assert not last.get_events("backend_down")
+
+
+async def test_node_beside_a_worker_refuses_a_request_that_has_crashed_workers():
+    """Only the node at which the request entered looked at the crashes."""
+    async with run_mesh(2) as (_, (first, second)):
+        await until(lambda: first.node._links.links)
+        report_crashes(second)
+        counter = first.node.gateway._crash_counter
+        await until(lambda: counter.is_refused(POISON, monotonic()))
+        second.node._gossip._crashes.clear()
+        # As if the first node had started since.
+        counter.clear(POISON)
+        fill_slots(first, waiting=200)
+        answer = await first.call("/x/poison")
+        assert answer.status == 503
+        assert b"crashed" in answer.body
+        assert not second.worker.received
+        (event,) = first.get_events("call_refused")
+        assert event["fields"]["cause"] == "quarantined"
+
+
+def test_crashes_that_are_passed_on_expire_as_early_as_the_known_ones():
+    """Otherwise nodes that restart in turn would keep a crash alive."""
+    known, started = CrashCounter(), CrashCounter()
+    known.record_crash("r", "w1/1", 0.0)
+    known.record_crash("r", "w2/1", 10.0)
+    known.record_crash("s", "w2/1", 10.0)
+    exported = known.export(50.0)
+    assert sorted(exported) == [("w1/1", 50.0, ("r",)), ("w2/1", 40.0, ("r", "s"))]
+    for crash, age_s, fingerprints in exported:
+        for fingerprint in fingerprints:
+            started.record_crash(fingerprint, crash, 50.0 - age_s)
+    assert started.is_refused("r", 10.0 + CRASH_TTL_S - 0.1)
+    assert not started.is_refused("r", 10.0 + CRASH_TTL_S)
+    assert not known.export(10.0 + CRASH_TTL_S)
+
+
+@pytest.mark.parametrize("age_s", [-1.0, CRASH_TTL_S, float("inf"), float("nan")])
+async def test_crash_with_an_age_out_of_range_is_ignored(age_s):
+    async with run_mesh(2) as (_, (first, second)):
+        await until(lambda: second.node._link_server.links)
+        for link in second.node._link_server.links:
+            link.send_notice(encode_notice(CrashNotice("w1/1", (POISON,), age_s)))
+            link.send_notice(encode_notice(CrashNotice("w2/1", (POISON,), 1.0)))
+        counter = first.node.gateway._crash_counter
+        await until(lambda: counter)
+        assert [n for n, *_ in counter.export(0.0)] == ["w2/1"]
