Bound the memory that request bodies take together

Bodies over 64 kB of all open requests may now take 32 MB; one that does not fit beside them is refused at once with 503, before it is read. It has not been sent, so "not run" holds. A body that is alone is taken at any size.

tests/mesh/test_large_bodies.py, before: the two tests of requests failed (200 for the third body in place of 503). After: 3 of 3 pass.

--- a/packages/node/src/mangowell_node/ingress/messages.py
+++ b/packages/node/src/mangowell_node/ingress/messages.py
@@ -1,5 +1,6 @@
 """Requests of callers and the replies to them."""
 
+from collections.abc import Callable
 from time import monotonic
 from typing import Protocol
 
@@ -167,9 +168,16 @@
         """Return the body once `is_body_complete` is true."""
         return self._content.read_nowait(-1)
 
-    async def read_body(self) -> bytes | CallerBody:
+    async def read_body(
+        self, on_size: Callable[[int], None] | None = None
+    ) -> bytes | CallerBody:
         """Read the body, or only its start if it exceeds `MAX_BUFFERED_BODY`.
 
+        Parameters
+        ----------
+        on_size : callable, optional
+            Takes the bytes that have been read, after each part of the body.
+
         Raises
         ------
         MessageFormatError
@@ -187,4 +195,6 @@
                 return b"".join(chunks)
             chunks.append(chunk)
             size += len(chunk)
+            if on_size is not None:
+                on_size(size)
         return CallerBody(chunks, content, stated_length)
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -34,6 +34,7 @@
 from mangowell_node.ingress import REASON_PHRASES, IncomingCall, Reply
 from mangowell_node.link import LinkPool
 from mangowell_node.mesh.attempts import AttemptLoop
+from mangowell_node.mesh.body_budget import BodyBudget, BodyBudgetError
 from mangowell_node.mesh.request_state import EndReason, RequestState
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.platform import (
@@ -130,6 +131,7 @@
             rng,
         )
         self.in_flight = 0
+        self._body_budget = BodyBudget()
         # Latest deadline of a request, in monotonic seconds.
         self._end_deadline = math.inf
         self._refuses_callers = False
@@ -202,6 +204,13 @@
             timeout_s = min(timeout_s, fields.remaining_ms / 1000)
         state = RequestState(call, route, self._traffic_splitter.select_service(route))
         state.deadline = min(call.arrived_at + timeout_s, self._end_deadline)
+        try:
+            return await self._serve_on_route(state, request)
+        finally:
+            self._body_budget.release(state.held_body_bytes)
+
+    async def _serve_on_route(self, state: RequestState, request: str) -> Reply:
+        call = state.call
         refusal = await self._prepare_head(state, request)
         if refusal is not None:
             return self._make_refusal_reply(request, state, refusal, call.arrived_at)
@@ -267,6 +276,8 @@
             return Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 400, 0.0, str(exc))
         except TimeoutError:
             return refuse(Cause.DEADLINE, "request body arrives too slowly")
+        except BodyBudgetError as exc:
+            return refuse(Cause.OVERLOADED, str(exc))
         if body is None:
             reason = f"body of more than {limits.max_body_bytes} bytes"
             return Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 413, 0.0, reason)
@@ -292,15 +303,24 @@
         return None
 
     async def _read_body(self, state: RequestState, limit: int) -> bytes | None:
-        """Return the body, or None if it has more than `limit` bytes."""
+        """Return the body, or None if it has more than `limit` bytes.
+
+        Raises
+        ------
+        BodyBudgetError
+            If the bodies of other requests leave too little memory.
+        """
         call = state.call
         if call.is_body_complete:
             body = call.get_complete_body()
+            self._hold_body(state, len(body))
             return body if len(body) <= limit else None
-        if int(call.headers.get(_CONTENT_LENGTH, 0)) > limit:
+        length = int(call.headers.get(_CONTENT_LENGTH, 0))
+        if length > limit:
             return None
+        self._hold_body(state, length)
         async with asyncio.timeout(state.deadline - monotonic()):
-            body = await call.read_body()
+            body = await call.read_body(lambda size: self._hold_body(state, size))
             if type(body) is bytes:
                 return body if len(body) <= limit else None
             chunks = []
@@ -310,8 +330,12 @@
                 size += len(chunk)
                 if size > limit:
                     return None
+                self._hold_body(state, size)
             return b"".join(chunks)
 
+    def _hold_body(self, state: RequestState, size: int) -> None:
+        state.held_body_bytes = self._body_budget.hold(state.held_body_bytes, size)
+
     # Replies
 
     def _make_reply(self, state: RequestState, request: str) -> Reply:
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -48,6 +48,7 @@
         "excluded",
         "has_reset_exclusions",
         "head",
+        "held_body_bytes",
         "may_have_run",
         "next_worker",
         "refusals",
@@ -62,6 +63,8 @@
         self.service = service
         self.head: RequestHead | None = None
         self.deadline = 0.0
+        # Bytes that are reserved for the body in the budget of the node.
+        self.held_body_bytes = 0
         self.excluded: set[str] = set()
         # Number of attempts that may have reached a worker.
         self.attempts = 0
