Answer requests whose head a link cannot carry

A caller whose Request-Id is no UTF-8 got a 500 from the node. An answer of a remote worker whose reason phrase is no UTF-8 was lost: the caller got 504 at its deadline though the worker had answered 200. A Server-Load of 5,000 digits made a 200 a 502.

Text of the parser may hold surrogates, which MessagePack and the JSON of the log cannot encode; the exceptions went past the handlers of request and answer. int() refuses more than 4,300 digits. On the other side, the decoders of heads took infinity, NaN and names of outcomes that fail only while the request is handled.

A request whose id, method or target is no text is refused with 400 before it is sent. A reason phrase is made ASCII where it is read, numbers of Server-Load, Keep-Alive and Content-Length are bounded there, and an event that cannot be encoded is written with quoted fields. Heads on links are decoded by decode_request and decode_answer, which refuse numbers out of range and unknown outcomes as a protocol violation. The priority of a document is bounded to the range of a head.

Tests: test_link_heads.py. On the code before, 6 of its 9 tests apart from the heads fail: 500 for three ids, 504 for the reason phrase, 502 for the load, and UnicodeEncodeError in the log. All pass with the change, and so do the tests of requests, links, backend servers and worker limits.

--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -23,6 +23,8 @@
 # sums of them stay exact.
 Slots = Annotated[int, Meta(ge=1, le=1_000_000)]
 Load = Annotated[int, Meta(ge=0, le=1_000_000_000)]
+# Within the range of the priority in the head of a request on a link.
+Priority = Annotated[int, Meta(ge=0, le=1_000_000)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 # No infinity and no NaN, which pass no comparison.
 Seconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
@@ -83,7 +85,7 @@
     idempotent: bool
     timeout_s: Seconds
     objective_s: Seconds
-    priority: Count
+    priority: Priority
     max_attempts: Count
     parts: tuple[tuple[Name, Weight], ...]
 
@@ -372,7 +374,7 @@
     probe: Count
     instance: str
     route: str
-    priority: Count
+    priority: Priority
     objective_s: Seconds
     remaining_s: RemainingTime
     is_call: bool
--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection to the backend server."""
 
 import asyncio
+import re
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -9,11 +10,13 @@
 from aiohttp.http_parser import HttpResponseParser
 from aiohttp.streams import StreamReader
 
+from mangowell_core import formats
 from mangowell_core.policy.deadlines import compute_remaining_ms
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause
 from mangowell_node.exchange import (
     DROPPED_ANSWER_HEADERS,
+    MAX_STATED_LENGTH,
     AnswerHead,
     AttemptError,
     Body,
@@ -41,6 +44,7 @@
 # Fraction of the stated keep-alive timeout for which an idle connection is reused.
 # The rest is a margin against sending a request while the backend server closes.
 KEEP_ALIVE_FRACTION = 0.7
+_SECONDS = re.compile(r"[0-9]{1,9}")
 
 
 class BackendConnection(BaseProtocol):
@@ -446,7 +450,7 @@
     def _read_keep_alive(self, value: str) -> None:
         for option in value.split(","):
             name, _, seconds = option.strip().partition("=")
-            if name.lower() == "timeout" and seconds.isdecimal():
+            if name.lower() == "timeout" and _SECONDS.fullmatch(seconds):
                 self.max_idle_s = int(seconds) * KEEP_ALIVE_FRACTION
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -485,13 +489,16 @@
     stated_length = headers.get("Content-Length")
     if stated_length is not None:
         length = int(stated_length)
+        if length > MAX_STATED_LENGTH:
+            raise MessageFormatError("length out of range")
     if message.chunked:
         length = -1
         if headers.get("Transfer-Encoding", "").lower() != "chunked":
             raise MessageFormatError("unknown transfer encoding")
     return AnswerHead(
         status=message.code,
-        reason=message.reason,
+        # Bytes that are no text could be sent neither on a link nor to the caller.
+        reason=formats.quote(message.reason),
         headers=join_headers(
             message.raw_headers, DROPPED_ANSWER_HEADERS, headers.get("Connection")
         ),
--- a/packages/node/src/mangowell_node/event_log.py
+++ b/packages/node/src/mangowell_node/event_log.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from mangowell_core import formats
 from mangowell_core.events import Event, EventCode
 
 # Most lines of one event code in a window; further events are only counted.
@@ -91,15 +92,18 @@
             self._write_line(now, int(code), code.name.lower(), omitted)
 
     def _write_line(self, now: float, code: int, name: str, fields: dict) -> None:
-        line = self._encode(
-            {
-                "time": round(now, 3),
-                "code": code,
-                "event": name,
-                "instance": self._instance,
-                **fields,
-            }
-        )
+        head = {
+            "time": round(now, 3),
+            "code": code,
+            "event": name,
+            "instance": self._instance,
+        }
+        try:
+            line = self._encode(head | fields)
+        except (UnicodeEncodeError, OverflowError):
+            # A field quotes bytes of a caller that are no text.
+            quoted = {name: formats.quote(str(fields[name])) for name in fields}
+            line = self._encode(head | quoted)
         if len(self._pending) + len(line) > MAX_PENDING_BYTES:
             self._omitted_counts[name] += 1
             return
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Iterable
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
+from msgspec import Meta
 
+from mangowell_core import formats
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.request_digest import make_fingerprint
 from mangowell_core.policy.types import Cause, Outcome, Refusal
@@ -16,6 +18,17 @@
 MAX_BUFFERED_BODY = 1_048_576  # bytes; requests with a larger body get one attempt
 MAX_INLINE_BODY = 65_536  # bytes; answers up to this size are sent in one piece
 MAX_HEADER_BLOCK = 65_536  # bytes
+MAX_STATED_LENGTH = 2**62  # bytes; a length that a link can carry
+
+# Bounds of the numbers in a head that another node has sent: numbers with which a
+# timer or a sum can be calculated, so neither infinity nor NaN.
+_Integer = Annotated[int, Meta(ge=-(2**31), le=2**31)]
+_Finite = Annotated[float, Meta(ge=-1e12, le=1e12)]
+_Status = Annotated[int, Meta(ge=0, le=999)]
+# -1 if unknown.
+_Length = Annotated[int, Meta(ge=-1, le=MAX_STATED_LENGTH)]
+# Infinity for no limit; negative if unknown.
+_RateLimit = Annotated[float, Meta(ge=-1)]
 
 # Fields that concern one connection only (RFC 9110, section 7.6.1), and those
 # that a node writes itself.
@@ -141,21 +154,21 @@
     headers: bytes
     tenant: str
     traffic_class: str
-    priority: int
+    priority: _Integer
     deferrable: bool
-    remaining_ms: float
+    remaining_ms: _Finite
     idempotent: bool
     idempotency_key: str = ""
     fingerprint: str = ""
     body: bytes = b""
     streaming: bool = False
-    length: int = -1
+    length: _Length = -1
     caller_service: str = ""
     instance: str = ""
     route: str = ""
-    objective_s: float = 0.0
+    objective_s: _Finite = 0.0
     is_call: bool = False
-    rate_limit: float = -1.0
+    rate_limit: _RateLimit = -1.0
 
 
 class AnswerHead(msgspec.Struct, array_like=True):
@@ -199,23 +212,23 @@
         Whether the backend server states that it is stopping.
     """
 
-    status: int
+    status: _Status
     reason: str
     headers: bytes = b""
     body: bytes = b""
     streaming: bool = False
-    length: int = -1
+    length: _Length = -1
     outcome: str = Outcome.DONE.value
     cause: str = Cause.NONE.value
-    retry_after_s: float = 0.0
-    backend_load: float = -1.0
+    retry_after_s: _Finite = 0.0
+    backend_load: _Finite = -1.0
     retried: bool = False
-    proposed_status: int = 0
+    proposed_status: _Status = 0
     is_not_run: bool = False
-    work_s: float = -1.0
-    pending: int = -1
-    slots: int = 0
-    rate_limit: float = -1.0
+    work_s: _Finite = -1.0
+    pending: _Integer = -1
+    slots: _Integer = 0
+    rate_limit: _RateLimit = -1.0
     is_leaving: bool = False
 
 
@@ -270,6 +283,19 @@
     return AttemptError(refusal, head.backend_load, head.slots)
 
 
+def check_text(*texts: str) -> None:
+    """Check that texts of a caller can be encoded for a link or a log line.
+
+    Raises
+    ------
+    MessageFormatError
+        If one of them stems from bytes that are no UTF-8.
+    """
+    for text in texts:
+        if not text.isascii():
+            formats.decode(str.encode, text, MessageFormatError, "request line or id")
+
+
 def join_headers(
     raw_headers: Iterable[tuple[bytes, bytes]],
     dropped: frozenset[bytes],
--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -33,8 +33,8 @@
     FrameType,
     LinkAuthenticationError,
     LinkError,
-    answer_decoder,
     compute_proof,
+    decode_answer,
     encoder,
 )
 from mangowell_node.reach import AddressFilter
@@ -270,7 +270,7 @@
             return
         if stream.answer.done():
             raise LinkError("second answer on one stream")
-        answer = answer_decoder.decode(payload)
+        answer = decode_answer(payload)
         if answer.streaming:
             stream.receiver = BodyReceiver(
                 self, stream_id, answer.length, stream.cancel
@@ -297,7 +297,7 @@
     def _on_reset(self, stream_id: int, payload: bytes) -> None:
         stream = self._get_stream(stream_id)
         if stream is not None:
-            stream.fail(parse_failed_head(answer_decoder.decode(payload)))
+            stream.fail(parse_failed_head(decode_answer(payload)))
 
     def _on_window(self, stream_id: int, payload: bytes) -> None:
         (credit,) = WINDOW_UPDATE.unpack(payload)
--- a/packages/node/src/mangowell_node/link/frames.py
+++ b/packages/node/src/mangowell_node/link/frames.py
@@ -8,11 +8,13 @@
 import logbook
 import msgspec
 
+from mangowell_core import formats
 from mangowell_node.exchange import (
     MAX_BUFFERED_BODY,
     MAX_HEADER_BLOCK,
     AnswerHead,
     RequestHead,
+    parse_failed_head,
 )
 
 MAGIC = b"mangowell-link-1"
@@ -68,8 +70,8 @@
 
 log = logbook.Logger(__name__)
 encoder = msgspec.msgpack.Encoder()
-request_decoder = msgspec.msgpack.Decoder(RequestHead)
-answer_decoder = msgspec.msgpack.Decoder(AnswerHead)
+_request_decoder = msgspec.msgpack.Decoder(RequestHead)
+_answer_decoder = msgspec.msgpack.Decoder(AnswerHead)
 
 
 class LinkError(Exception):
@@ -80,6 +82,24 @@
     """Failed authentication: the peer does not know the fleet's secret."""
 
 
+def decode_request(payload: bytes) -> RequestHead:
+    """Decode the payload of a REQUEST frame; raises `LinkError`."""
+    return formats.decode(_request_decoder.decode, payload, LinkError)
+
+
+def decode_answer(payload: bytes) -> AnswerHead:
+    """Decode the payload of an ANSWER or RESET frame; raises `LinkError`."""
+    return formats.decode(_read_answer, payload, LinkError)
+
+
+def _read_answer(payload: bytes) -> AnswerHead:
+    head = _answer_decoder.decode(payload)
+    if head.status == 0:
+        # Names of an outcome and a cause that this version does not know.
+        parse_failed_head(head)
+    return head
+
+
 def derive_link_key(secret: str) -> bytes:
     """Derive the key of the request links from the fleet's secret."""
     return hmac.digest(secret.encode(), b"mangowell request link", hashlib.sha256)
--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -29,9 +29,9 @@
     LinkAuthenticationError,
     LinkError,
     compute_proof,
+    decode_request,
     encoder,
     log,
-    request_decoder,
 )
 
 Handler = Callable[[RequestHead, Body | None, float], Awaitable[Answer]]
@@ -100,7 +100,7 @@
             raise LinkError("stream id does not exceed the previous one")
         if len(self._streams) >= MAX_STREAMS:
             raise LinkError("too many open streams")
-        head = request_decoder.decode(payload)
+        head = decode_request(payload)
         if self._stopping:
             return  # GOAWAY has told the peer that this request does not run.
         self._last_stream_id = stream_id
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -29,6 +29,7 @@
     AttemptError,
     MessageFormatError,
     RequestHead,
+    check_text,
     join_headers,
 )
 from mangowell_node.ingress import REASON_PHRASES, IncomingCall, Reply
@@ -256,6 +257,7 @@
         limits = self._directory.document.limits
         route = state.route
         try:
+            check_text(request, call.method, call.target)
             header_block = join_headers(
                 call.raw_headers,
                 PlatformDialect.dropped_fields,
--- a/packages/node/src/mangowell_node/platform/document.py
+++ b/packages/node/src/mangowell_node/platform/document.py
@@ -19,6 +19,7 @@
     Name,
     Port,
     Prefix,
+    Priority,
     Slots,
     Weight,
     WorkerId,
@@ -51,7 +52,7 @@
     route_type: str  # `safe` or `unsafe`: whether a request may be repeated
     timeout: str
     target_latency: str  # an answer within this time has its full value
-    priority: Count
+    priority: Priority
     max_attempts: Positive  # including the first attempt
     service: Name | None = None
     traffic_split: list[_Part] | None = None
--- a/packages/node/src/mangowell_node/platform/headers.py
+++ b/packages/node/src/mangowell_node/platform/headers.py
@@ -21,6 +21,8 @@
 _MAX_TIMEOUT_MS = 86_400_000
 # Non-negative decimal number of a reasonable length.
 _DECIMAL = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?")
+# Number of slots that a link can carry and the placement can calculate with.
+_SLOTS = re.compile(r"[0-9]{1,6}")
 # Fields that the node sets itself; those of the caller are dropped.
 _NODE_FIELDS = frozenset({b"timeout-ms", b"caller-service", b"expected-instance"})
 
@@ -98,7 +100,7 @@
     def read_slots(self, headers: CIMultiDictProxy[str]) -> int:
         """Return the number of slots that the worker reports, or 0 if it is missing."""
         fields = headers.get(_SERVER_LOAD, "").split(",")
-        if len(fields) != 3 or not fields[2].strip().isdecimal():
+        if len(fields) != 3 or _SLOTS.fullmatch(fields[2].strip()) is None:
             return 0
         return int(fields[2])
 
