Bound the values of the settings file of a node

A port of 0 or 70000, or a service name of two lines, was read as valid: the node failed only as it used the address, and the second line would have been written into the header of every request as a field of its own. A link speed of 1e308 makes sums of rates infinite.

The parsers of the fields checked no upper bound, and an INI value may continue on the next line.

Names, ports and rates now have the bounds of mesh.model, and every failure of a parser counts as a format error by formats.decode. Required values out of range are errors as before, and a reload keeps the settings in force; others are replaced by their defaults with a warning.

--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -14,6 +14,8 @@
 MAX_INTEGER = 2**63 - 1
 # Longest time in seconds, about 30 years. Timers and sums of times stay exact.
 MAX_DURATION_S = 1e9
+# Largest rate or speed, per second.
+MAX_RATE = 1e9
 # Longest name, in characters. A key of the store has at most 200 bytes, and many
 # entries have to fit into one frame of a link.
 MAX_NAME_CHARS = 255
@@ -30,7 +32,7 @@
 Seconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
 # Time that may have passed already.
 RemainingTime = Annotated[float, Meta(ge=-MAX_DURATION_S, le=MAX_DURATION_S)]
-Rate = Annotated[float, Meta(ge=0, le=1e9)]
+Rate = Annotated[float, Meta(ge=0, le=MAX_RATE)]
 Weight = Annotated[float, Meta(ge=0, le=1e12)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 # Infinity for no limit, negative if unknown.
--- a/packages/core/src/mangowell_core/mesh/settings.py
+++ b/packages/core/src/mangowell_core/mesh/settings.py
@@ -12,7 +12,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from mangowell_core.mesh.model import MAX_DURATION_S
+from mangowell_core import formats
+from mangowell_core.mesh.model import MAX_DURATION_S, MAX_RATE, Name, Port
 
 # Replaces an unusable grace period, in seconds. A node that stops too early finishes
 # fewer requests; one that stops too late is killed with all that are open.
@@ -21,9 +22,14 @@
 DEFAULT_RETRY_WINDOW_S = 10.0
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
 _UNIT_S = {"ms": 0.001, "s": 1.0}
 
 
+class _SettingError(Exception):
+    """A value of the settings file that cannot be used."""
+
+
 class Address(msgspec.Struct, frozen=True):
     """Network address as a host and a port."""
 
@@ -96,8 +102,10 @@
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
-        parser.read_string(text, filename)
-    except configparser.Error as exc:
+        formats.decode(
+            lambda text: parser.read_string(text, filename), text, _SettingError
+        )
+    except _SettingError as exc:
         return Err([f"{filename}: {exc}"])
     values = {}
     errors = []
@@ -105,8 +113,8 @@
     for field, (section, parse, default) in _FIELDS.items():
         raw = parser.get(section, field, fallback="").strip()
         try:
-            values[field] = parse(raw)
-        except ValueError as exc:
+            values[field] = formats.decode(parse, raw, _SettingError)
+        except _SettingError as exc:
             shown = f"{field}={raw!r}: {exc}" if raw else f"{field}: missing"
             message = f"{filename}: [{section}] {shown}"
             if default is None:
@@ -122,14 +130,15 @@
 def _parse_name(text: str) -> str:
     if not text:
         raise ValueError("must not be empty")
-    return text
+    return msgspec.convert(text, Name)
 
 
 def _parse_address(text: str) -> Address:
     host, colon, port = text.rpartition(":")
     if not colon or not host:
         raise ValueError("expected host:port")
-    return Address(host, _parse_count(port))
+    # A value of several lines would be written to a header field.
+    return Address(_parse_name(host), _parse_port(port))
 
 
 def parse_duration(text: str) -> float:
@@ -157,17 +166,16 @@
     return window_s
 
 
-def _parse_count(text: str) -> int:
-    value = int(text)
-    if value < 0:
-        raise ValueError("must not be negative")
-    return value
+def _parse_port(text: str) -> int:
+    if _PORT.fullmatch(text) is None:
+        raise ValueError("expected a port")
+    return msgspec.convert(int(text), Port)
 
 
 def _parse_number(text: str) -> float:
     value = float(text)
-    if not 0 <= value < float("inf"):
-        raise ValueError("must be a finite number of at least 0")
+    if not 0 <= value <= MAX_RATE:
+        raise ValueError(f"must be a number from 0 to {MAX_RATE:.0f}")
     return value
 
 
@@ -180,7 +188,7 @@
     "callers": ("listen", _parse_address, None),
     "ready": ("listen", _parse_address, None),
     "link": ("listen", _parse_address, None),
-    "metrics_port": ("listen", _parse_count, None),
+    "metrics_port": ("listen", _parse_port, None),
     "link_mbps": ("node", _parse_number, 0.0),
     "worker": ("worker", _parse_address, None),
     "store": ("store", _parse_address, None),
--- a/tests/mesh/test_mesh_settings.py
+++ b/tests/mesh/test_mesh_settings.py
@@ -56,6 +56,34 @@
     assert [expected in error and "file.ini" in error for error in errors] == [True]
 
 
+@pytest.mark.parametrize("port", ["0", "70000", "-1", "8_0", "1" * 5000, "\u0661"])
+@pytest.mark.parametrize("field", ["app-addr", "platform.address", "listen.ready"])
+def test_port_out_of_range_is_an_error(field, port):
+    """Guards against a reload of settings that fail only when they are used."""
+    result = parse_mesh_settings(render_template(**{field: f"10.0.0.1:{port}"}), "x")
+    assert result.is_err()
+
+
+@pytest.mark.parametrize("field", ["service", "zone", "node-name"])
+@pytest.mark.parametrize("name", ["a\n  X: y", "a\x01", "x" * 256])
+def test_name_that_fits_into_no_header_field_is_an_error(field, name):
+    """Guards against a header field that a value of several lines injects."""
+    assert parse_mesh_settings(render_template(**{field: name}), "x").is_err()
+
+
+@given(st.text() | st.text("[]=:\n ;#abc", max_size=60))
+def test_text_that_is_no_settings_file_is_an_error(text):
+    assert parse_mesh_settings(text, "x").is_err()
+    assert parse_mesh_settings("[node]\n" + text, "x").is_err()
+
+
+def test_number_too_large_is_replaced_by_its_default():
+    changes = {"bounds.grace": "1" * 400 + "s", "limits.link-mbps": "1e308"}
+    settings = parse_mesh_settings(render_template(**changes), "x").unwrap()
+    assert (settings.grace_s, settings.link_mbps) == (5.0, 0.0)
+    assert len(settings.warnings) == 2
+
+
 def test_all_errors_are_reported():
     changes = {"zone": "", "listen.ready": "soon"}
     assert len(parse_mesh_settings(render_template(**changes), "x").unwrap_err()) == 2
