--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -16,6 +16,8 @@
 MAX_INTEGER = 2**63 - 1
 # Longest time in seconds, about 30 years. Timers and sums of times stay exact.
 MAX_DURATION_S = 1e9
+# Largest rate or speed, per second.
+MAX_RATE = 1e9
 # Longest name, in characters. A key of the store has at most 200 bytes, and many
 # entries have to fit into one frame of a link.
 MAX_NAME_CHARS = 255
@@ -25,12 +27,14 @@
 # sums of them stay exact.
 Slots = Annotated[int, Meta(ge=1, le=1_000_000)]
 Load = Annotated[int, Meta(ge=0, le=1_000_000_000)]
+# Within the range of the priority in the head of a request on a link.
+Priority = Annotated[int, Meta(ge=0, le=1_000_000)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 # No infinity and no NaN, which pass no comparison.
 Seconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
 # Time that may have passed already.
 RemainingTime = Annotated[float, Meta(ge=-MAX_DURATION_S, le=MAX_DURATION_S)]
-Rate = Annotated[float, Meta(ge=0, le=1e9)]
+Rate = Annotated[float, Meta(ge=0, le=MAX_RATE)]
 Weight = Annotated[float, Meta(ge=0, le=1e12)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 # Infinity for no limit, negative if unknown.
@@ -85,7 +89,7 @@
     idempotent: bool
     timeout_s: Seconds
     objective_s: Seconds
-    priority: Count
+    priority: Priority
     max_attempts: Count
     parts: tuple[tuple[Name, Weight], ...]
 
@@ -387,7 +391,7 @@
     probe: Count
     instance: str
     route: str
-    priority: Count
+    priority: Priority
     objective_s: Seconds
     remaining_s: RemainingTime
     is_call: bool
--- a/packages/node/src/mangowell_node/platform/headers.py
+++ b/packages/node/src/mangowell_node/platform/headers.py
@@ -4,7 +4,6 @@
 
 from multidict import CIMultiDictProxy, istr
 
-from mangowell_core import formats
 from mangowell_core.mesh.worker_states import NO_RATE_LIMIT, UNKNOWN_RATE_LIMIT
 from mangowell_node.exchange import HOP_BY_HOP, RequestHead
 
@@ -22,6 +21,8 @@
 _MAX_TIMEOUT_MS = 86_400_000
 # Non-negative decimal number of a reasonable length.
 _DECIMAL = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?")
+# Number of slots that a link can carry and the placement can calculate with.
+_SLOTS = re.compile(r"[0-9]{1,6}")
 # Fields that the node sets itself; those of the caller are dropped.
 _NODE_FIELDS = frozenset({b"timeout-ms", b"caller-service", b"expected-instance"})
 
@@ -99,9 +100,9 @@
     def read_slots(self, headers: CIMultiDictProxy[str]) -> int:
         """Return the number of slots that the worker reports, or 0 if it is missing."""
         fields = headers.get(_SERVER_LOAD, "").split(",")
-        if len(fields) != 3:
+        if len(fields) != 3 or _SLOTS.fullmatch(fields[2].strip()) is None:
             return 0
-        return formats.parse_count(fields[2].strip()) or 0
+        return int(fields[2])
 
     def read_rate_limit(self, headers: CIMultiDictProxy[str]) -> float:
         """Return the requests per second that the worker takes from all nodes.
