Stop all parts of a node though one fails, and handle signals from the start

After its reading task had failed, a node ended its stop with a traceback and exit code 1, before the store client, the ready and metrics listeners, the links and the worker's connections were closed, and without the last lines of its log. A start that failed half way left the opened parts open. SIGHUP or SIGTERM in the first tenths of a second killed the process, and SIGTERM did nothing while the node was still starting.

stop and _close awaited the failed task and ran one after another without isolation; the handlers were set after the imports and the settings.

--- a/deploy/mangowell_node_launcher.py
+++ b/deploy/mangowell_node_launcher.py
@@ -15,6 +15,6 @@
 os.environ["SSL_CERT_FILE"] = os.devnull
 
 if __name__ == "__main__":
-    from mangowell_node.mesh.program import main
+    from mangowell_node.mesh.launch import launch
 
-    main(os.environ[SETTINGS_VARIABLE])
+    launch(os.environ[SETTINGS_VARIABLE])
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -1,7 +1,9 @@
 """Start, run and stop the parts of a node on the platform."""
 
 import asyncio
+import inspect
 import random
+from collections.abc import Callable
 from http import HTTPStatus
 from time import monotonic
 
@@ -16,7 +18,7 @@
 from mangowell_node.mesh.gateway import Gateway
 from mangowell_node.mesh.gossip import Gossip
 from mangowell_node.mesh.runner import WorkerRunner
-from mangowell_node.mesh.tasks import TaskSupervisor
+from mangowell_node.mesh.tasks import TaskSupervisor, describe_fault
 from mangowell_node.platform import READY_PATH, StoreClient
 from mangowell_node.reach import AddressFilter
 from mangowell_node.telemetry import Telemetry
@@ -28,6 +30,10 @@
 EXPIRY_TASK = "expiry"
 EXPIRE_INTERVAL_S = 0.25
 LINGER_POLL_S = 0.02
+# Time that a part has to close, and that a part with a deadline has after it, in
+# seconds. Both are below the margin that `StopSchedule` leaves for closing.
+CLOSE_TIMEOUT_S = 0.15
+DEADLINE_SLACK_S = 0.05
 
 
 class MeshNode:
@@ -120,9 +126,19 @@
         return cls(settings, telemetry, random.Random())
 
     async def start(self) -> None:
-        """Open the sockets and start reading the store."""
-        settings = self._settings
+        """Open the sockets and start reading the store.
+
+        If it fails or is cancelled, all that is open is closed.
+        """
         self._telemetry.emit(Event(EventCode.JOIN_STARTED, {"peers": 0}))
+        try:
+            await self._start_parts()
+        except BaseException:
+            await self.abort()
+            raise
+
+    async def _start_parts(self) -> None:
+        settings = self._settings
         await self._store.start()
         await self._ready_server.start(settings.ready.host, settings.ready.port)
         await self._metrics_server.start(settings.ready.host, settings.metrics_port)
@@ -145,28 +161,37 @@
         self._telemetry.emit(Event(EventCode.SETTINGS_RELOADED, fields))
 
     async def stop(self) -> None:
-        """Stop gracefully: finish accepted requests and report not ready."""
+        """Stop gracefully: finish accepted requests and report not ready.
+
+        A part that fails is logged and keeps no other from stopping.
+        """
         started = monotonic()
         schedule = StopSchedule.from_grace(self._settings.grace_s, started)
         deadline = schedule.deadline
         self._draining = True
         self._telemetry.emit(Event(EventCode.STOP_STARTED, {"reason": "SIGTERM"}))
         self._ingress.draining = True
-        self.gateway.limit_deadlines(schedule.caller_deadline)
-        self.runner.limit_deadlines(deadline)
-        self._gossip.announce_stop(deadline)
+        caller_deadline = schedule.caller_deadline
+        await self._try("gateway", self.gateway.limit_deadlines, caller_deadline)
+        await self._try("runner", self.runner.limit_deadlines, deadline)
+        await self._try("gossip", self._gossip.announce_stop, deadline)
         while monotonic() < schedule.linger_deadline:
             await asyncio.sleep(LINGER_POLL_S)
-        self._link_server.refuse_new_streams()
-        self.gateway.refuse_callers()
+        await self._try("link server", self._link_server.refuse_new_streams)
+        await self._try("gateway", self.gateway.refuse_callers)
         # Calls of running requests arrive like requests of callers, so the listener for
         # both stays open until no request is left that runs or may still start here.
         while self.runner.pending or self.gateway.in_flight:
             if monotonic() >= deadline:
                 break
             await asyncio.sleep(LINGER_POLL_S)
-        await self._ingress.stop(max(0.0, deadline - monotonic()))
-        await self._link_server.stop(deadline)
+        remaining_s = max(0.0, deadline - monotonic())
+        limit_s = remaining_s + DEADLINE_SLACK_S
+        await self._try("ingress", self._ingress.stop, remaining_s, limit_s=limit_s)
+        limit_s = max(0.0, deadline - monotonic()) + DEADLINE_SLACK_S
+        await self._try(
+            "link server", self._link_server.stop, deadline, limit_s=limit_s
+        )
         in_flight = self.gateway.in_flight + self.runner.pending
         fields = {
             "in_flight": in_flight,
@@ -177,18 +202,43 @@
 
     async def abort(self) -> None:
         """Close all connections at once, as a crash does."""
-        await self._ingress.stop(0.0)
-        await self._link_server.stop(0.0)
+        await self._try("ingress", self._ingress.stop, 0.0)
+        await self._try("link server", self._link_server.stop, 0.0)
         await self._close()
 
     async def _close(self) -> None:
-        await self.supervisor.stop()
-        await self._gossip.stop()
-        await self._store.close()
-        await self._ready_server.stop(0.0)
-        await self._metrics_server.stop(0.0)
-        self._links.close()
-        self.runner.stop()
+        await self._try("supervisor", self.supervisor.stop)
+        await self._try("gossip", self._gossip.stop)
+        await self._try("store", self._store.close)
+        await self._try("ready", self._ready_server.stop, 0.0)
+        await self._try("metrics", self._metrics_server.stop, 0.0)
+        await self._try("links", self._links.close)
+        await self._try("runner", self.runner.stop)
+
+    async def _try(
+        self, part: str, stop: Callable, *args, limit_s: float = CLOSE_TIMEOUT_S
+    ) -> None:
+        """Call a function that stops a part; log its failure or a late end.
+
+        Parameters
+        ----------
+        part : str
+            Name of the part.
+        stop : callable
+            Function or coroutine function.
+        args
+            Arguments of `stop`.
+        limit_s : float
+            Time that the part may take, in seconds.
+        """
+        try:
+            async with asyncio.timeout(limit_s):
+                result = stop(*args)
+                if inspect.isawaitable(result):
+                    await result
+        except Exception as exc:
+            fields = {"reason": f"stop of {part} failed", **describe_fault(exc)}
+            self._telemetry.emit(Event(EventCode.INTERNAL_FAULT, fields))
 
     @property
     def is_ready(self) -> bool:
--- a/packages/node/src/mangowell_node/mesh/program.py
+++ b/packages/node/src/mangowell_node/mesh/program.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-import traceback
+import sys
 from pathlib import Path
 
 import uvloop
@@ -12,12 +12,15 @@
 from mangowell_core.mesh import MeshSettings, parse_mesh_settings
 from mangowell_node.event_log import EventLog
 from mangowell_node.mesh.node import MeshNode
+from mangowell_node.mesh.tasks import describe_fault
 from mangowell_node.settings_file import load_settings
 from mangowell_node.telemetry import Telemetry
 
 EVENTS_KEPT = 200
 RELOAD_TASK = "settings-reload"
 SETTINGS_POLL_S = 1.0
+# Exit code of a node that could not start, for example as an address is taken.
+EXIT_START_FAILED = 1
 
 
 class SettingsReloader:
@@ -85,36 +88,68 @@
         telemetry.emit(Event(EventCode.SETTING_REPLACED, {"reason": reason}))
 
 
-async def run(path: Path) -> None:
-    """Run the node until SIGTERM or SIGINT."""
+async def run(path: Path) -> int:
+    """Run the node until SIGTERM or SIGINT; return the exit code."""
+    loop = asyncio.get_running_loop()
+    # Signals are handled before anything that takes time: without a handler they
+    # would end the process.
+    stop_requested, reload_requested = asyncio.Event(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
+    loop.add_signal_handler(signal.SIGINT, stop_requested.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     settings = load_settings(path, parse_mesh_settings)
     log = EventLog(settings.instance)
     telemetry = Telemetry(settings.instance, EVENTS_KEPT, sink=log.write)
     emit_replaced_settings(settings, telemetry)
-    loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, ctx: _emit_fault(telemetry, ctx))
-    node = MeshNode.from_settings(settings, telemetry)
-    stop_requested = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
-    loop.add_signal_handler(signal.SIGINT, stop_requested.set)
-    reloader = SettingsReloader(path, settings, node, telemetry)
-    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
-    await node.start()
+    try:
+        node = MeshNode.from_settings(settings, telemetry)
+        reloader = SettingsReloader(path, settings, node, telemetry)
+        loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+        if reload_requested.is_set():
+            reloader.reload()
+        return await _run_node(node, reloader, stop_requested, telemetry)
+    finally:
+        # A second signal must not change the exit code of a node that has stopped.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+        log.flush()
+
+
+async def _run_node(
+    node: MeshNode,
+    reloader: SettingsReloader,
+    stop_requested: asyncio.Event,
+    telemetry: Telemetry,
+) -> int:
+    starting = asyncio.ensure_future(node.start())
+    stopping = asyncio.ensure_future(stop_requested.wait())
+    await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+    if not starting.done():
+        # A node that has not started has no callers, so it stops at once.
+        starting.cancel()
+        await asyncio.wait((starting,))
+        return 0
+    if starting.exception() is not None:
+        stopping.cancel()
+        fault = describe_fault(starting.exception())
+        fields = {"reason": "start failed", **fault}
+        telemetry.emit(Event(EventCode.INTERNAL_FAULT, fields))
+        return EXIT_START_FAILED
     node.supervisor.start(RELOAD_TASK, reloader.run)
-    await stop_requested.wait()
+    await stopping
     await node.stop()
-    log.flush()
+    return 0
 
 
 def _emit_fault(telemetry: Telemetry, context: dict) -> None:
     """Emit an event for an exception that no part of the node has handled."""
-    exc = context.get("exception")
-    frames = traceback.extract_tb(exc.__traceback__) if exc is not None else []
-    where = " < ".join(f"{f.name}:{f.lineno}" for f in reversed(frames[-4:]))
-    fields = {"reason": context.get("message", ""), "fault": repr(exc), "where": where}
+    fault = describe_fault(context.get("exception"))
+    fields = {"reason": context.get("message", ""), **fault}
     telemetry.emit(Event(EventCode.INTERNAL_FAULT, fields))
 
 
 def main(path: str) -> None:
-    """Run the node with the settings file at `path`."""
-    uvloop.run(run(Path(path)))
+    """Run the node with the settings file at `path`; exit with its exit code."""
+    sys.exit(uvloop.run(run(Path(path))))
--- a/packages/node/src/mangowell_node/mesh/tasks.py
+++ b/packages/node/src/mangowell_node/mesh/tasks.py
@@ -20,7 +20,7 @@
 LASTING_FAILURES = 3
 # Time that cancelled tasks have to end, in seconds. It is short, as the grace period
 # of a stopping node may be used up by its requests.
-END_TIMEOUT_S = 0.3
+END_TIMEOUT_S = 0.1
 # Number of innermost frames in the description of a fault.
 DESCRIBED_FRAMES = 4
 
--- a/packages/standins/src/mangowell_standins/node_process.py
+++ b/packages/standins/src/mangowell_standins/node_process.py
@@ -9,7 +9,9 @@
 
 TEMPLATE = Path(__file__).parents[4] / "deploy/settings.ini.template"
 CALLER_PORT, READY_PORT, WORKER_PORT, LINK_PORT = 8304, 8302, 8301, 7620
-_COMMAND = "import sys; from mangowell_node.mesh.program import main; main(sys.argv[1])"
+NODE_CODE = (
+    "import sys; from mangowell_node.mesh.launch import launch; launch(sys.argv[1])"
+)
 
 
 class NodeProcess:
@@ -25,11 +27,20 @@
     fields : dict
         Values of the settings template: `zone`, `service`, `platform.address`
         and `bounds` of the platform.
+    code : str
+        Code that the process runs, with the path of the settings file as its argument.
     """
 
-    __slots__ = ("_process", "fields", "host", "logs", "path")
+    __slots__ = ("_code", "_process", "fields", "host", "logs", "path")
 
-    def __init__(self, number: int, directory: Path, fields: dict[str, str]):
+    def __init__(
+        self,
+        number: int,
+        directory: Path,
+        fields: dict[str, str],
+        code: str = NODE_CODE,
+    ):
+        self._code = code
         high, low = divmod(os.getpid() % 62_500, 250)
         self.host = f"127.{high + 1}.{low + 1}.{number}"
         self.fields = {
@@ -65,7 +76,7 @@
         self.write_settings()
         self.logs.append(self.path.with_suffix(f".{len(self.logs) + 1}.log"))
         environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
-        command = (sys.executable, "-c", _COMMAND, str(self.path))
+        command = (sys.executable, "-c", self._code, str(self.path))
         with self.logs[-1].open("wb") as log:
             self._process = await asyncio.create_subprocess_exec(
                 *command, stdout=log, stderr=log, env=environment
