Take no new callers while an own task fails and other nodes are sound

A node whose expiry, gossip or use of a new configuration failed for good stayed ready, and its callers got the old state, while the nodes beside it were fine.

Ready knew nothing of the tasks. From the third failure in a row of a necessary task or step, a node is not ready if most other nodes of its domain are heard of and sound; the status notice says whether the sender's fail. An outage of the store, a failing reader, and a failure that half of the domain has are no reasons, as callers would find no node. GET /api/ready names the reasons, what fails, what the reader does and the age of the store's last answer. docs/decisions/0012 has the table.

--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -215,6 +215,8 @@
         stated that it is about to stop.
     version : int
         Version of the sender's document; 0 for none.
+    failing : bool
+        Whether a part of the sender that its callers need fails again and again.
     """
 
     instance: str
@@ -229,6 +231,7 @@
     ends_in_s: float | None = None
     leaving_worker: tuple[str, int] | None = None
     version: int = 0
+    failing: bool = False
 
 
 class FetchNotice(msgspec.Struct, frozen=True, tag=True):
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -168,6 +168,10 @@
         self._is_isolated = False
         self._election = ReaderElection(settings.instance, settings.link_mbps)
         self._publication = Publication()
+        # Returns whether a part that callers need fails again and again here.
+        self.is_failing: Callable[[], bool] = _report_sound
+        # Time of the last status of each other node of the domain, and what it said.
+        self._peer_failing: dict[str, tuple[float, bool]] = {}
         # Whether the last status has said that this node reads the store.
         self._announced_reads = False
         # Steps of both tasks. Each is called even if one before it fails.
@@ -375,6 +379,24 @@
         for name in changes.removed:
             self._emit(Event(EventCode.INSTANCE_REMOVED, {"backend": name} | fields))
 
+    @property
+    def lastingly_failing(self) -> frozenset[str]:
+        """Names of the steps that have failed several times in a row."""
+        return (
+            self._status_steps.lastingly_failing | self._links_steps.lastingly_failing
+        )
+
+    def has_sound_domain(self, now: float) -> bool:
+        """Return whether most other nodes of the domain are heard of and sound."""
+        intervals = max(1.0, len(self._directory.get_hosts()) / FULL_MESH_NODES)
+        heard_after = now - OTHER_DOMAIN_SILENCE_S * intervals
+        states = [
+            failing
+            for received_at, failing in self._peer_failing.values()
+            if received_at > heard_after
+        ]
+        return bool(states) and 2 * sum(states) < len(states)
+
     @property
     def is_isolated(self) -> bool:
         """Whether other nodes are listed and all of them are silent."""
@@ -480,6 +502,7 @@
             max(0.0, self._end_deadline - monotonic()) if self._is_leaving else None,
             self._runner.leaving_worker,
             directory.document_version,
+            self.is_failing(),
         )
 
     def _handle_notice(self, link: Link, payload: bytes) -> None:
@@ -529,6 +552,10 @@
         if self._is_same_domain(link):
             report = ReaderReport(notice.link_mbps, notice.reads, notice.leaving)
             self._election.record_report(notice.instance, report, now)
+            if notice.leaving:
+                self._peer_failing.pop(notice.instance, None)
+            else:
+                self._peer_failing[notice.instance] = now, notice.failing
         directory = self._directory
         if notice.needs_state and notice.revision < directory.revision:
             # The peer fetches the state when it learns that a newer one exists.
@@ -603,3 +630,8 @@
         link.send_notice(payload)
     except Exception as exc:
         link.close(f"send failed: {exc!r}")
+
+
+def _report_sound() -> bool:
+    """Return that nothing fails; replaced by `MeshNode`."""
+    return False
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -7,6 +7,8 @@
 from http import HTTPStatus
 from time import monotonic
 
+import msgspec
+
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import CrashCounter, Directory, MeshSettings, StopSchedule
 from mangowell_core.mesh.revisions import get_number
@@ -30,6 +32,19 @@
 EXPIRY_TASK = "expiry"
 EXPIRE_INTERVAL_S = 0.25
 LINGER_POLL_S = 0.02
+# Tasks and steps without which this node serves callers worse than others do. The
+# reader of the store is not among them: other nodes of the domain read for this one.
+NECESSARY_TASKS = frozenset(
+    {
+        "gossip-status",
+        "announce",
+        "gossip-links",
+        "keep-links",
+        "expiry",
+        "runner-sync",
+        "gateway-sync",
+    }
+)
 # Time that a part has to close, and that a part with a deadline has after it, in
 # seconds. Both are below the margin that `StopSchedule` leaves for closing.
 CLOSE_TIMEOUT_S = 0.15
@@ -115,6 +130,7 @@
                 "ingress-sync": self._sync_ingress,
             },
         )
+        self._gossip.is_failing = lambda: not NECESSARY_TASKS.isdisjoint(self.failing)
         self._ingress = IngressServer(self.gateway.serve)
         self._ready_server = IngressServer(self._handle_ready)
         self._metrics_server = IngressServer(self._handle_metrics)
@@ -243,19 +259,49 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should send requests to this node."""
-        directory = self.directory
+        return not self._unready_reasons
+
+    @property
+    def failing(self) -> frozenset[str]:
+        """Names of the tasks and steps that fail again and again."""
         return (
-            not self._draining
-            and directory.document is not None
-            and len(directory) > 0
-            and not self._gossip.is_isolated
+            self.supervisor.lastingly_failing
+            | self._consumers.lastingly_failing
+            | self._gossip.lastingly_failing
         )
 
+    @property
+    def _unready_reasons(self) -> list[str]:
+        """Why callers are served better elsewhere; see docs/decisions/0012.
+
+        An outage of the store is no reason, nor is a failure that other nodes of the
+        domain have as well: their callers would find no node at all.
+        """
+        directory = self.directory
+        gossip = self._gossip
+        reasons = {
+            "stopping": self._draining,
+            "no-document": directory.document is None,
+            "no-workers": not len(directory),
+            "isolated": gossip.is_isolated,
+            "task-failing": gossip.is_failing()
+            and gossip.has_sound_domain(monotonic()),
+        }
+        return [name for name, applies in reasons.items() if applies]
+
     async def _handle_ready(self, call: IncomingCall) -> Reply:
+        reasons = self._unready_reasons
         status = HTTPStatus.NOT_FOUND
         if call.target.partition("?")[0] == READY_PATH:
-            status = HTTPStatus.OK if self.is_ready else HTTPStatus.SERVICE_UNAVAILABLE
-        body = b'{"ready": %b}\n' % (b"true" if self.is_ready else b"false")
+            status = HTTPStatus.SERVICE_UNAVAILABLE if reasons else HTTPStatus.OK
+        state = {
+            "ready": not reasons,
+            "reasons": reasons,
+            "failing": sorted(self.failing),
+            "reader": self._feed.state,
+            "store_answer_age_s": round(self._feed.compute_answer_age(monotonic()), 1),
+        }
+        body = msgspec.json.encode(state) + b"\n"
         headers = b"Content-Type: application/json\r\n"
         return Reply(status.value, status.phrase, headers, body)
 
@@ -280,6 +326,7 @@
             "reader_elected": self._feed.is_elected,
             "reader_running": self._feed.is_running,
             "tasks_running": self.supervisor.count_running(),
+            "failing_lastingly": len(self.failing),
             "tasks_failing": len(self.supervisor.failing),
             "store_answer_age_s": self._feed.compute_answer_age(monotonic()),
             "store_era": self._store.era,
