--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -269,6 +269,8 @@
         Version of the sender's document; 0 for none.
     store_uptime : UptimeReport or None
         When the store is known to have answered.
+    failing : bool
+        Whether a part of the sender that its callers need fails again and again.
     """
 
     instance: Name
@@ -284,6 +286,7 @@
     leaving_worker: tuple[WorkerId, Count] | None = None
     version: Count = 0
     store_uptime: UptimeReport | None = None
+    failing: bool = False
 
 
 class FetchNotice(msgspec.Struct, frozen=True, tag=True):
