Drop a worker at once when its entry becomes unreadable

After an outage of the store, a worker whose entry had been replaced by foreign bytes was used for 2 s more.

The entry went through the same removal as a missing one, which is held in case that its lease ran out. An entry that the store lists has a lease, so it is now discarded without a hold, from a watch as from a list.

test_worker_with_an_unreadable_entry_is_not_held_after_an_outage failed before (the worker was still listed after the store had answered again) and passes now. Other nodes learn of it as of any removal, so they may still hold it if they know of a long outage in the 2 s before.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -155,6 +155,13 @@
         else:
             self._drop(endpoint_id, revision, now)
 
+    def discard(self, endpoint_id: str, revision: int, now: float) -> None:
+        """Remove an entry that cannot be read; its lease has not run out."""
+        self._withheld.pop(endpoint_id, None)
+        current = self._endpoints.get(endpoint_id)
+        if current is not None and current.revision <= revision:
+            self._drop(endpoint_id, revision, now)
+
     def load(self, endpoints: Iterable[Endpoint], revision: int, now: float) -> None:
         """Apply the complete list at `revision`; remove entries missing from it."""
         self._follow_restore(revision, now)
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -177,10 +177,15 @@
         for item in document.items:
             self._apply(item)
         endpoints = []
+        unreadable = []
         for item in listing.items:
-            with contextlib.suppress(PlatformFormatError):
+            try:
                 endpoints.append(self._read_endpoint(item))
+            except PlatformFormatError:
+                unreadable.append(item)
         self._directory.load(endpoints, listing.revision, now)
+        for item in unreadable:
+            self._directory.discard(item.endpoint_id, item.revision, now)
         self._advance_revision(listing.revision)
 
     def _record_era(self, revision: int, now: float) -> None:
@@ -232,12 +237,12 @@
 
     def _apply_endpoint(self, item: Item) -> None:
         now = asyncio.get_running_loop().time()
+        remove = self._directory.remove
         if item.value is not None:
             try:
                 endpoint = self._read_endpoint(item)
             except PlatformFormatError:
-                # The entry is unreadable, so its worker is removed below.
-                pass
+                remove = self._directory.discard
             else:
                 self._directory.put(endpoint)
                 fields = {
@@ -249,7 +254,7 @@
                 }
                 self._emit(Event(EventCode.INSTANCES_APPLIED, fields))
                 return
-        self._directory.remove(item.endpoint_id, item.revision, now)
+        remove(item.endpoint_id, item.revision, now)
         fields = {"backend": item.endpoint_id, "revision": get_number(item.revision)}
         self._emit(Event(EventCode.INSTANCE_REMOVED, fields))
 
--- a/tests/mesh/test_store_interruptions.py
+++ b/tests/mesh/test_store_interruptions.py
@@ -130,3 +130,17 @@
         await asyncio.sleep(1.0)
         assert all(lists_other(machine) for machine in machines)
         await until(lambda: not any(lists_other(m) for m in machines), 3.0)
+
+
+async def test_worker_with_an_unreadable_entry_is_not_held_after_an_outage():
+    """Guards against a replaced entry that counts as one whose lease ran out."""
+    async with run_mesh(1) as (store, (machine,)):
+        await wait_until_listed(store, [machine])
+        store.refuse_status = 503
+        store.discard_history()
+        await until(lambda: machine.node.directory.is_store_away)
+        store.put("servers/i-9", b"\xff")
+        store.refuse_status = 0
+        await until(lambda: not machine.node.directory.is_store_away)
+        await asyncio.sleep(0.1)
+        assert not lists_other(machine)
--- a/tests/mesh/test_store_uptime.py
+++ b/tests/mesh/test_store_uptime.py
@@ -162,3 +162,11 @@
     assert "w1" not in directory.endpoints
     directory.put(make_endpoint("w1", revision=11))
     assert "w1" in directory.endpoints
+
+
+def test_unreadable_entry_is_dropped_at_once_after_an_outage():
+    directory = make_directory()
+    fail(directory, 11.0)
+    answer(directory, 15.0)
+    directory.discard("w1", 9, 15.0)
+    assert "w1" not in directory.endpoints
