--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -1,7 +1,6 @@
 """Keeps the directory up to date with the store of the platform."""
 
 import asyncio
-import contextlib
 import math
 import random
 from collections.abc import Callable, Iterable
@@ -14,13 +13,14 @@
 from mangowell_core.mesh.revisions import get_era, get_number
 from mangowell_node.mesh.tasks import TaskSupervisor
 from mangowell_node.platform import (
+    Changes,
     HistoryGoneError,
     Item,
     PlatformFormatError,
     StoreClient,
     StoreError,
 )
-from mangowell_node.platform.store import WATCH_MARGIN_S, WATCH_WAIT_MS
+from mangowell_node.platform.store import MAX_WATCH_S
 
 # Name of the supervised task.
 READER_TASK = "store-reader"
@@ -33,7 +33,7 @@
 MAX_BACKOFF_S = 0.8
 # Time within which a watch ends, with a margin for a busy node, and time within which
 # all pages of a slow store are read, in seconds. A reader that takes longer is stuck.
-WATCH_LIMIT_S = WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S + 0.4
+WATCH_LIMIT_S = MAX_WATCH_S + 0.4
 LISTING_LIMIT_S = 15.0
 # Time between two checks of the reader above which the process was paused, in seconds.
 PAUSE_S = 1.0
@@ -54,6 +54,10 @@
     """The open watch was cancelled because other nodes read the store."""
 
 
+class _WatchRestartedError(StoreError):
+    """The open watch was cancelled because it seems to be silent."""
+
+
 class StateFeed:
     """Reads the store of the platform: all items first, then their changes.
 
@@ -239,13 +243,21 @@
         if not self._revision:
             await self._read_all()
             return
-        changes = await self._run_interruptible(self._store.watch(self._revision))
+        changes = await self._watch()
         self._record_up(asyncio.get_running_loop().time(), changes.sent_at)
         self._emit_refused_items(changes.refused)
         for item in changes.items:
             self._apply(item)
         self._advance_revision(changes.revision)
 
+    async def _watch(self) -> Changes:
+        """Wait for changes; a watch that seems to be silent is repeated once."""
+        try:
+            return await self._run_interruptible(self._store.watch(self._revision))
+        except _WatchRestartedError:
+            self._expect_progress(WATCH_LIMIT_S)
+            return await self._run_interruptible(self._store.watch(self._revision))
+
     async def _run_interruptible(self, watch_call):
         """Await a watch that `set_reading` and `restart_watch` can cancel."""
         self._watch_task = asyncio.ensure_future(watch_call)
@@ -256,7 +268,7 @@
                 raise
             if not self._reading_enabled.is_set():
                 raise _ReadingStoppedError from None
-            raise StoreError("watch cancelled: another node is ahead") from None
+            raise _WatchRestartedError("another node is ahead") from None
         finally:
             self._watch_task = None
 
@@ -273,10 +285,15 @@
             self._apply(item)
         self._emit_refused_items(listing.refused)
         endpoints = []
+        unreadable = []
         for item in listing.items:
-            with contextlib.suppress(PlatformFormatError):
+            try:
                 endpoints.append(self._read_endpoint(item))
+            except PlatformFormatError:
+                unreadable.append(item)
         self._directory.load(endpoints, listing.revision, now)
+        for item in unreadable:
+            self._directory.discard(item.endpoint_id, item.revision, now)
         self._advance_revision(listing.revision)
 
     def _record_era(self, revision: int, now: float) -> None:
@@ -332,12 +349,12 @@
 
     def _apply_endpoint(self, item: Item) -> None:
         now = asyncio.get_running_loop().time()
+        remove = self._directory.remove
         if item.value is not None:
             try:
                 endpoint = self._read_endpoint(item)
             except PlatformFormatError:
-                # The entry is unreadable, so its worker is removed below.
-                pass
+                remove = self._directory.discard
             else:
                 self._directory.put(endpoint)
                 fields = {
@@ -349,7 +366,7 @@
                 }
                 self._emit(Event(EventCode.INSTANCES_APPLIED, fields))
                 return
-        self._directory.remove(item.endpoint_id, item.revision, now)
+        remove(item.endpoint_id, item.revision, now)
         fields = {
             "backend": formats.quote(item.endpoint_id),
             "revision": get_number(item.revision),
