Repeat timers though one of their calls fails

These timers scheduled their next call at the end of the current one. They now do so first, or in any case.

--- a/packages/node/src/mangowell_node/ingress/server.py
+++ b/packages/node/src/mangowell_node/ingress/server.py
@@ -44,12 +44,14 @@
 
     def _sweep(self) -> None:
         """Close connections that have been idle for `idle_timeout_s`."""
+        # The next sweep is scheduled first, so that a failure of this one does not
+        # end all later ones.
+        loop = asyncio.get_running_loop()
+        self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         cutoff = monotonic() - self.idle_timeout_s
         for connection in list(self.connections):
             if connection.is_idle and connection.idle_since < cutoff:
                 connection.close_if_idle()
-        loop = asyncio.get_running_loop()
-        self._sweeper = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def close_idle(self) -> None:
         """Close every connection on which no request is in progress."""
--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -323,13 +323,14 @@
         if now - self._silent_since >= SILENT_AFTER_S:
             self.close("silent")
             return
+        # The last check is due exactly when the silence reaches the limit. It is
+        # scheduled first, so that a failure below does not end the checks.
+        delay = min(PING_INTERVAL_S, self._silent_since + SILENT_AFTER_S - now)
+        self._check_timer = self.loop.call_later(max(0.01, delay), self._check_silence)
         if now - self._silent_since >= REPEATABLE_SILENT_AFTER_S:
             self._report_silence()
         if now - self._silent_since >= PING_INTERVAL_S and not self.is_suspect:
             self._ping(now)
-        # The last check is due exactly when the silence reaches the limit.
-        delay = min(PING_INTERVAL_S, self._silent_since + SILENT_AFTER_S - now)
-        self._check_timer = self.loop.call_later(max(0.01, delay), self._check_silence)
 
     def _ping(self, now: float) -> None:
         self.send(FrameType.PING)
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -354,10 +354,13 @@
 
     def _sweep(self) -> None:
         self._sweep_timer = None
-        self._resume(self.admission.start_waiting(monotonic()))
-        self._refuse_expired()
-        if self.admission.waiting:
-            self._schedule_sweep()
+        try:
+            self._resume(self.admission.start_waiting(monotonic()))
+            self._refuse_expired()
+        finally:
+            # Waiting requests depend on the next sweep, also if this one has failed.
+            if self.admission.waiting:
+                self._schedule_sweep()
 
     # Statements of the worker
 
