Let the stand-in of the store hold items that nodes cannot read

Nothing wrote items of other writers, so no test and no soak could see that one of them ends the reading of the store. The stand-in could only hold complete items, and its pages had no limit of size.

An item can be put with changed or missing fields, which all answers show and a copy keeps; the store itself goes on with the usual ones. A page ends after about 1 MB of values, as the platform's does. The writers of the soak repeat changed fields after a restore like values.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -78,12 +78,13 @@
         super().__init__()
         self.is_away = False
         self.copies: deque[StoreCopy] = deque(maxlen=MAX_COPIES)
-        self._wanted: dict[str, bytes | None] = {}
+        # Values and changes of items; None for a deletion.
+        self._wanted: dict[str, tuple[bytes, dict | None] | None] = {}
 
-    def put(self, key: str, value: bytes) -> int:
+    def put(self, key: str, value: bytes, changes: dict | None = None) -> int:
         """Write an item, during an outage only once it has ended."""
-        self._wanted[key] = value
-        return 0 if self.is_away else super().put(key, value)
+        self._wanted[key] = value, changes
+        return 0 if self.is_away else super().put(key, value, changes)
 
     def delete(self, key: str) -> int:
         """Delete an item, during an outage only once it has ended."""
@@ -92,12 +93,12 @@
 
     async def write_again(self) -> None:
         """Write all items whose content differs from what their writers want."""
-        for key, value in list(self._wanted.items()):
+        for key, written in list(self._wanted.items()):
             await asyncio.sleep(WRITE_AGAIN_S / len(self._wanted))
-            if value != self._wanted[key]:
+            if written is not self._wanted[key]:
                 continue
-            if value is not None:
-                super().put(key, value)
+            if written is not None:
+                super().put(key, *written)
             elif key in self._items:
                 super().delete(key)
 
--- a/packages/standins/src/mangowell_standins/platform_store.py
+++ b/packages/standins/src/mangowell_standins/platform_store.py
@@ -7,6 +7,12 @@
 from aiohttp import web
 
 MAX_PAGE_ITEMS = 50
+# Length of the values of a page, which ends with the item that exceeds it.
+MAX_PAGE_CHARS = 1_000_000
+# Marks a field of an item that is left out of the answers.
+REMOVED = object()
+# Field of a kept item with the changes of its other fields in the answers.
+_CHANGES = "changes"
 
 
 class StoreCopy(NamedTuple):
@@ -71,8 +77,19 @@
         """Number of watches that wait for a change."""
         return len(self._watch_transports)
 
-    def put(self, key: str, value: bytes) -> int:
-        """Write an item and return its revision."""
+    def put(self, key: str, value: bytes, changes: dict | None = None) -> int:
+        """Write an item and return its revision.
+
+        Parameters
+        ----------
+        key : str
+            Key of the item.
+        value : bytes
+            Its value.
+        changes : dict, default=None
+            Fields that all answers with this item have in place of the usual ones;
+            fields with the value `REMOVED` are left out.
+        """
         self._revision += 1
         created_revision = self._items.get(key, {}).get("created-rev", self._revision)
         item = {
@@ -81,6 +98,7 @@
             "mod-rev": self._revision,
             "created-rev": created_revision,
             "lease": 0,
+            _CHANGES: changes or {},
         }
         self._items[key] = item
         self._record_event(item)
@@ -149,7 +167,7 @@
         item = self._items.get(request.query["key"])
         if item is None:
             return web.json_response({"as-of": self._revision}, status=404)
-        return web.json_response({**item, "as-of": self._revision})
+        return web.json_response({**_render(item), "as-of": self._revision})
 
     async def _handle_range(self, request: web.Request) -> web.Response:
         refusal = await self._simulate_fault()
@@ -157,8 +175,13 @@
             return refusal
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
-        page = [self._items[key] for key in keys[:MAX_PAGE_ITEMS]]
-        has_more = len(keys) > MAX_PAGE_ITEMS
+        page, length = [], 0
+        for key in keys[:MAX_PAGE_ITEMS]:
+            page.append(_render(self._items[key]))
+            length += len(self._items[key]["value"])
+            if length > MAX_PAGE_CHARS:
+                break
+        has_more = len(keys) > len(page)
         return web.json_response(
             {"items": page, "has-more": has_more, "as-of": self._revision}
         )
@@ -186,5 +209,12 @@
             self._watch_transports.discard(transport)
         if after < self._compacted_revision:
             return web.json_response({"error": "gone"}, status=410)
-        events = [e for e in self._events if e["mod-rev"] > after]
+        events = [_render(e) for e in self._events if e["mod-rev"] > after]
         return web.json_response({"events": events, "as-of": self._revision})
+
+
+def _render(item: dict) -> dict:
+    """Return an item or a deletion as the answers have it."""
+    fields = item | item.get(_CHANGES, {})
+    fields.pop(_CHANGES, None)
+    return {name: value for name, value in fields.items() if value is not REMOVED}
