Run a soak on a range of seeds with one command

A rare failure needs many seeds, which were run by hand one after another. The report of a soak counts its problems by rule.

--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -19,6 +19,7 @@
 
 import uvloop
 
+from bench.soak_range import parse_range, run_range
 from bench.stop_soak_checks import Problem, describe, find_problems
 from bench.stop_soak_traffic import RECONNECT_PAUSE_S, Caller, Journal, SoakWorker
 from mangowell_standins.node_process import WORKER_PORT, NodeProcess
@@ -305,7 +306,9 @@
     if not problems:
         return journal, ""
     module = f"bench.{Path(sys.modules[soak_type.__module__].__file__).stem}"
-    lines = [f"{len(problems)} problems; the first {MAX_PROBLEMS_SHOWN}:"]
+    counts = Counter(problem.rule for problem in problems)
+    found = ", ".join(f"{rule} {count}" for rule, count in sorted(counts.items()))
+    lines = [f"{len(problems)} problems ({found}); the first {MAX_PROBLEMS_SHOWN}:"]
     for problem in problems[:MAX_PROBLEMS_SHOWN]:
         lines += describe(problem, journal, soak.started_at)
         words = problem.log_words
@@ -315,12 +318,16 @@
 
 
 def run_command(name: str, run) -> None:
-    """Run one soak with the arguments of the command; exit with 1 if it fails."""
+    """Run the soaks of the command's arguments; exit with 1 if one fails."""
     parser = argparse.ArgumentParser(prog=name)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=parse_range, help="such as 100-149")
+    parser.add_argument("--jobs", type=int, default=2, help="soaks at once")
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--nodes", type=int, default=8)
     args = parser.parse_args()
+    if args.seeds is not None:
+        sys.exit(run_range(name, args.seeds, args.jobs, args.seconds, args.nodes))
     journal, report = run(args.seed, args.seconds, args.nodes)
     statuses = Counter(request.status for request in journal.requests)
     acts = Counter(what.split(" ")[0] for _, _, what in journal.acts)
