Soak items of other writers in the store

A foreign entry or odd bytes in op/config end the task that reads the store on every node, and no soak could see it, as nothing wrote such items.

Checks: a worker gets nothing while its entry is replaced, a worker that only foreign entries name gets nothing at all, and each process is ready from its start until it is told to stop. The schedules of the other soaks are unchanged.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -235,7 +235,7 @@
 
 def _check_limits(journal: PlatformJournal) -> Iterator[Problem]:
     for limit in journal.limits:
-        runs = [run for _, run in _find_runs(journal, limit.worker)]
+        runs = [run for _, run in find_runs(journal, limit.worker)]
         starts = sorted(run.started_at for run in runs)
         settled_at = limit.since + SETTLING_S
         for end in (at for at in starts if settled_at <= at < limit.until):
@@ -250,7 +250,7 @@
 def _check_departures(journal: PlatformJournal) -> Iterator[Problem]:
     """Check that no node sends requests to a worker that it knows to leave."""
     for departure in journal.departures:
-        found = _find_runs(journal, departure.worker)
+        found = find_runs(journal, departure.worker)
         told_at: dict[tuple[int, int], float] = {}
         if departure.is_stated:
             for sent, run in sorted(found, key=lambda pair: pair[0].ended_at):
@@ -261,7 +261,7 @@
             known_at = told_at.get((sent.node, sent.start), default)
             if known_at is None or sent.sent_at <= known_at + LEAVING_S:
                 continue
-            if departure.is_stated or not _is_excused(journal, sent, known_at):
+            if departure.is_stated or not is_excused(journal, sent, known_at):
                 text = f"{sent.sent_at - known_at:.2f} s after it knew of the leaving"
                 yield Problem("DRAIN", text, sent)
 
@@ -272,12 +272,12 @@
         at = journal.acknowledged.get(sent.version)
         if at is None or sent.sent_at <= at + APPLIED_S:
             continue
-        if not _is_excused(journal, sent, at):
+        if not is_excused(journal, sent, at):
             text = f"404 on version {sent.version}, {sent.sent_at - at:.2f} s later"
             yield Problem("CONFIG", text, sent)
 
 
-def _is_excused(journal: PlatformJournal, sent: Sent, since: float) -> bool:
+def is_excused(journal: PlatformJournal, sent: Sent, since: float) -> bool:
     """Return whether the node has just started, or the store was away meanwhile."""
     started_at = max(
         (at for at, node, what in journal.acts if _is_start(node, what, at, sent)),
@@ -295,7 +295,7 @@
     return node == sent.node and what.startswith("started") and at <= sent.sent_at
 
 
-def _find_runs(journal: Journal, worker: tuple[str, int]) -> list[tuple[Sent, Run]]:
+def find_runs(journal: Journal, worker: tuple[str, int]) -> list[tuple[Sent, Run]]:
     """Return the runs at one start of a worker, each with its request."""
     requests = {request.id: request for request in journal.requests}
     return [
--- a/packages/standins/src/mangowell_standins/platform_store.py
+++ b/packages/standins/src/mangowell_standins/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from enum import Enum
 from typing import NamedTuple
 
 from aiohttp import web
@@ -9,12 +10,19 @@
 MAX_PAGE_ITEMS = 50
 # Length of the values of a page, which ends with the item that exceeds it.
 MAX_PAGE_CHARS = 1_000_000
-# Marks a field of an item that is left out of the answers.
-REMOVED = object()
 # Field of a kept item with the changes of its other fields in the answers.
 _CHANGES = "changes"
 
 
+class Marker(Enum):
+    """Value of a changed field that is left out of the answers."""
+
+    REMOVED = "removed"
+
+
+REMOVED = Marker.REMOVED
+
+
 class StoreCopy(NamedTuple):
     """Content of the store at one moment."""
 
--- /dev/null
+++ b/tests/mesh/test_foreign_soak.py
@@ -0,0 +1,68 @@
+"""Items of other writers, and the checks of the soak that leaves them."""
+
+import pytest
+from bench.foreign_soak import (
+    ForeignJournal,
+    ReadyAnswer,
+    Replacement,
+    find_more_problems,
+)
+from bench.stop_soak_traffic import Run, Sent
+
+WORKER = ("i-1-1", 1)
+
+
+def get_rules(journal):
+    return [problem.rule for problem in find_more_problems(journal)]
+
+
+def test_checks_find_a_request_to_a_worker_of_a_foreign_entry():
+    """Guards against a soak that passes because its checks find nothing."""
+    assert get_rules(ForeignJournal(misled=[(10.0, "r")])) == ["FOREIGN"]
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "acts", "rules"),
+    (
+        (11.9, [], []),
+        (12.1, [], ["FOREIGN"]),
+        (12.1, [(10.5, 1, "started 2")], []),
+        (15.1, [], []),
+    ),
+)
+def test_checks_find_a_request_to_a_worker_whose_entry_is_replaced(
+    sent_at, acts, rules
+):
+    request = Sent("r", 1, 1, False, 1, 4.0, sent_at, sent_at + 0.1, 200, True)
+    runs = {"r": [Run(2, sent_at, sent_at + 0.1, worker=WORKER)]}
+    replacements = [Replacement(WORKER, 10.0, 15.0)]
+    journal = ForeignJournal([request], runs, acts, replacements=replacements)
+    assert get_rules(journal) == rules
+
+
+READY, REFUSED, SILENT = 200, 503, 0
+
+
+@pytest.mark.parametrize(
+    ("statuses", "acts", "rules"),
+    (
+        ((READY, REFUSED, SILENT), [], ["READY"]),
+        ((READY, REFUSED, READY, REFUSED), [], []),
+        ((REFUSED, REFUSED, READY), [], []),
+        ((REFUSED,) * 22, [], ["READY"]),
+        ((READY, REFUSED, REFUSED), [(1.2, 1, "SIGTERM")], []),
+        ((READY, REFUSED, REFUSED), [(1.2, 1, "ended 1")], []),
+        ((READY, REFUSED, REFUSED), [(1.2, 1, "SIGHUP")], ["READY"]),
+        ((READY, REFUSED, REFUSED), [(1.2, 2, "SIGTERM")], ["READY"]),
+        ((READY, REFUSED, REFUSED), [(3.0, 1, "SIGTERM")], ["READY"]),
+    ),
+)
+def test_checks_find_a_process_that_is_not_ready(statuses, acts, rules):
+    """Guards against a node that takes itself out, or never becomes ready."""
+    answers = [
+        ReadyAnswer(1.0 + number / 2, 1, 1, status)
+        for number, status in enumerate(statuses)
+    ]
+    acts = [(0.5, 1, "started 1"), *acts]
+    journal = ForeignJournal(acts=acts, ready_answers=answers)
+    assert get_rules(journal) == rules
