Hand the reading of the store over when the reading task fails or is stuck

After one unreadable entry, nodes took no later change of the store, and each of them went on to report that it reads, so no other node took over.

StateFeed.is_up only followed the answers of the store, not the task. The next status says so at once. A restarted task lists all items, as the changes of the failed step come in no later answer. A stuck task is started again.

--- a/packages/core/src/mangowell_core/mesh/readers.py
+++ b/packages/core/src/mangowell_core/mesh/readers.py
@@ -24,6 +24,9 @@
 # Time after which one of the two preferred nodes reads again, once others have
 # taken over, seconds.
 RESUME_DELAY_S = 5.0
+# Time for which a node whose reader fails again and again is elected last, seconds. It
+# is started again in that time, so that it is known whether it still fails.
+FAILED_READER_PAUSE_S = 30.0
 
 
 class ReaderReport(NamedTuple):
@@ -32,7 +35,8 @@
     Parameters
     ----------
     link_mbps : float
-        Speed of the link of the node's machine, in megabits per second.
+        Speed of the link of the node's machine, in megabits per second; 0 while its
+        reader fails, so that all other nodes are preferred.
     is_reading : bool
         Whether the node reads the store and the store answers.
     is_leaving : bool
@@ -60,6 +64,7 @@
 
     __slots__ = (
         "_enough_readers_since",
+        "_failed_until",
         "_instance",
         "_link_mbps",
         "_reports",
@@ -77,6 +82,16 @@
         self._enough_readers_since: float | None = None
         self._too_few_readers_since: float | None = None
         self._stopped_at = 0.0
+        # Time until which this node is elected last.
+        self._failed_until = float("-inf")
+
+    def record_failure(self, now: float) -> None:
+        """Record that the reader of this node fails again and again."""
+        self._failed_until = now + FAILED_READER_PAUSE_S
+
+    def get_link_mbps(self, now: float) -> float:
+        """Return the speed of the link to report to the other nodes."""
+        return 0.0 if now < self._failed_until else self._link_mbps
 
     def record_report(self, instance: str, report: ReaderReport, now: float) -> None:
         """Record the report of another node of the domain."""
@@ -95,7 +110,7 @@
         peer_reports = self._get_fresh_reports(now)
         if self.is_reading:
             if is_store_up:
-                other_readers = self._count_preferred(peer_reports, serving=True)
+                other_readers = self._count_preferred(peer_reports, now, serving=True)
             else:
                 other_readers = sum(
                     report.is_reading for report in peer_reports.values()
@@ -113,14 +128,17 @@
         missing_readers = READERS_PER_DOMAIN - serving
         if missing_readers <= 0:
             self._too_few_readers_since = None
-            preferred_readers = self._count_preferred(peer_reports, serving=True)
+            preferred_readers = self._count_preferred(peer_reports, now, serving=True)
             is_due = now - self._stopped_at >= RESUME_DELAY_S
             self.is_reading = is_due and preferred_readers < READERS_PER_DOMAIN
             return self.is_reading
         if self._too_few_readers_since is None:
             self._too_few_readers_since = now
         takeover_position = max(
-            0, self._count_preferred(peer_reports, serving=False) - missing_readers + 1
+            0,
+            self._count_preferred(peer_reports, now, serving=False)
+            - missing_readers
+            + 1,
         )
         if now - self._too_few_readers_since >= takeover_position * TAKEOVER_STAGGER_S:
             self.is_reading = True
@@ -130,7 +148,9 @@
     def is_publisher(self, now: float) -> bool:
         """Return whether this node publishes the changes to the other nodes."""
         peer_reports = self._get_fresh_reports(now)
-        return self.is_reading and not self._count_preferred(peer_reports, serving=True)
+        return self.is_reading and not self._count_preferred(
+            peer_reports, now, serving=True
+        )
 
     def _get_fresh_reports(self, now: float) -> dict[str, ReaderReport]:
         fresh_reports = {}
@@ -142,7 +162,7 @@
         return fresh_reports
 
     def _count_preferred(
-        self, peer_reports: dict[str, ReaderReport], serving: bool
+        self, peer_reports: dict[str, ReaderReport], now: float, serving: bool
     ) -> int:
         """Count the nodes that are preferred to this one as a reader.
 
@@ -150,10 +170,12 @@
         ----------
         peer_reports : dict of str to ReaderReport
             Reports by instance name.
+        now : float
+            Monotonic time, in seconds.
         serving : bool
             Whether to count the nodes that read the store or those that do not.
         """
-        local_rank = (-self._link_mbps, self._instance)
+        local_rank = (-self.get_link_mbps(now), self._instance)
         return sum(
             report.is_reading == serving and (-report.link_mbps, instance) < local_rank
             for instance, report in peer_reports.items()
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable
 from enum import StrEnum
@@ -18,6 +19,7 @@
     StoreClient,
     StoreError,
 )
+from mangowell_node.platform.store import WATCH_MARGIN_S, WATCH_WAIT_MS
 
 # Name of the supervised task.
 READER_TASK = "store-reader"
@@ -28,6 +30,12 @@
 FIRST_BACKOFF_S = 0.2
 # Less than the 3 s within which a machine must notice that the store is back.
 MAX_BACKOFF_S = 0.8
+# Time within which a watch ends, with a margin for a busy node, and time within which
+# all pages of a slow store are read, in seconds. A reader that takes longer is stuck.
+WATCH_LIMIT_S = WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S + 0.4
+LISTING_LIMIT_S = 15.0
+# Time between two checks of the reader above which the process was paused, in seconds.
+PAUSE_S = 1.0
 
 
 class ReaderState(StrEnum):
@@ -78,6 +86,10 @@
         self._revision = 0
         self._backoff_s = FIRST_BACKOFF_S
         self._is_up: bool | None = None
+        # Monotonic time of the last check whether the task is stuck.
+        self._checked_at = monotonic()
+        # Monotonic time by which the task has to take its next step.
+        self._progress_deadline = math.inf
         # Monotonic time of the last answer of the store.
         self._answered_at: float | None = None
         self._supervisor: TaskSupervisor | None = None
@@ -97,8 +109,41 @@
 
     @property
     def is_up(self) -> bool:
-        """Whether this node reads the store and the last call was answered."""
-        return self._reading_enabled.is_set() and bool(self._is_up)
+        """Whether this node reads the store and the last call was answered.
+
+        Other nodes take over if not. The task may have ended, be stuck, or fail again
+        each time that it is started.
+        """
+        return (
+            bool(self._is_up)
+            and self.is_elected
+            and self.is_running
+            and not self.is_stuck(monotonic())
+            and not self.is_failing
+        )
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the task has failed repeatedly and was not healthy since."""
+        supervisor = self._supervisor
+        return supervisor is not None and READER_TASK in supervisor.lastingly_failing
+
+    def is_stuck(self, now: float) -> bool:
+        """Return whether the task has not taken its next step in time."""
+        return self.is_elected and now > self._progress_deadline
+
+    def restart_if_stuck(self, now: float) -> None:
+        """Start the task again if it has not taken its next step in time."""
+        pause_s = now - self._checked_at
+        self._checked_at = now
+        if pause_s > PAUSE_S:
+            # The store may have answered while the process was paused.
+            self._progress_deadline += pause_s
+        if self.is_running and self.is_stuck(now):
+            # Until the new task runs, other nodes read.
+            self._is_up = None
+            self._progress_deadline = math.inf
+            self._supervisor.restart(READER_TASK, "no progress")
 
     @property
     def is_running(self) -> bool:
@@ -116,14 +161,14 @@
     @property
     def state(self) -> ReaderState:
         """What the reader does now."""
-        if not self.is_running:
+        if not self.is_running or self.is_failing:
             return ReaderState.FAILED
         if not self.is_elected:
             return ReaderState.IDLE
         match self._is_up:
             case None:
                 return ReaderState.STARTING
-            case False:
+            case False if not self.is_stuck(monotonic()):
                 return ReaderState.STORE_AWAY
         return ReaderState.READING if self.is_up else ReaderState.SILENT
 
@@ -154,9 +199,19 @@
             self._watch_task.cancel()
 
     async def _run(self) -> None:
+        # A task that ended may have missed changes, so all items are read again.
+        self._revision = 0
+        try:
+            await self._read_forever()
+        finally:
+            self._is_up = None
+            self._progress_deadline = math.inf
+
+    async def _read_forever(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await self._reading_enabled.wait()
+            self._expect_progress(WATCH_LIMIT_S if self._revision else LISTING_LIMIT_S)
             try:
                 await self._read_next()
             except _ReadingStoppedError:
@@ -176,6 +231,9 @@
                 # Jitter keeps nodes that got a change together from calling together.
                 await asyncio.sleep(COALESCE_S * (0.6 + 0.8 * self._rng.random()))
 
+    def _expect_progress(self, limit_s: float) -> None:
+        self._progress_deadline = monotonic() + limit_s
+
     async def _read_next(self) -> None:
         """Read all items, or wait for changes if they have been read."""
         if not self._revision:
@@ -299,6 +357,7 @@
     def _record_up(self, now: float) -> None:
         self._backoff_s = FIRST_BACKOFF_S
         self._answered_at = monotonic()
+        self._expect_progress(WATCH_LIMIT_S)
         if self._is_up:
             return
         self._is_up = True
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -167,6 +167,8 @@
         self._is_isolated = False
         self._election = ReaderElection(settings.instance, settings.link_mbps)
         self._publication = Publication()
+        # Whether the last status has said that this node reads the store.
+        self._announced_reads = False
         links.on_notice = self._handle_notice
         server.on_notice = self._handle_notice
         server.on_authenticated = self._send_status
@@ -284,7 +286,14 @@
 
     def _update_reading(self) -> None:
         now = monotonic()
-        self._feed.set_reading(self._election.decide(now, self._feed.is_up))
+        feed = self._feed
+        feed.restart_if_stuck(now)
+        if feed.is_failing:
+            self._election.record_failure(now)
+        feed.set_reading(self._election.decide(now, feed.is_up))
+        if feed.is_up != self._announced_reads and not self._is_leaving:
+            # Other nodes take over, or stop, as soon as they know.
+            self.announce(to_all_domains=False)
 
     def publish(self) -> None:
         """Send changes to the nodes of the failure domain, if this node publishes."""
@@ -417,6 +426,7 @@
 
     def _make_status(self) -> StatusNotice:
         directory = self._directory
+        self._announced_reads = reads = self._feed.is_up and not self._is_leaving
         load = self._runner.compute_load()
         return StatusNotice(
             self._settings.instance,
@@ -425,8 +435,8 @@
             load.pending,
             load.limit,
             self._is_leaving,
-            self._feed.is_up and not self._is_leaving,
-            self._settings.link_mbps,
+            reads,
+            self._election.get_link_mbps(monotonic()),
             {
                 name: (
                     round(demand.requests_per_s * DEMAND_SCALE),
--- a/packages/node/src/mangowell_node/mesh/tasks.py
+++ b/packages/node/src/mangowell_node/mesh/tasks.py
@@ -51,7 +51,13 @@
 class _TaskRecord:
     """State of one supervised task."""
 
-    __slots__ = ("failures", "healthy_at", "make_coroutine", "restart_timer")
+    __slots__ = (
+        "failures",
+        "healthy_at",
+        "make_coroutine",
+        "restart_reason",
+        "restart_timer",
+    )
 
     def __init__(self, make_coroutine: Callable[[], Coroutine]):
         self.make_coroutine = make_coroutine
@@ -60,6 +66,8 @@
         # Monotonic time from which the running task counts as healthy.
         self.healthy_at = 0.0
         self.restart_timer: asyncio.TimerHandle | None = None
+        # Why the task was cancelled, if `restart` has done it.
+        self.restart_reason = ""
 
     def is_healthy(self, now: float) -> bool:
         return not self.failures or now >= self.healthy_at
@@ -165,6 +173,8 @@
             "failures": record.failures,
             "restart_s": round(delay_s, 2),
         }
+        if record.restart_reason:
+            fields["reason"], record.restart_reason = record.restart_reason, ""
         self._emit_failure(task, fields)
 
     def _emit_failure(self, task: asyncio.Task, fields: dict) -> None:
@@ -176,6 +186,11 @@
             fault = describe_fault(exc)
         self._emit(Event(EventCode.TASK_FAILED, fields | fault))
 
+    def restart(self, name: str, reason: str) -> None:
+        """Cancel the current task of a name, which counts as a failure."""
+        self._records[name].restart_reason = reason
+        self.tasks[name].cancel()
+
     async def end(self, name: str) -> None:
         """Cancel one task for good and wait for its end."""
         record = self._records.pop(name, None)
