Let long-lived tasks of nodes fail in a soak

Nothing let a task of a node fail, so a soak could not tell whether a failed task is started again.

mangowell_standins.failing_node is a program of a node with another supervisor: at a signal the task that the soak has named in a file is cancelled and ends with an error class of its own. The code of the node has no hook for it beyond the class of the supervisor. bench.foreign_soak runs its nodes with this program and has a series of up to three such failures one after another. Its check of the logs passes over task_failed events with exactly this error, and takes any other task_failed for a fault; the checks of the other soaks are as they were.

--- a/bench/foreign_soak.py
+++ b/bench/foreign_soak.py
@@ -2,10 +2,12 @@
 
 As in `bench.platform_soak`, the seed alone determines the schedule. Besides its series,
 another writer leaves items under ``servers/`` and in ``op/config`` that nodes cannot
-read or may not use. Each node has to stay ready and to apply all later changes.
+read or may not use, and long-lived tasks of nodes fail. Each node has to stay ready
+and to apply all later changes.
 """
 
 import asyncio
+import json
 import random
 import re
 from collections.abc import Iterator
@@ -28,6 +30,7 @@
 from bench.stop_soak_checks import Problem
 from bench.stop_soak_traffic import SoakWorker
 from mangowell_node.platform import READY_PATH
+from mangowell_standins.failing_node import FAILURE_SIGNAL, order_failure
 from mangowell_standins.foreign_items import (
     make_foreign_document,
     make_foreign_entry,
@@ -42,6 +45,7 @@
 MIN_STAY_S, MAX_STAY_S = 0.1, 5.0  # of an entry in place of a worker's
 MIN_DOCUMENT_S, MAX_DOCUMENT_S = 0.2, 2.5
 POLL_S = 0.1
+MAX_FAILURES, FAILURE_STEP_S = 3, 0.2  # of tasks of a node, one after another
 # A node is asked as the platform does, and counts as not ready after two misses.
 READY_INTERVAL_S, READY_TIMEOUT_S, MAX_MISSES = 0.5, 1.0, 2
 # Time that a started node has until it must be ready.
@@ -63,6 +67,7 @@
     {"created-rev": None, "lease": "none"},
     {"tombstone": "yes"},
 )
+_INJECTED = re.compile(r"InjectedTaskError\('[a-z-]+'\)")
 _ADDRESS = re.compile(rb"127\.0\.0\.2\d\d:(\d+)")
 
 
@@ -91,6 +96,7 @@
     foreign_items: list[tuple[float, str]] = field(default_factory=list)  # at, key
     misled: list[tuple[float, str]] = field(default_factory=list)  # at, request
     ready_answers: list[ReadyAnswer] = field(default_factory=list)
+    failed_tasks: list[str] = field(default_factory=list)  # by order
 
 
 class DecoyWorker(SoakWorker):
@@ -103,18 +109,21 @@
 
 
 class ForeignSoak(PlatformSoak):
-    """Runs one schedule with foreign items."""
+    """Runs one schedule with foreign items and failures of tasks."""
 
     series = PlatformSoak.series + ("foreign_entries",) * 8
     series += ("foreign_replacement",) * 7 + ("foreign_document",) * 7
+    series += ("task_failures",) * 8
     journal_type = ForeignJournal
+    program = "mangowell_standins.failing_node"
 
     async def _start(self, directory: Path) -> None:
         await super()._start(directory)
         number = self._count + 1
         names = {"zone": "z0", "service": "orders"}
         address = {"platform.address": f"127.0.0.1:{self._store.port}"}
-        node = NodeProcess(number, directory, names | address | BOUNDS)
+        fields = names | address | BOUNDS
+        node = NodeProcess(number, directory, fields, self.program)
         decoy = DecoyWorker(number, node, self.journal, self._seed)
         self._nodes[number], self._workers[number] = node, decoy
         await decoy.server.start(WORKER_PORT, node.host)
@@ -186,6 +195,27 @@
         await asyncio.sleep(rng.uniform(MIN_DOCUMENT_S, MAX_DOCUMENT_S))
         await self._publish(0, rng.random())
 
+    # Failures of tasks
+
+    async def _task_failures(self, number: int, value: float) -> None:
+        """Let some long-lived tasks of a node fail, one after another."""
+        rng, node = self._make_rng(value), self._nodes[number]
+        place = rng.randrange(1000)
+        for further in range(rng.randint(1, MAX_FAILURES)):
+            order_failure(node.path, place + further)
+            self._send(number, FAILURE_SIGNAL)
+            await asyncio.sleep(FAILURE_STEP_S)
+
+    def find_faults(self, logs: list[str]) -> list[str]:
+        """Return the lines of faults; record the failures that were ordered."""
+        failures = {line: read_task_failure(line) for line in logs}
+        ordered = {
+            line for line, fault in failures.items() if _INJECTED.fullmatch(fault)
+        }
+        self.journal.failed_tasks = [failures[line] for line in logs if line in ordered]
+        others = [line for line in logs if line not in ordered]
+        return super().find_faults(others) + [line for line in others if failures[line]]
+
     # Readiness
 
     async def _ask(self, number: int) -> None:
@@ -213,6 +243,17 @@
                 writer.close()
 
 
+def read_task_failure(line: str) -> str:
+    """Return the fault of a line of a log, if it tells that a task has failed."""
+    if '"task_failed"' not in line:
+        return ""
+    try:
+        fields = json.loads(line)
+        return fields["fault"] if fields["event"] == "task_failed" else ""
+    except (ValueError, KeyError, TypeError):
+        return "unreadable"
+
+
 def find_more_problems(journal: ForeignJournal) -> list[Problem]:
     """Return the failed checks of foreign items and of `bench.platform_soak`."""
     checks = (_check_decoy, _check_replacements, _check_readiness)
--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -22,7 +22,7 @@
 from bench.soak_range import parse_range, run_range
 from bench.stop_soak_checks import Problem, describe, find_problems
 from bench.stop_soak_traffic import RECONNECT_PAUSE_S, Caller, Journal, SoakWorker
-from mangowell_standins.node_process import WORKER_PORT, NodeProcess
+from mangowell_standins.node_process import PROGRAM, WORKER_PORT, NodeProcess
 from mangowell_standins.platform_store import PlatformStore
 from mangowell_standins.platform_values import make_document, make_entry, make_route
 
@@ -88,6 +88,7 @@
     series = SERIES
     journal_type = Journal
     store_type = PlatformStore
+    program = PROGRAM  # of the nodes
 
     def __init__(self, seed: int, seconds: float, count: int):
         self.journal = self.journal_type()
@@ -139,7 +140,8 @@
         address = {"platform.address": f"127.0.0.1:{self._store.port}"}
         for number in range(1, self._count + 1):
             names = {"zone": f"z{number % 3}", "service": SERVICES[number % 2]}
-            node = NodeProcess(number, directory, names | address | BOUNDS)
+            fields = names | address | BOUNDS
+            node = NodeProcess(number, directory, fields, self.program)
             worker = SoakWorker(number, node, self.journal, self._seed)
             self._nodes[number], self._workers[number] = node, worker
             await worker.server.start(WORKER_PORT, node.host)
@@ -172,6 +174,12 @@
     def _fail(self, number: int, what: str) -> None:
         self.journal.failures.append((monotonic(), number, what))
 
+    def find_faults(self, logs: list[str]) -> list[str]:
+        """Return the lines of the nodes' logs that tell of a fault of the code."""
+        return [
+            line for line in logs if "internal_fault" in line or "Traceback" in line
+        ]
+
     # Processes
 
     async def _join(self, number: int, value: float) -> None:
@@ -300,7 +308,7 @@
         paths = Path(name).glob("*.log")
         logs = sorted(line for path in paths for line in path.open())
     journal = soak.journal
-    faults = [line for line in logs if "internal_fault" in line or "Traceback" in line]
+    faults = soak.find_faults(logs)
     problems = find_problems(journal, GRACE_S) + find_more_problems(journal)
     problems += [Problem("FAULT", f) for f in faults]
     if not problems:
--- a/packages/standins/src/mangowell_standins/node_process.py
+++ b/packages/standins/src/mangowell_standins/node_process.py
@@ -9,7 +9,7 @@
 
 TEMPLATE = Path(__file__).parents[4] / "deploy/settings.ini.template"
 CALLER_PORT, READY_PORT, WORKER_PORT, LINK_PORT = 8304, 8302, 8301, 7620
-_COMMAND = "import sys; from mangowell_node.mesh.program import main; main(sys.argv[1])"
+PROGRAM = "mangowell_node.mesh.program"
 
 
 class NodeProcess:
@@ -25,11 +25,19 @@
     fields : dict
         Values of the settings template: `zone`, `service`, `platform.address`
         and `bounds` of the platform.
+    program : str, default=PROGRAM
+        Module whose `main` takes the path of the settings file.
     """
 
-    __slots__ = ("_process", "fields", "host", "logs", "path")
+    __slots__ = ("_process", "_program", "fields", "host", "logs", "path")
 
-    def __init__(self, number: int, directory: Path, fields: dict[str, str]):
+    def __init__(
+        self,
+        number: int,
+        directory: Path,
+        fields: dict[str, str],
+        program: str = PROGRAM,
+    ):
         high, low = divmod(os.getpid() % 62_500, 250)
         self.host = f"127.{high + 1}.{low + 1}.{number}"
         self.fields = {
@@ -45,6 +53,7 @@
         self.path = directory / f"node-{number}.ini"
         self.logs: list[Path] = []
         self._process: asyncio.subprocess.Process | None = None
+        self._program = program
 
     @property
     def handles_signals(self) -> bool:
@@ -65,7 +74,8 @@
         self.write_settings()
         self.logs.append(self.path.with_suffix(f".{len(self.logs) + 1}.log"))
         environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
-        command = (sys.executable, "-c", _COMMAND, str(self.path))
+        code = f"import sys; from {self._program} import main; main(sys.argv[1])"
+        command = (sys.executable, "-c", code, str(self.path))
         with self.logs[-1].open("wb") as log:
             self._process = await asyncio.create_subprocess_exec(
                 *command, stdout=log, stderr=log, env=environment
--- a/tests/mesh/test_foreign_soak.py
+++ b/tests/mesh/test_foreign_soak.py
@@ -1,8 +1,11 @@
 """Items of other writers, and the checks of the soak that leaves them."""
 
+import json
+
 import pytest
 from bench.foreign_soak import (
     ForeignJournal,
+    ForeignSoak,
     ReadyAnswer,
     Replacement,
     find_more_problems,
@@ -66,3 +69,23 @@
     acts = [(0.5, 1, "started 1"), *acts]
     journal = ForeignJournal(acts=acts, ready_answers=answers)
     assert get_rules(journal) == rules
+
+
+def make_line(fault, event="task_failed"):
+    return json.dumps({"event": event, "fault": fault}) + "\n"
+
+
+def test_soak_passes_over_ordered_failures_and_no_others():
+    """Guards against a soak that takes a fault of the code for an ordered one."""
+    ordered = make_line("InjectedTaskError('store-reader')")
+    faults = [
+        make_line("RecursionError('maximum recursion depth exceeded')"),
+        make_line("ValueError(\"InjectedTaskError('store-reader')\")"),
+        make_line("InjectedTaskError('store-reader')", "internal_fault"),
+        "Traceback (most recent call last):\n",
+        '{"event":"task_failed"\n',
+    ]
+    soak = ForeignSoak(1, 1.0, 2)
+    other = make_line("", "task_started")
+    assert sorted(soak.find_faults([ordered, *faults, other])) == sorted(faults)
+    assert soak.journal.failed_tasks == ["InjectedTaskError('store-reader')"]
