End the excuse of an outage in the checks of the platform soak

An outage of the store excused every later request for a worker or a document from before it: after the first restore of a run, the checks of draining workers and documents no longer found anything about these. An outage excuses requests until 3 s after its end or after the change, whichever is later, as intended.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -286,7 +286,8 @@
     if sent.sent_at < started_at + EXCUSED_S:
         return True
     return any(
-        began_at < sent.sent_at and since < ended_at + EXCUSED_S
+        began_at < sent.sent_at < max(since, ended_at) + EXCUSED_S
+        and since < ended_at + EXCUSED_S
         for began_at, ended_at in journal.outages
     )
 
--- a/tests/mesh/test_platform_soak.py
+++ b/tests/mesh/test_platform_soak.py
@@ -59,8 +59,31 @@
     assert get_rules(journal) == []
 
 
-@pytest.mark.parametrize(("outages", "rules"), (([], ["CONFIG"]), ([(9.0, 12.0)], [])))
+@pytest.mark.parametrize(
+    ("outages", "rules"),
+    (
+        ([], ["CONFIG"]),
+        ([(9.0, 12.0)], []),
+        ([(7.0, 8.0)], []),
+        ([(7.0, 9.4)], []),
+        ([(9.0, 9.4)], []),
+        ([(5.0, 6.0)], ["CONFIG"]),
+        ([(12.6, 13.0)], ["CONFIG"]),
+    ),
+)
 def test_checks_find_a_document_that_is_late(outages, rules):
     fields = {"acknowledged": {2: 10.0}, "outages": outages}
     journal = make_journal([12.5], status=404, version=2, **fields)
     assert get_rules(journal) == rules
+
+
+def test_outage_excuses_no_request_long_after_its_end():
+    """Guards against checks that one outage switches off for the rest of a run."""
+    for outage in ((9.0, 9.5), (9.0, 12.0)):
+        journal = make_journal(
+            [15.5], status=404, version=2, acknowledged={2: 10.0}, outages=[outage]
+        )
+        assert get_rules(journal) == ["CONFIG"]
+        departures = [Departure(WORKER, 10.0, is_stated=False)]
+        journal = make_journal([15.5], departures=departures, outages=[outage])
+        assert get_rules(journal) == ["DRAIN"]
