Write the report of a failed seed at once

An interrupted range of seeds had no reports, as they were written at its end. A run that does not end in time is now ended as soon as its first process has: the wait for it also waited for processes that it had left behind.

--- a/bench/soak_range.py
+++ b/bench/soak_range.py
@@ -14,7 +14,7 @@
 # Longest time of a run beyond the length of its schedule, in seconds: its start, the
 # end of its last series, its recovery and the stops of its nodes take about 20 s.
 MAX_EXTRA_S = 120.0
-END_S = 15.0  # time of a run to end its nodes
+END_S, POLL_S = 15.0, 0.1  # time of a run to end its nodes
 OUTPUT = Path("build/soaks")
 _HEADER = re.compile(r"^\d+ problems \((.*?)\)", re.MULTILINE)
 
@@ -69,20 +69,25 @@
         Length of each schedule, and number of nodes.
     """
     arguments = ("-m", module, "--seconds", f"{seconds:g}", "--nodes", str(nodes))
-    results = asyncio.run(_run_all(arguments, seeds, jobs, seconds + MAX_EXTRA_S))
+    OUTPUT.mkdir(parents=True, exist_ok=True)
+
+    def report(result: Result) -> None:
+        """Print a result; what a failed run has printed goes to a file at once."""
+        print(result.describe(), flush=True)
+        if result.code != 0:
+            path = OUTPUT / f"{module}-{result.seed}.txt"
+            path.write_text(result.output)
+
+    limit_s = seconds + MAX_EXTRA_S
+    results = asyncio.run(_run_all(arguments, seeds, jobs, limit_s, report))
     failed = [result for result in results if result.code != 0]
     problems = sum((result.problems for result in failed), Counter())
     print(f"{len(results) - len(failed)} of {len(seeds)} seeds passed", end="")
-    print(f"; problems: {dict(problems)}" if failed else "")
-    OUTPUT.mkdir(parents=True, exist_ok=True)
-    for result in failed:
-        path = OUTPUT / f"{module}-{result.seed}.txt"
-        path.write_text(result.output)
-        print(f"report of seed {result.seed}: {path}")
+    print(f"; problems: {dict(problems)}, reports: {OUTPUT}" if failed else "")
     return 1 if failed else 0
 
 
-async def _run_all(arguments, seeds, jobs, limit_s) -> list[Result]:
+async def _run_all(arguments, seeds, jobs, limit_s, report) -> list[Result]:
     loop, task = asyncio.get_running_loop(), asyncio.current_task()
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
     slots = asyncio.Semaphore(jobs)
@@ -90,7 +95,7 @@
     async def run_next(seed: int) -> Result:
         async with slots:
             result = await _run_one((*arguments, "--seed", str(seed)), seed, limit_s)
-        print(result.describe(), flush=True)
+        report(result)
         return result
 
     return await asyncio.gather(*(run_next(seed) for seed in seeds))
@@ -117,11 +122,13 @@
 
 
 async def _end(process) -> None:
+    """End the process and whatever it has left in its group."""
     if process.returncode is None:
         process.terminate()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(END_S):
-                await process.wait()
+        deadline = monotonic() + END_S
+        # `wait` would also wait for processes of the group that hold the pipe open.
+        while process.returncode is None and monotonic() < deadline:
+            await asyncio.sleep(POLL_S)
     with suppress(ProcessLookupError):
         os.killpg(process.pid, signal.SIGKILL)
     await process.wait()
--- a/tests/mesh/test_soak_range.py
+++ b/tests/mesh/test_soak_range.py
@@ -32,12 +32,13 @@
     monkeypatch.chdir(tmp_path)
     monkeypatch.setattr(soak_range, "MAX_EXTRA_S", 1.0)
     assert run_range("scripted_soak", range(1, 4), 3, 1.0, 6) == 1
-    lines = sorted(capfd.readouterr().out.splitlines())
-    problems = {"DRAIN": 2, "FAULT": 1, "no report": 1}
-    assert lines[0].startswith("1 of 3 seeds passed; problems: ")
-    assert ast.literal_eval(lines[0].partition("problems: ")[2]) == problems
-    assert lines[3].endswith("passed, by status {200: 7}")
-    assert lines[4].endswith("failed, exit code 1: DRAIN 2, FAULT 1")
-    assert lines[5].endswith("failed, not ended in time: no report 1")
-    assert (tmp_path / "build/soaks/scripted_soak-2.txt").exists()
+    first, *lines = sorted(capfd.readouterr().out.splitlines())
+    assert first.startswith("1 of 3 seeds passed; problems: ")
+    problems = first.partition("problems: ")[2].rpartition(", reports")[0]
+    assert ast.literal_eval(problems) == {"DRAIN": 2, "FAULT": 1, "no report": 1}
+    assert lines[0].endswith("passed, by status {200: 7}")
+    assert lines[1].endswith("failed, exit code 1: DRAIN 2, FAULT 1")
+    assert lines[2].endswith("failed, not ended in time: no report 1")
+    names = {path.name for path in (tmp_path / "build/soaks").iterdir()}
+    assert names == {"scripted_soak-2.txt", "scripted_soak-3.txt"}
     assert run_range("scripted_soak", range(1, 2), 1, 1.0, 6) == 0
