--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -78,12 +78,13 @@
         super().__init__()
         self.is_away = False
         self.copies: deque[StoreCopy] = deque(maxlen=MAX_COPIES)
-        self._wanted: dict[str, bytes | None] = {}
+        # Values and changes of items; None for a deletion.
+        self._wanted: dict[str, tuple[bytes, dict | None] | None] = {}
 
-    def put(self, key: str, value: bytes) -> int:
+    def put(self, key: str, value: bytes, changes: dict | None = None) -> int:
         """Write an item, during an outage only once it has ended."""
-        self._wanted[key] = value
-        return 0 if self.is_away else super().put(key, value)
+        self._wanted[key] = value, changes
+        return 0 if self.is_away else super().put(key, value, changes)
 
     def delete(self, key: str) -> int:
         """Delete an item, during an outage only once it has ended."""
@@ -92,12 +93,12 @@
 
     async def write_again(self) -> None:
         """Write all items whose content differs from what their writers want."""
-        for key, value in list(self._wanted.items()):
+        for key, written in list(self._wanted.items()):
             await asyncio.sleep(WRITE_AGAIN_S / len(self._wanted))
-            if value != self._wanted[key]:
+            if written is not self._wanted[key]:
                 continue
-            if value is not None:
-                super().put(key, value)
+            if written is not None:
+                super().put(key, *written)
             elif key in self._items:
                 super().delete(key)
 
@@ -234,7 +235,7 @@
 
 def _check_limits(journal: PlatformJournal) -> Iterator[Problem]:
     for limit in journal.limits:
-        runs = [run for _, run in _find_runs(journal, limit.worker)]
+        runs = [run for _, run in find_runs(journal, limit.worker)]
         starts = sorted(run.started_at for run in runs)
         settled_at = limit.since + SETTLING_S
         for end in (at for at in starts if settled_at <= at < limit.until):
@@ -249,7 +250,7 @@
 def _check_departures(journal: PlatformJournal) -> Iterator[Problem]:
     """Check that no node sends requests to a worker that it knows to leave."""
     for departure in journal.departures:
-        found = _find_runs(journal, departure.worker)
+        found = find_runs(journal, departure.worker)
         told_at: dict[tuple[int, int], float] = {}
         if departure.is_stated:
             for sent, run in sorted(found, key=lambda pair: pair[0].ended_at):
@@ -260,7 +261,7 @@
             known_at = told_at.get((sent.node, sent.start), default)
             if known_at is None or sent.sent_at <= known_at + LEAVING_S:
                 continue
-            if departure.is_stated or not _is_excused(journal, sent, known_at):
+            if departure.is_stated or not is_excused(journal, sent, known_at):
                 text = f"{sent.sent_at - known_at:.2f} s after it knew of the leaving"
                 yield Problem("DRAIN", text, sent)
 
@@ -271,12 +272,12 @@
         at = journal.acknowledged.get(sent.version)
         if at is None or sent.sent_at <= at + APPLIED_S:
             continue
-        if not _is_excused(journal, sent, at):
+        if not is_excused(journal, sent, at):
             text = f"404 on version {sent.version}, {sent.sent_at - at:.2f} s later"
             yield Problem("CONFIG", text, sent)
 
 
-def _is_excused(journal: PlatformJournal, sent: Sent, since: float) -> bool:
+def is_excused(journal: PlatformJournal, sent: Sent, since: float) -> bool:
     """Return whether the node has just started, or the store was away meanwhile."""
     started_at = max(
         (at for at, node, what in journal.acts if _is_start(node, what, at, sent)),
@@ -285,7 +286,8 @@
     if sent.sent_at < started_at + EXCUSED_S:
         return True
     return any(
-        began_at < sent.sent_at and since < ended_at + EXCUSED_S
+        began_at < sent.sent_at < max(since, ended_at) + EXCUSED_S
+        and since < ended_at + EXCUSED_S
         for began_at, ended_at in journal.outages
     )
 
@@ -294,7 +296,7 @@
     return node == sent.node and what.startswith("started") and at <= sent.sent_at
 
 
-def _find_runs(journal: Journal, worker: tuple[str, int]) -> list[tuple[Sent, Run]]:
+def find_runs(journal: Journal, worker: tuple[str, int]) -> list[tuple[Sent, Run]]:
     """Return the runs at one start of a worker, each with its request."""
     requests = {request.id: request for request in journal.requests}
     return [
--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -19,9 +19,10 @@
 
 import uvloop
 
+from bench.soak_range import parse_range, run_range
 from bench.stop_soak_checks import Problem, describe, find_problems
 from bench.stop_soak_traffic import RECONNECT_PAUSE_S, Caller, Journal, SoakWorker
-from mangowell_standins.node_process import WORKER_PORT, NodeProcess
+from mangowell_standins.node_process import NODE_CODE, WORKER_PORT, NodeProcess
 from mangowell_standins.platform_store import PlatformStore
 from mangowell_standins.platform_values import make_document, make_entry, make_route
 
@@ -87,6 +88,7 @@
     series = SERIES
     journal_type = Journal
     store_type = PlatformStore
+    node_code = NODE_CODE
 
     def __init__(self, seed: int, seconds: float, count: int):
         self.journal = self.journal_type()
@@ -138,7 +140,8 @@
         address = {"platform.address": f"127.0.0.1:{self._store.port}"}
         for number in range(1, self._count + 1):
             names = {"zone": f"z{number % 3}", "service": SERVICES[number % 2]}
-            node = NodeProcess(number, directory, names | address | BOUNDS)
+            fields = names | address | BOUNDS
+            node = NodeProcess(number, directory, fields, self.node_code)
             worker = SoakWorker(number, node, self.journal, self._seed)
             self._nodes[number], self._workers[number] = node, worker
             await worker.server.start(WORKER_PORT, node.host)
@@ -171,6 +174,12 @@
     def _fail(self, number: int, what: str) -> None:
         self.journal.failures.append((monotonic(), number, what))
 
+    def find_faults(self, logs: list[str]) -> list[str]:
+        """Return the lines of the nodes' logs that tell of a fault of the code."""
+        return [
+            line for line in logs if "internal_fault" in line or "Traceback" in line
+        ]
+
     # Processes
 
     async def _join(self, number: int, value: float) -> None:
@@ -299,13 +308,15 @@
         paths = Path(name).glob("*.log")
         logs = sorted(line for path in paths for line in path.open())
     journal = soak.journal
-    faults = [line for line in logs if "internal_fault" in line or "Traceback" in line]
+    faults = soak.find_faults(logs)
     problems = find_problems(journal, GRACE_S) + find_more_problems(journal)
     problems += [Problem("FAULT", f) for f in faults]
     if not problems:
         return journal, ""
     module = f"bench.{Path(sys.modules[soak_type.__module__].__file__).stem}"
-    lines = [f"{len(problems)} problems; the first {MAX_PROBLEMS_SHOWN}:"]
+    counts = Counter(problem.rule for problem in problems)
+    found = ", ".join(f"{rule} {count}" for rule, count in sorted(counts.items()))
+    lines = [f"{len(problems)} problems ({found}); the first {MAX_PROBLEMS_SHOWN}:"]
     for problem in problems[:MAX_PROBLEMS_SHOWN]:
         lines += describe(problem, journal, soak.started_at)
         words = problem.log_words
@@ -315,12 +326,16 @@
 
 
 def run_command(name: str, run) -> None:
-    """Run one soak with the arguments of the command; exit with 1 if it fails."""
+    """Run the soaks of the command's arguments; exit with 1 if one fails."""
     parser = argparse.ArgumentParser(prog=name)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=parse_range, help="such as 100-149")
+    parser.add_argument("--jobs", type=int, default=2, help="soaks at once")
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--nodes", type=int, default=8)
     args = parser.parse_args()
+    if args.seeds is not None:
+        sys.exit(run_range(name, args.seeds, args.jobs, args.seconds, args.nodes))
     journal, report = run(args.seed, args.seconds, args.nodes)
     statuses = Counter(request.status for request in journal.requests)
     acts = Counter(what.split(" ")[0] for _, _, what in journal.acts)
--- a/tests/mesh/test_revisions.py
+++ b/tests/mesh/test_revisions.py
@@ -14,6 +14,7 @@
     is_later_write,
     make_revision,
 )
+from mangowell_core.mesh.uptime import UptimeReport
 
 WORKERS, NODES = 2, 2
 
@@ -218,10 +219,18 @@
     """Guards against dropping workers that registered after the copy was taken."""
     directory = Directory(heartbeat_s=1.5)
     worker = make_worker(revision=make_revision(0, 20))
+    directory.record_store_recovery(100.0)
     directory.load([worker], worker.revision, 100.0)
     first = ChangeNotice(
-        worker.revision, make_revision(1, 12), 0, None, (make_worker(2),), ()
+        worker.revision,
+        make_revision(1, 12),
+        0,
+        None,
+        (make_worker(2),),
+        (),
+        UptimeReport(5000, 0, restored_ms=0),
     )
+    directory.uptime.merge(first.store_uptime, 105.0)
     assert directory.apply_changes(first, 105.0)
     directory.load([make_worker(2)], make_revision(1, 13), 105.1)
     directory.expire(105.2)
