Give node processes of the soak runs the report interval of the workers

test_platform_soak.py failed with KeyError 'heartbeat' since the settings template names that field: the soak runs fill in the template themselves. They now use 1500ms, as in the platform's example.

--- a/packages/standins/src/mangowell_standins/node_process.py
+++ b/packages/standins/src/mangowell_standins/node_process.py
@@ -40,6 +40,7 @@
             "app-addr": f"{self.host}:{WORKER_PORT}",
             "internal-ports.0": str(LINK_PORT),
             "limits.link-mbps": "1000.0",
+            "heartbeat": "1500ms",
             **fields,
         }
         self.path = directory / f"node-{number}.ini"
