Let an entry of an unknown service take no address from a worker

Every request for a worker got 503 while another writer's entry named the worker's address, a service that does not exist and the same or a later start: the entry took the address, so the worker was neither offered nor taken for the local one.

An address belongs to the entry that started last, which is right for a worker that follows another one there, but the order took no account of the service.

Entries whose service the document names, in its services or its routes, now come first. The indexes are rebuilt when those names change.

Tests: on the code before, look_up_service is empty for the directory and the caller gets 503 from a running node. Both pass with the change, as do the tests of the feed, of restored stores and of decisions.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -44,6 +44,7 @@
         "_endpoints",
         "_hold_deadlines",
         "_is_store_away",
+        "_named_services",
         "_restored_through",
         "_store_returned_at",
         "_withheld",
@@ -71,6 +72,8 @@
         # Entries of such workers in the copy, and the time at which they are used.
         self._withheld: dict[str, Endpoint] = {}
         self._withheld_until = 0.0
+        # Services that the document names.
+        self._named_services: frozenset[str] = frozenset()
         self._by_service: dict[str, tuple[Endpoint, ...]] | None = None
         self._by_host: dict[str, list[Endpoint]] | None = None
 
@@ -110,6 +113,10 @@
         if self.document is not None and document.version <= self.document.version:
             return False
         self.document = self.history.add(document)
+        named = _get_named_services(document)
+        if named != self._named_services:
+            self._named_services = named
+            self._invalidate_indexes()
         return True
 
     def put(self, endpoint: Endpoint) -> None:
@@ -279,7 +286,7 @@
     def look_up_address(self, host: str, port: int) -> Endpoint | None:
         """Return the most recently started worker at an address."""
         candidates = [e for e in self.look_up_host(host) if e.port == port]
-        return max(candidates, key=_get_start_order, default=None)
+        return max(candidates, key=self._get_start_order, default=None)
 
     def look_up_host(self, host: str) -> list[Endpoint]:
         """Return the workers at a host."""
@@ -315,13 +322,24 @@
         for endpoint in self._endpoints.values():
             address = (endpoint.host, endpoint.port)
             other = latest.get(address)
-            if other is None or _get_start_order(endpoint) > _get_start_order(other):
+            if other is None or self._get_start_order(endpoint) > self._get_start_order(
+                other
+            ):
                 latest[address] = endpoint
         groups: dict[str, list[Endpoint]] = {}
         for endpoint in latest.values():
             groups.setdefault(endpoint.service, []).append(endpoint)
         return {service: tuple(group) for service, group in groups.items()}
 
+    def _get_start_order(self, endpoint: Endpoint) -> tuple[bool, int, int]:
+        # An entry of another writer may name the address of a worker and a service
+        # that does not exist. It must not take the address from the worker.
+        is_named = endpoint.service in self._named_services
+        return is_named, endpoint.born_ms, endpoint.revision
+
 
-def _get_start_order(endpoint: Endpoint) -> tuple[int, int]:
-    return endpoint.born_ms, endpoint.revision
+def _get_named_services(document: MeshDocument) -> frozenset[str]:
+    names = {service.name for service in document.services}
+    for route in document.routes:
+        names.update(name for name, _ in route.parts)
+    return frozenset(names)
--- a/tests/mesh/test_foreign_items.py
+++ b/tests/mesh/test_foreign_items.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from mangowell_core.mesh import Directory
 from mangowell_core.mesh.settings import parse_duration
 from mangowell_node.platform import (
     PlatformFormatError,
@@ -276,3 +277,28 @@
         except PlatformFormatError:
             continue
         assert endpoint.service.startswith("unknown-")
+
+
+def test_entry_of_an_unknown_service_does_not_take_the_address_of_a_worker():
+    """Guards against a worker that gets no request for a later entry at its address."""
+    directory = Directory()
+    directory.apply_document(decode_document(make_document()))
+    worker = decode_endpoint("servers/i-1", make_entry("10.0.0.1", 80), 5)
+    foreign = make_entry("10.0.0.1", 80, service="nobody", born=1_800_000_000_000)
+    directory.put(worker)
+    directory.put(decode_endpoint("servers/x", foreign, 6))
+    assert directory.look_up_service("orders") == (worker,)
+    assert directory.look_up_address("10.0.0.1", 80) == worker
+    document = make_document(2, services=("orders", "nobody"))
+    directory.apply_document(decode_document(document))
+    assert directory.look_up_service("orders") == ()
+    assert directory.look_up_address("10.0.0.1", 80).id == "x"
+
+
+async def test_worker_is_used_beside_an_entry_of_an_unknown_service():
+    async with run_mesh() as (store, (machine,)):
+        port = machine.worker.port
+        foreign = make_entry(machine.host, port, service="nobody")
+        store.put("servers/x", foreign)
+        await until(lambda: len(machine.node.directory) == 2)
+        assert (await machine.call()).status == 200
