--- a/tests/mesh/test_foreign_soak.py
+++ b/tests/mesh/test_foreign_soak.py
@@ -9,12 +9,29 @@
     ReadyAnswer,
     Replacement,
     find_more_problems,
+    run_foreign_soak,
 )
 from bench.stop_soak_traffic import Run, Sent
 
 WORKER = ("i-1-1", 1)
 
 
+# With these seeds, foreign items and failures of tasks come several times, and the soak
+# fails if entries and documents are decoded without bounds.
+@pytest.mark.parametrize(("seed", "documents"), ((4, 0), (306, 2)))
+def test_foreign_items_and_failed_tasks_stop_no_change(seed, documents):
+    """Guards against an item, or a failed task, that ends the reading of the store."""
+    journal, report = run_foreign_soak(seed, 12.0, 6)
+    assert not report, report
+    keys = [key for _, key in journal.foreign_items]
+    assert keys.count("op/config") >= documents and len(keys) >= 6
+    assert journal.replacements
+    assert len(journal.failed_tasks) >= 2
+    answers = {answer.node for answer in journal.ready_answers if answer.status == 200}
+    assert answers == set(range(1, 8))
+    assert sum(request.status == 200 for request in journal.requests) >= 300
+
+
 def get_rules(journal):
     return [problem.rule for problem in find_more_problems(journal)]
 
