Count a watch that is repeated at once as no gap of the store, and bound its reports

Further findings of the review, each with a test: a node that does not read dropped entries at the end of their hold although the store had gone away again (it waits for a report of a reader now, 2 s at most); a report with a negative age would have hidden all later outages; a host whose lower case is longer than 255 characters was accepted and could not be decoded by other nodes. The limit after which a reader counts as stuck includes its pause, and a margin of 1 s in place of 0.4 s.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -264,11 +264,10 @@
         Withheld entries that the store still lists are used from their time on.
         """
         deadline = self._hold_deadline
-        is_away = self.uptime.is_away
-        if now >= deadline and not (is_away and self.uptime.until < deadline):
+        if now >= deadline and self.uptime.is_confirmed_up(deadline, now):
             for endpoint_id, revision in list(self._held.items()):
                 self._drop(endpoint_id, revision, now)
-        if is_away:
+        if self.uptime.is_away:
             return
         if self._withheld and now >= self._withheld_until:
             for endpoint in list(self._withheld.values()):
--- a/packages/core/src/mangowell_core/mesh/uptime.py
+++ b/packages/core/src/mangowell_core/mesh/uptime.py
@@ -6,8 +6,10 @@
 """
 
 import math
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 # An entry expires after this many report intervals in which its worker is not heard.
 LEASE_INTERVALS = 3
@@ -15,6 +17,11 @@
 SAME_RESTORE_S = 1.0
 # Milliseconds in a second: nodes tell each other times as ages in whole milliseconds.
 _MS = 1000
+# Age of up to three hundred years, which a float holds exactly.
+Age = Annotated[int, Meta(ge=0, le=10**13)]
+# Time for which a node that does not read waits for a report that confirms that the
+# store stayed up, in seconds: several times the interval of the reports.
+MAX_UNREPORTED_S = 2.0
 
 
 class UptimeReport(msgspec.Struct, frozen=True, array_like=True):
@@ -28,9 +35,9 @@
         Time since the store was found restored from a copy; None if it was not.
     """
 
-    since_ms: int
-    until_ms: int
-    restored_ms: int | None = None
+    since_ms: Age
+    until_ms: Age
+    restored_ms: Age | None = None
 
 
 class StoreUptime:
@@ -62,6 +69,8 @@
     __slots__ = (
         "_gap_start",
         "_min_gap_s",
+        "_reads",
+        "_reported_at",
         "_since",
         "is_away",
         "restored_at",
@@ -73,6 +82,9 @@
         self._min_gap_s = (LEASE_INTERVALS - 1) * heartbeat_s
         self._since = -math.inf
         self._gap_start = -math.inf
+        # Whether this node reads the store, and when a node that does last reported.
+        self._reads = False
+        self._reported_at = -math.inf
         self.is_away = False
         self.until = -math.inf
         self.returned_at = -math.inf
@@ -80,11 +92,11 @@
 
     def record_failure(self) -> None:
         """Record that the store left a call of this node unanswered."""
-        self.is_away = True
+        self._reads = self.is_away = True
 
     def stop_reading(self) -> None:
         """Record that this node makes no more calls; other nodes report theirs."""
-        self.is_away = False
+        self._reads = self.is_away = False
 
     def record_answer(self, sent_at: float, now: float) -> None:
         """Record that the store answered a call of this node.
@@ -98,6 +110,7 @@
             Current time.
         """
         has_failed, self.is_away = self.is_away, False
+        self._reads = True
         may_be_gap = has_failed or (self._min_gap_s > 0 and self._is_known)
         if may_be_gap and self._is_gap(self.until, sent_at):
             self._restart(now, now, now)
@@ -111,12 +124,13 @@
         times = [self._since, self.until]
         if self.restored_at > -math.inf:
             times.append(self.restored_at)
-        return UptimeReport(*(round((now - time) * _MS) for time in times))
+        return UptimeReport(*(max(0, round((now - time) * _MS)) for time in times))
 
     def merge(self, report: UptimeReport, now: float) -> None:
         """Record the report of another node."""
-        since = now - report.since_ms / _MS
+        self._reported_at = now
         until = now - report.until_ms / _MS
+        since = min(until, now - report.since_ms / _MS)
         if report.restored_ms is not None:
             restored_at = now - report.restored_ms / _MS
             if restored_at > self.restored_at + SAME_RESTORE_S:
@@ -128,6 +142,22 @@
         elif not self._is_gap(until, self._since):
             self._extend(since, until)
 
+    def is_confirmed_up(self, time: float, now: float) -> bool:
+        """Return whether the store, as far as known here, has not gone away again.
+
+        Parameters
+        ----------
+        time : float
+            Time until which it has to have stayed up.
+        now : float
+            Current time.
+        """
+        if self.is_away:
+            return self.until >= time
+        if self._reads or self._reported_at == -math.inf:
+            return True
+        return self._reported_at >= time or now >= time + MAX_UNREPORTED_S
+
     @property
     def _is_known(self) -> bool:
         return self.until > -math.inf
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -33,7 +33,8 @@
 MAX_BACKOFF_S = 0.8
 # Time within which a watch ends, with a margin for a busy node, and time within which
 # all pages of a slow store are read, in seconds. A reader that takes longer is stuck.
-WATCH_LIMIT_S = MAX_WATCH_S + 0.4
+PROGRESS_MARGIN_S = 1.0
+WATCH_LIMIT_S = MAX_WATCH_S + PROGRESS_MARGIN_S
 LISTING_LIMIT_S = 15.0
 # Time between two checks of the reader above which the process was paused, in seconds.
 PAUSE_S = 1.0
@@ -230,10 +231,14 @@
                 self._record_down(str(exc))
                 delay_s = self._backoff_s * (0.75 + 0.5 * self._rng.random())
                 self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
-                await asyncio.sleep(delay_s)
+                await self._pause(delay_s)
             else:
                 # Jitter keeps nodes that got a change together from calling together.
-                await asyncio.sleep(COALESCE_S * (0.6 + 0.8 * self._rng.random()))
+                await self._pause(COALESCE_S * (0.6 + 0.8 * self._rng.random()))
+
+    async def _pause(self, delay_s: float) -> None:
+        self._expect_progress(delay_s + PROGRESS_MARGIN_S)
+        await asyncio.sleep(delay_s)
 
     def _expect_progress(self, limit_s: float) -> None:
         self._progress_deadline = monotonic() + limit_s
--- a/packages/node/src/mangowell_node/platform/document.py
+++ b/packages/node/src/mangowell_node/platform/document.py
@@ -160,7 +160,8 @@
         raise ValueError(f"route {raw.name} names no service")
     return MeshRoute(
         raw.name,
-        raw.hostname.lower(),
+        # The lower case of a letter may be longer.
+        msgspec.convert(raw.hostname.lower(), Name),
         raw.prefix,
         _IDEMPOTENT_BY_ROUTE_TYPE[raw.route_type],
         parse_duration(raw.timeout),
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -268,6 +268,7 @@
             If the store has dropped some of the changes, or was restored from a
             copy: it may then have given out the revision again.
         """
+        sent_at = asyncio.get_running_loop().time()
         try:
             return await self._watch(
                 revision, WATCH_WAIT_MS, WATCH_WAIT_MS / 1000 + WATCH_MARGIN_S
@@ -278,7 +279,9 @@
             changes = await self._watch(revision, REPEAT_WAIT_MS, REPEAT_TIMEOUT_S)
         if not changes.items and changes.revision != revision:
             raise HistoryGoneError("store has dropped changes since the lost watch")
-        return changes
+        # As the new connection was served at once, only the old one was lost: the
+        # store counts as up since the first call.
+        return msgspec.structs.replace(changes, sent_at=sent_at)
 
     async def _watch(self, revision: int, wait_ms: int, timeout_s: float) -> Changes:
         after = get_number(revision)
--- a/tests/mesh/test_platform_document.py
+++ b/tests/mesh/test_platform_document.py
@@ -73,3 +73,10 @@
 def test_invalid_entry_is_refused(value):
     with pytest.raises(PlatformFormatError):
         decode_endpoint("servers/i-1", value, 1)
+
+
+def test_host_that_is_too_long_in_lower_case_is_refused():
+    """Guards against a document that other nodes cannot decode."""
+    route = make_route(hostname="\u0130" * 200)
+    with pytest.raises(PlatformFormatError):
+        decode_document(make_document(1, {"r": route}))
--- a/tests/mesh/test_store_interruptions.py
+++ b/tests/mesh/test_store_interruptions.py
@@ -33,7 +33,7 @@
     await until(lambda: sum(m.node._feed.is_up for m in machines) == expected, 8.0)
 
 
-@pytest.mark.parametrize("heartbeat_s", [0.0, HEARTBEAT_S])
+@pytest.mark.parametrize("heartbeat_s", [0.0, 0.87, HEARTBEAT_S])
 @pytest.mark.parametrize("silent_after_s", [0.05, 0.3, 0.7, 1.3])
 async def test_worker_that_leaves_on_silent_connections_is_dropped_in_time(
     silent_after_s, heartbeat_s
--- a/tests/mesh/test_store_uptime.py
+++ b/tests/mesh/test_store_uptime.py
@@ -1,11 +1,16 @@
 """Which missing entries may have expired in an outage of the store."""
 
+import msgspec
 import pytest
 
 from mangowell_core.mesh import Directory, Endpoint, Publication
 from mangowell_core.mesh.directory import LAPSED_ENTRY_HOLD_S
 from mangowell_core.mesh.revisions import make_revision
-from mangowell_core.mesh.uptime import StoreUptime
+from mangowell_core.mesh.uptime import (
+    MAX_UNREPORTED_S,
+    StoreUptime,
+    UptimeReport,
+)
 
 HEARTBEAT_S = 1.5
 # A lease of three intervals, less the age of the last renewal before the outage.
@@ -170,3 +175,42 @@
     answer(directory, 15.0)
     directory.discard("w1", 9, 15.0)
     assert "w1" not in directory.endpoints
+
+
+def test_worker_is_kept_at_a_node_that_does_not_read_if_the_store_goes_away_again():
+    """Guards against dropping workers that had no time to register again."""
+    directory = make_directory()
+    stop_reading(directory, 10.5)
+    hear_peer(14.0, 14.1)(directory, 14.1)
+    directory.load([make_endpoint("w2")], 9, 14.1)
+    directory.expire(14.1 + LAPSED_ENTRY_HOLD_S)
+    assert "w1" in directory.endpoints
+    # Without any report the worker is dropped in the end.
+    directory.expire(14.1 + LAPSED_ENTRY_HOLD_S + MAX_UNREPORTED_S)
+    assert "w1" not in directory.endpoints
+
+
+def test_worker_that_left_is_dropped_once_the_reader_reports_again():
+    """Guards against an entry that is held though the store has stayed up."""
+    directory = make_directory()
+    stop_reading(directory, 10.5)
+    hear_peer(14.0, 14.1)(directory, 14.1)
+    directory.load([make_endpoint("w2")], 9, 14.1)
+    hear_peer(14.0, 16.1)(directory, 16.2)
+    directory.expire(16.2)
+    assert "w1" not in directory.endpoints
+
+
+@pytest.mark.parametrize("ages", [(-1, 0), (0, -1), (2**63, 0), (0, 0, -5)])
+def test_report_with_an_impossible_age_is_refused(ages):
+    """Guards against a report after which no outage would be noticed any more."""
+    payload = msgspec.msgpack.encode(ages)
+    with pytest.raises(msgspec.DecodeError):
+        msgspec.msgpack.decode(payload, type=UptimeReport)
+
+
+def test_report_whose_start_is_after_its_end_moves_neither():
+    uptime = StoreUptime(HEARTBEAT_S)
+    uptime.record_answer(10.0, 10.0)
+    uptime.merge(UptimeReport(since_ms=0, until_ms=5000), 20.0)
+    assert uptime.until == 15.0
