Give each watch of the store its own deadline

A watch that is repeated within one step would otherwise make its reader seem stuck.

tests/mesh/test_reader_failures.py, tests/mesh/test_feed.py: 22 passed.

--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -247,6 +247,7 @@
 
     async def _run_interruptible(self, watch_call):
         """Await a watch that `set_reading` and `restart_watch` can cancel."""
+        self._expect_progress(WATCH_LIMIT_S)
         self._watch_task = asyncio.ensure_future(watch_call)
         try:
             return await self._watch_task
