--- a/bench/foreign_soak.py
+++ b/bench/foreign_soak.py
@@ -30,7 +30,11 @@
 from bench.stop_soak_checks import Problem
 from bench.stop_soak_traffic import SoakWorker
 from mangowell_node.platform import READY_PATH
-from mangowell_standins.failing_node import FAILURE_SIGNAL, order_failure
+from mangowell_standins.failing_node import (
+    FAILING_NODE_CODE,
+    FAILURE_SIGNAL,
+    order_failure,
+)
 from mangowell_standins.foreign_items import (
     make_foreign_document,
     make_foreign_entry,
@@ -115,7 +119,7 @@
     series += ("foreign_replacement",) * 7 + ("foreign_document",) * 7
     series += ("task_failures",) * 8
     journal_type = ForeignJournal
-    program = "mangowell_standins.failing_node"
+    node_code = FAILING_NODE_CODE
 
     async def _start(self, directory: Path) -> None:
         await super()._start(directory)
@@ -123,7 +127,7 @@
         names = {"zone": "z0", "service": "orders"}
         address = {"platform.address": f"127.0.0.1:{self._store.port}"}
         fields = names | address | BOUNDS
-        node = NodeProcess(number, directory, fields, self.program)
+        node = NodeProcess(number, directory, fields, self.node_code)
         decoy = DecoyWorker(number, node, self.journal, self._seed)
         self._nodes[number], self._workers[number] = node, decoy
         await decoy.server.start(WORKER_PORT, node.host)
--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -22,7 +22,7 @@
 from bench.soak_range import parse_range, run_range
 from bench.stop_soak_checks import Problem, describe, find_problems
 from bench.stop_soak_traffic import RECONNECT_PAUSE_S, Caller, Journal, SoakWorker
-from mangowell_standins.node_process import PROGRAM, WORKER_PORT, NodeProcess
+from mangowell_standins.node_process import NODE_CODE, WORKER_PORT, NodeProcess
 from mangowell_standins.platform_store import PlatformStore
 from mangowell_standins.platform_values import make_document, make_entry, make_route
 
@@ -88,7 +88,7 @@
     series = SERIES
     journal_type = Journal
     store_type = PlatformStore
-    program = PROGRAM  # of the nodes
+    node_code = NODE_CODE
 
     def __init__(self, seed: int, seconds: float, count: int):
         self.journal = self.journal_type()
@@ -141,7 +141,7 @@
         for number in range(1, self._count + 1):
             names = {"zone": f"z{number % 3}", "service": SERVICES[number % 2]}
             fields = names | address | BOUNDS
-            node = NodeProcess(number, directory, fields, self.program)
+            node = NodeProcess(number, directory, fields, self.node_code)
             worker = SoakWorker(number, node, self.journal, self._seed)
             self._nodes[number], self._workers[number] = node, worker
             await worker.server.start(WORKER_PORT, node.host)
--- a/packages/core/src/mangowell_core/formats.py
+++ b/packages/core/src/mangowell_core/formats.py
@@ -13,6 +13,7 @@
 # Longest message of a format error, in characters. A decoder may quote the input.
 MAX_REASON_CHARS = 300
 
+
 Data = TypeVar("Data")
 Value = TypeVar("Value")
 
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -10,10 +10,14 @@
 import msgspec
 from msgspec import Meta
 
+from mangowell_core.mesh.uptime import UptimeReport
+
 # Largest number of a version, write or worker that all encodings carry.
 MAX_INTEGER = 2**63 - 1
 # Longest time in seconds, about 30 years. Timers and sums of times stay exact.
 MAX_DURATION_S = 1e9
+# Largest rate or speed, per second.
+MAX_RATE = 1e9
 # Longest name, in characters. A key of the store has at most 200 bytes, and many
 # entries have to fit into one frame of a link.
 MAX_NAME_CHARS = 255
@@ -23,12 +27,14 @@
 # sums of them stay exact.
 Slots = Annotated[int, Meta(ge=1, le=1_000_000)]
 Load = Annotated[int, Meta(ge=0, le=1_000_000_000)]
+# Within the range of the priority in the head of a request on a link.
+Priority = Annotated[int, Meta(ge=0, le=1_000_000)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 # No infinity and no NaN, which pass no comparison.
 Seconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
 # Time that may have passed already.
 RemainingTime = Annotated[float, Meta(ge=-MAX_DURATION_S, le=MAX_DURATION_S)]
-Rate = Annotated[float, Meta(ge=0, le=1e9)]
+Rate = Annotated[float, Meta(ge=0, le=MAX_RATE)]
 Weight = Annotated[float, Meta(ge=0, le=1e12)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 # Infinity for no limit, negative if unknown.
@@ -83,7 +89,7 @@
     idempotent: bool
     timeout_s: Seconds
     objective_s: Seconds
-    priority: Count
+    priority: Priority
     max_attempts: Count
     parts: tuple[tuple[Name, Weight], ...]
 
@@ -261,6 +267,10 @@
         stated that it is about to stop.
     version : int
         Version of the sender's document; 0 for none.
+    store_uptime : UptimeReport or None
+        When the store is known to have answered.
+    failing : bool
+        Whether a part of the sender that its callers need fails again and again.
     """
 
     instance: Name
@@ -275,6 +285,8 @@
     ends_in_s: Seconds | None = None
     leaving_worker: tuple[WorkerId, Count] | None = None
     version: Count = 0
+    store_uptime: UptimeReport | None = None
+    failing: bool = False
 
 
 class FetchNotice(msgspec.Struct, frozen=True, tag=True):
@@ -298,10 +310,13 @@
         State; it has no document if `delta` is given.
     delta : DocumentDelta or None
         Change from the version of the requesting node to the current document.
+    store_uptime : UptimeReport or None
+        As in `StatusNotice`.
     """
 
     state: MeshState
     delta: DocumentDelta | None
+    store_uptime: UptimeReport | None = None
 
 
 class ChangeNotice(msgspec.Struct, frozen=True, tag=True):
@@ -320,6 +335,8 @@
         Entries of added and changed workers.
     removed : tuple of str
         Ids of the removed workers.
+    store_uptime : UptimeReport or None
+        As in `StatusNotice`.
     """
 
     since: Count
@@ -328,6 +345,7 @@
     delta: DocumentDelta | None
     endpoints: tuple[Endpoint, ...]
     removed: tuple[WorkerId, ...]
+    store_uptime: UptimeReport | None = None
 
 
 class CrashNotice(msgspec.Struct, frozen=True, tag=True):
@@ -339,10 +357,14 @@
         Id and start time of the worker.
     fingerprints : tuple of str
         Fingerprints of the requests.
+    age_s : float
+        Time since the crash, in seconds, if the notice is for a node that has started
+        since.
     """
 
     crash: str
     fingerprints: tuple[str, ...]
+    age_s: float = 0.0
 
 
 class ProbeNotice(msgspec.Struct, frozen=True, tag=True):
@@ -372,7 +394,7 @@
     probe: Count
     instance: str
     route: str
-    priority: Count
+    priority: Priority
     objective_s: Seconds
     remaining_s: RemainingTime
     is_call: bool
--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -1,19 +1,23 @@
 """One HTTP/1.1 connection to the backend server."""
 
 import asyncio
+import re
+import select
 from time import monotonic
 from typing import TYPE_CHECKING
 
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpResponseParser
 from aiohttp.streams import StreamReader
 
+from mangowell_core import formats
 from mangowell_core.policy.deadlines import compute_remaining_ms
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause
+from mangowell_node.backend.dialect import RefusalIds
 from mangowell_node.exchange import (
     DROPPED_ANSWER_HEADERS,
+    MAX_STATED_LENGTH,
     AnswerHead,
     AttemptError,
     Body,
@@ -41,6 +45,7 @@
 # Fraction of the stated keep-alive timeout for which an idle connection is reused.
 # The rest is a margin against sending a request while the backend server closes.
 KEEP_ALIVE_FRACTION = 0.7
+_SECONDS = re.compile(r"[0-9]{1,9}")
 
 
 class BackendConnection(BaseProtocol):
@@ -54,15 +59,19 @@
     __slots__ = (
         "_body",
         "_body_bytes_left",
+        "_chunks_end",
         "_expected_id",
         "_expects_body",
         "_framing_bytes",
+        "_has_skipped_answer",
+        "_has_skipped_refusal",
         "_head",
         "_head_bytes",
         "_heads_bytes",
         "_is_aborted",
         "_is_repeatable",
         "_is_reusable",
+        "_is_skipping_body",
         "_pool",
         "_reads_until_eof",
         "_sent_body_bytes",
@@ -95,9 +104,17 @@
         # Body bytes of the current answer that have not arrived; -1 if only the
         # parser can find the end, None while no body is being read.
         self._body_bytes_left: int | None = None
+        # Last bytes of a chunked body that have arrived.
+        self._chunks_end = b""
         self._reads_until_eof = False
         self._sent_body_bytes = 0
         self._expected_id = ""
+        # Whether this exchange has skipped an answer to another request, and whether
+        # one of these was a refusal without an id.
+        self._has_skipped_answer = False
+        self._has_skipped_refusal = False
+        # Whether the current body belongs to an answer that is skipped.
+        self._is_skipping_body = False
         self.max_idle_s = float("inf")
         self.used = False
         self.exchanges = 0
@@ -127,6 +144,14 @@
         """Whether a request can be written to the connection."""
         return self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether bytes, or the end of the connection, wait to be read."""
+        sock = self.transport.get_extra_info("socket")
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def start(self, head: RequestHead, deadline: float) -> asyncio.Future:
         """Write a request's head and buffered body.
 
@@ -162,7 +187,9 @@
         self._head_bytes.clear()
         self._heads_bytes = self._framing_bytes = 0
         self._body_bytes_left = None
+        self._chunks_end = b""
         self._reads_until_eof = False
+        self._has_skipped_answer = self._has_skipped_refusal = False
         waiter = self._waiter = self._loop.create_future()
         self._timer = self._loop.call_later(deadline - now, self._on_deadline)
         self.transport.write(
@@ -232,6 +259,9 @@
             and body is not None
             and body.is_eof()
             and body.exception() is None
+            # The parser takes bytes behind a chunked body for the next answer. As
+            # it does not report them, the connection must end with the body.
+            and (not self._chunks_end or self._chunks_end == _HEAD_END)
             and not self._may_have_unread_upload(head)
         ):
             if self.is_pooled:
@@ -262,6 +292,7 @@
     def abort(self) -> None:
         """Close the connection, which cancels the request at the backend server."""
         self._stop_timer()
+        self._record_unanswered()
         self._waiter = None
         self._head = None
         self._is_aborted = True
@@ -302,6 +333,7 @@
         if body is not None and not body.is_eof() and body.exception() is None:
             body.set_exception(error)
         self._stop_timer()
+        self._record_unanswered()
         self._is_aborted = True
         if self.transport is not None:
             self.transport.abort()
@@ -318,8 +350,8 @@
             self.has_received = True
             self.last_received_at = monotonic()
         try:
-            self._parse_answers(data)
-        except (HttpProcessingError, ValueError, AssertionError) as exc:
+            formats.decode(self._parse_answers, data, MessageFormatError)
+        except MessageFormatError as exc:
             reason = f"backend server sent a malformed answer: {exc}"
             self._fail(AttemptError.at(Cause.BAD_ANSWER, Stage.ANSWERED, reason))
 
@@ -330,8 +362,9 @@
         received both together, an error in the later bytes would fail the answer.
         Without bytes, it continues with those that it kept while reading was paused.
         """
-        if not data and self._body_bytes_left is not None:
-            self._feed(data)
+        if not data and self._body is not None and self._feed(data):
+            # Another answer in the bytes behind a chunked body.
+            self._is_reusable = False
         while data:
             if self._body_bytes_left is None:
                 if self._waiter is None:
@@ -348,7 +381,8 @@
                     data[self._body_bytes_left :],
                 )
                 self._body_bytes_left -= len(part)
-                self._feed(part)
+                if not self._is_skipping_body:
+                    self._feed(part)
                 if not self._body_bytes_left:
                     self._body_bytes_left = None
 
@@ -380,7 +414,10 @@
         """
         body = self._body
         received = body.total_bytes
-        self._feed(data)
+        if self._feed(data):
+            # Another answer in the bytes behind the body.
+            self._is_reusable = False
+        self._chunks_end = (self._chunks_end + data[-4:])[-4:]
         self._framing_bytes += len(data) - (body.total_bytes - received)
         limit = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body.total_bytes
         if self._framing_bytes > limit:
@@ -418,14 +455,27 @@
             self._is_reusable = False
         if dialect.echoes_request_id:
             found = dialect.read_request_id(headers)
-            if self._expected_id and self._is_for_other_request(found, message.code):
+            head.is_not_run = dialect.is_not_run(message.code, headers)
+            if found is None:
+                # The worker may write a copy of this answer later.
+                self._is_reusable = False
+            if self._is_for_other_request(found, head):
                 # A late answer to an earlier request; the answer to the current
                 # request may follow.
                 self._is_reusable = False
+                self._has_skipped_answer = True
                 if self._body_bytes_left is not None and self._body_bytes_left < 0:
                     raise ValueError("answer to another request")
+                if self._body_bytes_left is not None:
+                    # Nobody reads this body, so the parser would pause. The next
+                    # answer needs a parser that has not begun a body.
+                    self._create_parser(self._expects_body)
+                self._is_skipping_body = True
                 return
-            head.is_not_run = dialect.is_not_run(message.code, headers)
+            self._is_skipping_body = False
+            self._has_skipped_refusal = False
+            if head.is_not_run:
+                self._pool.record_refusal(found is not None)
             head.slots = dialect.read_slots(headers)
             head.rate_limit = dialect.read_rate_limit(headers)
             head.is_leaving = dialect.is_leaving(headers)
@@ -436,17 +486,41 @@
         if not waiter.done():
             waiter.set_result(None)
 
-    def _is_for_other_request(self, found: str | None, status: int) -> bool:
-        if found is None:
-            # An answer without an id is accepted only if the connection has carried
-            # no other request, or if the answer reports a failure.
-            return self.exchanges > 1 and status < 400
-        return found != self._expected_id
+    def _is_for_other_request(self, found: str | None, head: AnswerHead) -> bool:
+        """Return whether an answer belongs to another request than the current one.
+
+        An answer without an id belongs to the current request only if nothing else
+        can have been answered on the connection. Otherwise it may be a copy of an
+        earlier answer, and the backend server may run the current request.
+
+        Raises
+        ------
+        ValueError
+            If the answer may belong to the current request or to another one.
+        """
+        if found is not None:
+            return found != self._expected_id
+        if self.exchanges == 1 and not self._has_skipped_answer:
+            return False
+        if head.status < 400:
+            return True
+        if self._pool.refusal_ids is RefusalIds.ECHOED:
+            self._has_skipped_refusal |= head.is_not_run
+            return True
+        if head.is_not_run:
+            self._pool.record_refusal(False)
+        raise ValueError("no request id, and the connection had other requests")
+
+    def _record_unanswered(self) -> None:
+        """Record that a skipped refusal without an id was the only answer."""
+        if self._has_skipped_refusal:
+            self._has_skipped_refusal = False
+            self._pool.record_refusal(False)
 
     def _read_keep_alive(self, value: str) -> None:
         for option in value.split(","):
             name, _, seconds = option.strip().partition("=")
-            if name.lower() == "timeout" and seconds.isdecimal():
+            if name.lower() == "timeout" and _SECONDS.fullmatch(seconds):
                 self.max_idle_s = int(seconds) * KEEP_ALIVE_FRACTION
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -457,8 +531,14 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the exchange; an incomplete body is an error."""
         super().connection_lost(exc)
-        if self._reads_until_eof and exc is None and self._body is not None:
-            # Only an orderly close, not a reset, completes an unframed answer.
+        if (
+            self._reads_until_eof
+            and exc is None
+            and self._body is not None
+            and not self._is_aborted
+        ):
+            # Only an orderly close by the backend server completes an unframed
+            # answer, not a reset or an abort by this node.
             if not self._body.is_eof():
                 self._parser.feed_eof()
             self._body_bytes_left = None
@@ -485,13 +565,16 @@
     stated_length = headers.get("Content-Length")
     if stated_length is not None:
         length = int(stated_length)
+        if length > MAX_STATED_LENGTH:
+            raise MessageFormatError("length out of range")
     if message.chunked:
         length = -1
         if headers.get("Transfer-Encoding", "").lower() != "chunked":
             raise MessageFormatError("unknown transfer encoding")
     return AnswerHead(
         status=message.code,
-        reason=message.reason,
+        # Bytes that are no text could be sent neither on a link nor to the caller.
+        reason=formats.quote(message.reason),
         headers=join_headers(
             message.raw_headers, DROPPED_ANSWER_HEADERS, headers.get("Connection")
         ),
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from time import monotonic
 
+import msgspec
+
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import (
     CrashCounter,
@@ -22,6 +24,7 @@
     RetryBudget,
     WorkerStates,
 )
+from mangowell_core.mesh.crashes import CRASH_TTL_S
 from mangowell_core.mesh.model import (
     ChangeNotice,
     CrashNotice,
@@ -169,6 +172,10 @@
         self._is_isolated = False
         self._election = ReaderElection(settings.instance, settings.link_mbps)
         self._publication = Publication()
+        # Returns whether a part that callers need fails again and again here.
+        self.is_failing: Callable[[], bool] = _report_sound
+        # Time of the last status of each other node of the domain, and what it said.
+        self._peer_failing: dict[str, tuple[float, bool]] = {}
         # Whether the last status has said that this node reads the store.
         self._announced_reads = False
         # Steps of both tasks. Each is called even if one before it fails.
@@ -237,8 +244,13 @@
                 _send(link, payload)
 
     def _send_status(self, link: Link) -> None:
-        """Tell the peer of a new link whether this node runs or stops."""
+        """Tell the peer of a new link whether this node runs or stops.
+
+        The peer may have started since the last crashes, so it gets them too.
+        """
         link.send_notice(encode_notice(self._make_status()))
+        for crash, age_s, fingerprints in self._crash_counter.export(monotonic()):
+            link.send_notice(encode_notice(CrashNotice(crash, fingerprints, age_s)))
 
     def _is_same_domain(self, link: Link) -> bool:
         host = link.address[0]
@@ -267,13 +279,15 @@
             self._send_all(encode_notice(notice))
 
     def _record_crash(self, notice: CrashNotice) -> None:
-        now = monotonic()
+        if not 0 <= notice.age_s < CRASH_TTL_S:
+            return
+        crashed_at = monotonic() - notice.age_s
         new_fingerprints = [
             fingerprint
             for fingerprint in notice.fingerprints
-            if self._crash_counter.record_crash(fingerprint, notice.crash, now)
+            if self._crash_counter.record_crash(fingerprint, notice.crash, crashed_at)
         ]
-        if new_fingerprints:
+        if new_fingerprints and not notice.age_s:
             fields = {
                 "backend": notice.crash,
                 "reason": "crashed",
@@ -325,15 +339,15 @@
         state = directory.revision, directory.document
         published = self._publication.state
         if not self._election.is_publisher(monotonic()):
-            self._publication.mark(*state, directory.endpoints)
+            self._publication.mark(*state, directory.listed)
             return
         try:
             changes = self._publication.collect(
-                *state, directory.history, directory.endpoints
+                *state, directory.history, directory.listed
             )
             if changes is None:
                 return
-            payload = encode_notice(changes)
+            payload = encode_notice(self._add_store_uptime(changes))
             # Other domains get only the revision, by which they notice changes even
             # if the store is silent to both of their readers.
             status = encode_notice(self._make_status())
@@ -353,9 +367,7 @@
             self._fetch_state(link)
             return
         # The sender sends the changes to the other nodes too, so this node does not.
-        self._publication.mark(
-            directory.revision, directory.document, directory.endpoints
-        )
+        self._publication.mark(directory.revision, directory.document, directory.listed)
         if directory.generation != before:
             self._emit_changes(link, changes)
             self._on_change()
@@ -376,6 +388,24 @@
         for name in changes.removed:
             self._emit(Event(EventCode.INSTANCE_REMOVED, {"backend": name} | fields))
 
+    @property
+    def lastingly_failing(self) -> frozenset[str]:
+        """Names of the steps that have failed several times in a row."""
+        return (
+            self._status_steps.lastingly_failing | self._links_steps.lastingly_failing
+        )
+
+    def has_sound_domain(self, now: float) -> bool:
+        """Return whether most other nodes of the domain are heard of and sound."""
+        intervals = max(1.0, len(self._directory.get_hosts()) / FULL_MESH_NODES)
+        heard_after = now - OTHER_DOMAIN_SILENCE_S * intervals
+        states = [
+            failing
+            for received_at, failing in self._peer_failing.values()
+            if received_at > heard_after
+        ]
+        return bool(states) and 2 * sum(states) < len(states)
+
     @property
     def is_isolated(self) -> bool:
         """Whether other nodes are listed and all of them are silent."""
@@ -481,8 +511,15 @@
             max(0.0, self._end_deadline - monotonic()) if self._is_leaving else None,
             self._runner.leaving_worker,
             directory.document_version,
+            directory.uptime.export(monotonic()) if self._feed.is_up else None,
+            self.is_failing(),
         )
 
+    def _add_store_uptime(self, notice):
+        """Return the notice with what a receiver needs to judge missing entries."""
+        uptime = self._directory.uptime.export(monotonic())
+        return msgspec.structs.replace(notice, store_uptime=uptime)
+
     def _handle_notice(self, link: Link, payload: bytes) -> None:
         """Handle one notice; whatever fails costs only this notice."""
 
@@ -516,7 +553,7 @@
                 self._handle_status(link, notice)
             case FetchNotice():
                 state = self._directory.export(notice.version)
-                link.send_notice(encode_notice(state))
+                link.send_notice(encode_notice(self._add_store_uptime(state)))
             case StateNotice():
                 self._handle_state(link, notice)
             case ChangeNotice():
@@ -547,7 +584,13 @@
         if self._is_same_domain(link):
             report = ReaderReport(notice.link_mbps, notice.reads, notice.leaving)
             self._election.record_report(notice.instance, report, now)
+            if notice.leaving:
+                self._peer_failing.pop(notice.instance, None)
+            else:
+                self._peer_failing[notice.instance] = now, notice.failing
         directory = self._directory
+        if notice.store_uptime is not None:
+            directory.uptime.merge(notice.store_uptime, now)
         if notice.needs_state and notice.revision < directory.revision:
             # The peer fetches the state when it learns that a newer one exists.
             link.send_notice(encode_notice(self._make_status()))
@@ -621,3 +664,8 @@
         link.send_notice(payload)
     except Exception as exc:
         link.close(f"send failed: {exc!r}")
+
+
+def _report_sound() -> bool:
+    """Return that nothing fails; replaced by `MeshNode`."""
+    return False
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -26,7 +26,7 @@
 )
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause, Refusal
-from mangowell_node.backend import BackendConnection, BackendPool
+from mangowell_node.backend import BackendConnection, BackendPool, RefusalIds
 from mangowell_node.exchange import (
     Answer,
     AnswerHead,
@@ -135,6 +135,7 @@
         previous, self._local_worker = self._local_worker, local_worker
         if previous is not None and not _is_same_start(previous, local_worker):
             self._clear_queue(_make_unlisted_refusal())
+            self.pool.forget_refusals()
         if local_worker is None:
             return
         self._apply_rate_limit()
@@ -234,6 +235,7 @@
             raise AttemptError(_make_leaving_refusal())
         if deadline > self._end_deadline:
             raise AttemptError(_make_stopping_refusal())
+        self._check_crashes(head)
         self._adopt_rate_limit(local_worker, head.rate_limit)
         ticket = await self._admit(head, deadline)
         has_run = False
@@ -257,6 +259,19 @@
                 answer.head.pending = load.pending
                 answer.head.slots = load.limit
 
+    def _check_crashes(self, head: RequestHead) -> None:
+        """Refuse a request that has crashed workers.
+
+        The node at which it entered may have started since the crashes.
+        """
+        crash_counter = self._crash_counter
+        if crash_counter and crash_counter.is_refused(
+            compute_fingerprint(head), monotonic()
+        ):
+            raise AttemptError(
+                refuse(Cause.QUARANTINED, "the same request has crashed workers")
+            )
+
     # Admission
 
     def predict(self, probe: ProbeNotice) -> ProbeReply:
@@ -354,10 +369,13 @@
 
     def _sweep(self) -> None:
         self._sweep_timer = None
-        self._resume(self.admission.start_waiting(monotonic()))
-        self._refuse_expired()
-        if self.admission.waiting:
-            self._schedule_sweep()
+        try:
+            self._resume(self.admission.start_waiting(monotonic()))
+            self._refuse_expired()
+        finally:
+            # Waiting requests depend on the next sweep, also if this one has failed.
+            if self.admission.waiting:
+                self._schedule_sweep()
 
     # Statements of the worker
 
@@ -420,16 +438,28 @@
     # Exchange
 
     async def _exchange(self, head: RequestHead, deadline: float) -> Answer:
-        if head.idempotent:
-            conn = self.pool.take_idle()
-        else:
-            conn = self.pool.take_idle(MAX_UNSAFE_IDLE_S)
+        conn = self._take_idle_connection(head)
         if conn is None:
             conn = await self.pool.open(deadline)
         if not conn.is_open:
             raise AttemptError.at(Cause.CONNECT_FAILED, Stage.UNSENT, "worker closed")
         return await self._send(conn, head, deadline)
 
+    def _take_idle_connection(self, head: RequestHead) -> BackendConnection | None:
+        """Return a kept connection for a request, or None if it needs a new one.
+
+        A refusal without a request id belongs for certain to the current request
+        only on a new connection. An uncertain refusal costs a request that may not
+        be repeated.
+        """
+        if not head.request:
+            return None
+        if head.idempotent:
+            return self.pool.take_idle()
+        if self.pool.refusal_ids is RefusalIds.OMITTED:
+            return None
+        return self.pool.take_idle(MAX_UNSAFE_IDLE_S)
+
     async def _send(
         self, conn: BackendConnection, head: RequestHead, deadline: float
     ) -> Answer:
--- a/packages/standins/src/mangowell_standins/failing_node.py
+++ b/packages/standins/src/mangowell_standins/failing_node.py
@@ -8,11 +8,15 @@
 from functools import partial
 from pathlib import Path
 
-from mangowell_node.mesh import program
+from mangowell_node.mesh.launch import launch
 from mangowell_node.mesh.node import MeshNode
 from mangowell_node.mesh.tasks import TaskSupervisor
 
 FAILURE_SIGNAL = signal.SIGUSR1
+# Code of a `NodeProcess` that runs this program.
+FAILING_NODE_CODE = (
+    "import sys; from mangowell_standins.failing_node import main; main(sys.argv[1])"
+)
 
 
 class InjectedTaskError(Exception):
@@ -86,4 +90,4 @@
     signal.signal(FAILURE_SIGNAL, signal.SIG_IGN)
     FailingSupervisor.order_path = get_order_path(Path(path))
     MeshNode.supervisor_type = FailingSupervisor
-    program.main(path)
+    launch(path)
--- a/packages/standins/src/mangowell_standins/node_process.py
+++ b/packages/standins/src/mangowell_standins/node_process.py
@@ -9,7 +9,9 @@
 
 TEMPLATE = Path(__file__).parents[4] / "deploy/settings.ini.template"
 CALLER_PORT, READY_PORT, WORKER_PORT, LINK_PORT = 8304, 8302, 8301, 7620
-PROGRAM = "mangowell_node.mesh.program"
+NODE_CODE = (
+    "import sys; from mangowell_node.mesh.launch import launch; launch(sys.argv[1])"
+)
 
 
 class NodeProcess:
@@ -25,19 +27,20 @@
     fields : dict
         Values of the settings template: `zone`, `service`, `platform.address`
         and `bounds` of the platform.
-    program : str, default=PROGRAM
-        Module whose `main` takes the path of the settings file.
+    code : str
+        Code that the process runs, with the path of the settings file as its argument.
     """
 
-    __slots__ = ("_process", "_program", "fields", "host", "logs", "path")
+    __slots__ = ("_code", "_process", "fields", "host", "logs", "path")
 
     def __init__(
         self,
         number: int,
         directory: Path,
         fields: dict[str, str],
-        program: str = PROGRAM,
+        code: str = NODE_CODE,
     ):
+        self._code = code
         high, low = divmod(os.getpid() % 62_500, 250)
         self.host = f"127.{high + 1}.{low + 1}.{number}"
         self.fields = {
@@ -53,7 +56,6 @@
         self.path = directory / f"node-{number}.ini"
         self.logs: list[Path] = []
         self._process: asyncio.subprocess.Process | None = None
-        self._program = program
 
     @property
     def handles_signals(self) -> bool:
@@ -74,8 +76,7 @@
         self.write_settings()
         self.logs.append(self.path.with_suffix(f".{len(self.logs) + 1}.log"))
         environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
-        code = f"import sys; from {self._program} import main; main(sys.argv[1])"
-        command = (sys.executable, "-c", code, str(self.path))
+        command = (sys.executable, "-c", self._code, str(self.path))
         with self.logs[-1].open("wb") as log:
             self._process = await asyncio.create_subprocess_exec(
                 *command, stdout=log, stderr=log, env=environment
