--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -54,6 +54,7 @@
         "_departed",
         "_endpoints",
         "_held",
+        "_named_services",
         "_restored_through",
         "_withheld",
         "_withheld_until",
@@ -82,6 +83,8 @@
         # Entries of such workers in the copy, and the time at which they are used.
         self._withheld: dict[str, Endpoint] = {}
         self._withheld_until = 0.0
+        # Services that the document names.
+        self._named_services: frozenset[str] = frozenset()
         self._by_service: dict[str, tuple[Endpoint, ...]] | None = None
         self._by_host: dict[str, list[Endpoint]] | None = None
 
@@ -119,6 +122,10 @@
         if self.document is not None and document.version <= self.document.version:
             return False
         self.document = self.history.add(document)
+        named = _get_named_services(document)
+        if named != self._named_services:
+            self._named_services = named
+            self._invalidate_indexes()
         return True
 
     def put(self, endpoint: Endpoint) -> None:
@@ -174,14 +181,10 @@
         self.revision = max(self.revision, revision)
 
     def _follow_restore(self, revision: int, now: float) -> None:
-        """Note a restore of the store at the first state that is known after it.
-
-        Another node may have read that state, before this one lists all items.
-        """
+        """Note the revision of the first state that is known after a restore."""
         if get_era(revision) > get_era(self.revision) and self.revision:
             self._restored_through = revision
             self._withheld_until = now + WITHHELD_S
-            self.record_store_restore(now)
 
     def apply_state(self, notice: StateNotice, now: float) -> bool:
         """Apply the state of another node if it is newer.
@@ -304,7 +307,7 @@
     def look_up_address(self, host: str, port: int) -> Endpoint | None:
         """Return the most recently started worker at an address."""
         candidates = [e for e in self.look_up_host(host) if e.port == port]
-        return max(candidates, key=_get_start_order, default=None)
+        return max(candidates, key=self._get_start_order, default=None)
 
     def look_up_host(self, host: str) -> list[Endpoint]:
         """Return the workers at a host."""
@@ -347,13 +350,21 @@
         for endpoint in self._endpoints.values():
             address = (endpoint.host, endpoint.port)
             other = latest.get(address)
-            if other is None or _get_start_order(endpoint) > _get_start_order(other):
+            if other is None or self._get_start_order(endpoint) > self._get_start_order(
+                other
+            ):
                 latest[address] = endpoint
         groups: dict[str, list[Endpoint]] = {}
         for endpoint in latest.values():
             groups.setdefault(endpoint.service, []).append(endpoint)
         return {service: tuple(group) for service, group in groups.items()}
 
+    def _get_start_order(self, endpoint: Endpoint) -> tuple[bool, int, int]:
+        # An entry of another writer may name the address of a worker and a service
+        # that does not exist. It must not take the address from the worker.
+        is_named = endpoint.service in self._named_services
+        return is_named, endpoint.born_ms, endpoint.revision
+
 
 def _was_removed_later(endpoint: Endpoint, removed_at: int | None) -> bool:
     """Return whether the entry was missing at a later revision of the same era."""
@@ -362,5 +373,8 @@
     return endpoint.revision <= removed_at
 
 
-def _get_start_order(endpoint: Endpoint) -> tuple[int, int]:
-    return endpoint.born_ms, endpoint.revision
+def _get_named_services(document: MeshDocument) -> frozenset[str]:
+    names = {service.name for service in document.services}
+    for route in document.routes:
+        names.update(name for name, _ in route.parts)
+    return frozenset(names)
