Start the node of the soak as it is deployed

The stand-in program called the node's main directly, so it did not handle signals while the node's own modules were imported, as a deployed node does.

--- a/packages/standins/src/mangowell_standins/failing_node.py
+++ b/packages/standins/src/mangowell_standins/failing_node.py
@@ -8,7 +8,7 @@
 from functools import partial
 from pathlib import Path
 
-from mangowell_node.mesh import program
+from mangowell_node.mesh.launch import launch
 from mangowell_node.mesh.node import MeshNode
 from mangowell_node.mesh.tasks import TaskSupervisor
 
@@ -90,4 +90,4 @@
     signal.signal(FAILURE_SIGNAL, signal.SIG_IGN)
     FailingSupervisor.order_path = get_order_path(Path(path))
     MeshNode.supervisor_type = FailingSupervisor
-    program.main(path)
+    launch(path)
