Drop a worker whose entry is replaced by a value that is no text

Callers' requests went on to a worker whose own entry another writer had replaced by an item with `value` null, a number or a list: the item was refused as a whole, so the entry before it stayed in use. An item whose key and revision can be read is now passed on with an unreadable value, and its decoder refuses it by its key.

--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import socket
-from typing import Annotated
+from typing import Annotated, Any
 from urllib.parse import quote
 
 import aiohttp
@@ -148,7 +148,7 @@
 class _RawItem(msgspec.Struct, rename="kebab"):
     key: Annotated[str, Meta(min_length=1, max_length=MAX_KEY_BYTES)]
     mod_rev: _Number  # revision of the last change
-    value: str = ""
+    value: Any = ""  # base64 text; a decoder refuses all else
     tombstone: bool = False
 
 
--- a/tests/mesh/test_foreign_items.py
+++ b/tests/mesh/test_foreign_items.py
@@ -302,3 +302,14 @@
         store.put("servers/x", foreign)
         await until(lambda: len(machine.node.directory) == 2)
         assert (await machine.call()).status == 200
+
+
+@pytest.mark.parametrize("value", (None, 5, ["YQ=="], {"a": "b"}))
+async def test_worker_whose_entry_is_replaced_by_a_value_without_text_is_dropped(value):
+    """Guards against an item that is refused without the worker that it names."""
+    async with run_mesh(2) as (store, machines):
+        name = machines[1].id
+        store.put(f"servers/{name}", b"", {"value": value})
+        await until(
+            lambda: all(name not in m.node.directory.endpoints for m in machines)
+        )
