Set up connections of peers that have already gone without an exception

The address is empty then; the close that follows ends the connection as usual. The close of a caller's connection also no longer depends on what the kernel answers about unsent bytes.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -118,7 +118,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection with its server."""
         super().connection_made(transport)
-        self.peer = transport.get_extra_info("peername")[0]
+        # None if the caller has already gone.
+        self.peer = (transport.get_extra_info("peername") or ("",))[0]
         self._server.connections.add(self)
         if self._server.is_stopping:
             self.close_if_idle()
@@ -267,9 +268,14 @@
     def _count_undelivered(self) -> int:
         """Return how many bytes the caller's TCP has not acknowledged."""
         transport = self.transport
-        fd = transport.get_extra_info("socket").fileno()
-        queued = fcntl.ioctl(fd, termios.TIOCOUTQ, bytes(4))
-        return transport.get_write_buffer_size() + struct.unpack("i", queued)[0]
+        buffered = transport.get_write_buffer_size()
+        try:
+            fd = transport.get_extra_info("socket").fileno()
+            queued = fcntl.ioctl(fd, termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            # Without an answer of the kernel, the connection is closed as usual.
+            return buffered
+        return buffered + struct.unpack("i", queued)[0]
 
     def _check_linger(self) -> None:
         """Close the connection if the caller has had enough time to read."""
--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -207,7 +207,8 @@
             transport.abort()
             return
         self.transport = transport
-        self.address = transport.get_extra_info("peername")[:2]
+        # None if the peer has already gone.
+        self.address = (transport.get_extra_info("peername") or ("", 0))[:2]
         self._handshake_timer = self.loop.call_later(
             HANDSHAKE_TIMEOUT_S, self.close, "handshake timed out"
         )
