Answer uploads that cross SIGTERM before the node ends

Callers of a stopping node whose upload had begun before SIGTERM got no answer: the connection was closed at the end of the grace period, with their request at a worker or still unread.

The stop shortens the time limit of the requests in `Gateway._open`, which a request entered only once its whole body had arrived. Until then it kept the limit of its route, and was sent to a worker of another node with it.

A request is now in that table while its body arrives too. One whose body does not arrive in time is refused as not run, with the time after which the node is back.

--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -136,7 +136,8 @@
         # Latest deadline of a request, in monotonic seconds.
         self._end_deadline = math.inf
         self._refuses_callers = False
-        # Requests that are at a worker or wait for one, each with its time limit.
+        # Requests whose body arrives, that wait for a worker or are at one, each with
+        # its time limit.
         self._open: dict[RequestState, asyncio.Timeout] = {}
 
     def limit_deadlines(self, deadline: float) -> None:
@@ -188,9 +189,7 @@
         fields = read_caller_fields(call.headers)
         request = fields.request
         if self._refuses_callers and not self._is_call(request):
-            refusal = refuse(
-                Cause.LEAVING, "node is stopping", retry_after_s=RESTART_RETRY_AFTER_S
-            )
+            refusal = _make_stopping_refusal()
             return self._make_refusal_reply(request, None, refusal, call.arrived_at)
         if self._route_table is None:
             await self._wait_for_document()
@@ -224,20 +223,31 @@
         if not state.head.is_call:
             self.attempts.budget.count_request(state.service, monotonic())
         try:
-            expires_in_s = state.deadline - monotonic() - EXPIRY_MARGIN_S
-            async with asyncio.timeout(expires_in_s) as self._open[state]:
+            async with self._limit_time(state):
                 await self.attempts.run(state)
         except TimeoutError:
             stage = Stage.SENT if state.attempts else Stage.UNSENT
             reason = "time limit of the route or the caller reached"
-            if state.deadline >= self._end_deadline:
+            if self._is_cut_by_stop(state):
                 reason = "time for stopping has passed"
             state.answer = None
             state.ended_by = EndReason.DEADLINE
             state.error = AttemptError.at(Cause.DEADLINE, stage, reason)
+        return self._make_reply(state, request)
+
+    def _is_cut_by_stop(self, state: RequestState) -> bool:
+        """Return whether the node ends before the time limit of a request."""
+        return state.deadline >= self._end_deadline
+
+    @contextlib.asynccontextmanager
+    async def _limit_time(self, state: RequestState):
+        """Raise `TimeoutError` at the deadline of a request, also one set meanwhile."""
+        expires_in_s = state.deadline - monotonic() - EXPIRY_MARGIN_S
+        try:
+            async with asyncio.timeout(expires_in_s) as self._open[state]:
+                yield
         finally:
             self._open.pop(state, None)
-        return self._make_reply(state, request)
 
     def _is_call(self, request: str) -> bool:
         """Return whether the local worker made a request while running another.
@@ -279,6 +289,8 @@
             # The request is malformed, or the caller has closed the connection.
             return Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 400, 0.0, str(exc))
         except TimeoutError:
+            if self._is_cut_by_stop(state):
+                return _make_stopping_refusal()
             return refuse(Cause.DEADLINE, "request body arrives too slowly")
         except BodyBudgetError as exc:
             return refuse(Cause.OVERLOADED, str(exc))
@@ -323,7 +335,7 @@
         if length > limit:
             return None
         self._hold_body(state, length)
-        async with asyncio.timeout(state.deadline - monotonic()):
+        async with self._limit_time(state):
             body = await call.read_body(lambda size: self._hold_body(state, size))
             if type(body) is bytes:
                 return body if len(body) <= limit else None
@@ -425,3 +437,9 @@
             write_refusal_fields(request, retry_after_s),
             refusal.reason.encode() + b"\n",
         )
+
+
+def _make_stopping_refusal() -> Refusal:
+    return refuse(
+        Cause.LEAVING, "node is stopping", retry_after_s=RESTART_RETRY_AFTER_S
+    )
