Refuse work that cannot end before its node does

A call of a worker that came late in the grace period of its node was passed on with its time cut to the end of the node. A worker that needed longer was broken off and the caller got 504, although the request was of no use from the beginning.

A request whose time limit is cut by a stop is now refused as not run, at once, unless twice the mean work of its route is left.

tests/mesh/test_late_in_grace.py::test_call_that_cannot_end_before_its_node_is_ refused_unrun[0.9-503], before: 504 in place of 503, the worker had begun; after: it passes, and [0.05-200] before and after.

--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -63,6 +63,9 @@
 # Margin before the time limit of a request, in seconds. At that point, the node itself
 # answers a request that is still open.
 EXPIRY_MARGIN_S = 0.003
+# A request whose time is cut by a stop is accepted if this multiple of the mean work
+# of its route is left.
+LATE_WORK_RATIO = 2.0
 
 
 class Gateway:
@@ -220,6 +223,9 @@
             reason = "the same request has crashed workers"
             refusal = refuse(Cause.QUARANTINED, reason)
             return self._make_refusal_reply(request, state, refusal, call.arrived_at)
+        if self._is_cut_by_stop(state) and not self._may_finish(state):
+            refusal = _make_stopping_refusal()
+            return self._make_refusal_reply(request, state, refusal, call.arrived_at)
         if not state.head.is_call:
             self.attempts.budget.count_request(state.service, monotonic())
         try:
@@ -239,6 +245,15 @@
         """Return whether the node ends before the time limit of a request."""
         return state.deadline >= self._end_deadline
 
+    def _may_finish(self, state: RequestState) -> bool:
+        """Return whether a worker probably finishes a request before its deadline.
+
+        Otherwise, its work would be broken off.
+        """
+        placement = self.attempts.placement
+        work_s = placement.estimate_work(state.route.name, state.service)
+        return state.deadline - monotonic() >= LATE_WORK_RATIO * work_s
+
     @contextlib.asynccontextmanager
     async def _limit_time(self, state: RequestState):
         """Raise `TimeoutError` at the deadline of a request, also one set meanwhile."""
--- a/tests/mesh/test_late_in_grace.py
+++ b/tests/mesh/test_late_in_grace.py
@@ -5,8 +5,11 @@
 """
 
 import asyncio
+from time import monotonic
 
-from mesh.support_mesh import make_request
+import pytest
+
+from mesh.support_mesh import answer_with_id, make_request
 from mesh.test_work_at_stopping_nodes import run_two_nodes, stop_node
 from node.support_calls import read_response
 
@@ -48,3 +51,39 @@
             writer.close()
         assert (answer.status, answer.complete) == (503, True)
         assert not second.worker.executions
+
+
+@pytest.mark.parametrize(("work_s", "status"), [(0.05, 200), (0.9, 503)])
+async def test_call_that_cannot_end_before_its_node_is_refused_unrun(work_s, status):
+    """A worker that had begun to run it was broken off when the node ended."""
+    answers = []
+
+    async with run_two_nodes() as (_, second):
+
+        async def work(request):
+            request_id = request.headers["request-id"]
+            if request_id == "outer":
+                await asyncio.sleep(2.0)
+                call = second.call("/long/2", request="outer.1", timeout_ms=4000)
+                started = monotonic()
+                answers.append((await call, monotonic() - started))
+            else:
+                await asyncio.sleep(work_s)
+            return await answer_with_id()(request)
+
+        second.worker.handler = work
+        for number in range(4):
+            await second.call("/long/1", request=f"before-{number}", timeout_ms=4000)
+        outer = asyncio.create_task(
+            second.call("/long/1", request="outer", timeout_ms=9000)
+        )
+        await asyncio.sleep(0.1)
+        async with stop_node(second):
+            await outer
+        (answer, took_s) = answers[0]
+        assert answer.status == status
+        if status == 503:
+            assert took_s < 0.2
+            assert "outer.1" not in [
+                request.headers["request-id"] for request in second.worker.received
+            ]
