Keep replies that were written when a later one breaks off

A caller that pipelines got an earlier answer cut although its worker had given it whole, if the next answer broke off. A caller of HTTP/1.0 whose answer broke off got no answer at all.

The connection was aborted to show that the answer is truncated, which also drops what waits for the caller to read. A missing end of a chunked body or of a stated length shows it as well, so the connection is closed as after any last reply. With HTTP/1.0 nothing of the answer has been written yet, so the caller gets 502.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -367,8 +367,9 @@
             # read completely, so that its length can be stated.
             try:
                 body = await _read_whole(stream)
-            except AttemptError:
-                transport.abort()
+            except AttemptError as exc:
+                message = exc.refusal.reason
+                self._write_error(HTTPStatus.BAD_GATEWAY, Outcome.UNKNOWN, message)
                 return False
             finally:
                 stream.close()
@@ -395,8 +396,8 @@
         try:
             await self._write_stream(stream, reply.length, chunked)
         except (AttemptError, ConnectionError):
-            # The abort lets the caller detect that the reply is truncated.
-            transport.abort()
+            # The close lets the caller detect that the reply is truncated. It must not
+            # drop the replies to earlier requests.
             return False
         finally:
             stream.close()
--- a/tests/node/test_ingress_stop.py
+++ b/tests/node/test_ingress_stop.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from mangowell_core.policy.outcome import Stage
+from mangowell_core.policy.types import Cause
+from mangowell_node.exchange import AttemptError
 from mangowell_node.ingress import CallerConnection, IngressServer, Reply
 from mangowell_node.ingress import connection as connection_module
 from mangowell_node.ingress import server as server_module
@@ -165,6 +168,16 @@
     writer.close()
 
 
+async def connect_slowly(ingress):
+    """Connect with a small window, so that most of a long reply waits at the node."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, ("127.0.0.1", ingress.port))
+    return await asyncio.open_connection(sock=sock, limit=4096)
+
+
 async def send_behind_last_reply(ingress, body):
     """Read a part of a last reply and send a further request; return the reader."""
 
@@ -173,13 +186,7 @@
 
     ingress.serve = serve
     ingress.draining = True
-    sock = socket.socket()
-    # A small window, so that most of the reply waits at the node.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-    sock.setblocking(False)
-    loop = asyncio.get_running_loop()
-    await loop.sock_connect(sock, ("127.0.0.1", ingress.port))
-    reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+    reader, writer = await connect_slowly(ingress)
     writer.write(GET % b"last")
     await reader.readuntil(b"\r\n\r\n")
     for number in range(3):
@@ -223,3 +230,50 @@
     await ingress.stop(10.0)
     assert 0.1 < monotonic() - started < 1.0
     writer.transport.abort()
+
+
+class BrokenBody(GatedBody):
+    """Body that breaks off after its first chunk."""
+
+    async def read(self):
+        if len(self._chunks) == 1:
+            raise AttemptError.at(Cause.CONNECTION_LOST, Stage.ANSWERED, "broken off")
+        return self._chunks.pop(0)
+
+
+@pytest.mark.parametrize("length", [-1, 4])
+async def test_answer_that_breaks_off_does_not_cut_the_one_before(ingress, length):
+    """The connection was aborted, and with it what the caller had yet to read."""
+    body = b"x" * 60_000
+
+    async def serve(call):
+        if call.target == "/first":
+            return Reply(200, "OK", b"", body)
+        return Reply(200, "OK", b"", stream=BrokenBody(None), length=length)
+
+    ingress.serve = serve
+    reader, writer = await connect_slowly(ingress)
+    await until(lambda: ingress.connections)
+    (connection,) = ingress.connections
+    # Bytes that do not fit wait in the process.
+    sock = connection.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    writer.write(GET % b"first" + GET % b"second")
+    await asyncio.sleep(0.1)
+    answer = await read_response(reader)
+    assert len(answer.body) == len(body)
+    assert not (await asyncio.wait_for(read_response(reader), 5)).complete
+    writer.close()
+
+
+async def test_answer_for_http_1_0_that_breaks_off_is_a_failure(ingress):
+    """The connection was closed without any answer."""
+
+    async def serve(call):
+        return Reply(200, "OK", b"", stream=BrokenBody(None))
+
+    ingress.serve = serve
+    reader, writer = await connect(ingress)
+    writer.write(b"GET /a HTTP/1.0\r\nHost: x\r\n\r\n")
+    assert (await read_response(reader)).status == 502
+    writer.close()
