Let the answer to a refused upload arrive

A caller whose upload was refused (413, 400) got a reset of its connection while it was still sending, and with clients that stop at the first write error no answer.

The rest of the upload was read for 2 s in all, and after malformed bytes not at all once the answer was acknowledged; what arrived later met a closed socket. It is now discarded for as long as the caller goes on sending, at most 30 s, and for 2 s after its last byte, by the same reading that follows any last reply.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -1,7 +1,6 @@
 """One connection of a caller."""
 
 import asyncio
-import contextlib
 import fcntl
 import struct
 import termios
@@ -33,10 +32,11 @@
 MAX_LINE_BYTES = 16_384
 MAX_PIPELINED_REQUESTS = 16  # parsed but not started, on one connection
 MAX_CONCURRENT_REQUESTS = 16  # served at once, on one connection
-# Time for which the rest of a refused upload is read, so that the caller can read
-# the answer. It is also the time after which a caller that takes no more bytes of its
-# last reply counts as gone.
+# Time after which a caller counts as gone that takes no more bytes of its last reply,
+# or sends no more bytes of an upload that was refused, in seconds.
 LINGER_S = 2.0
+# Longest time for which the rest of a refused upload is read, in seconds.
+MAX_UPLOAD_LINGER_S = 30.0
 # Time for which a closing connection is read after the caller's TCP has acknowledged
 # everything, so that the caller itself can read it.
 DELIVERED_LINGER_S = 0.5
@@ -68,6 +68,7 @@
         "_accepts_requests",
         "_caller_closes",
         "_exchanges",
+        "_has_unread_upload",
         "_is_closing",
         "_linger_deadline",
         "_linger_timer",
@@ -76,6 +77,7 @@
         "_parsed_count",
         "_server",
         "_undelivered",
+        "_upload_deadline",
         "_writer",
         "idle_since",
         "peer",
@@ -104,6 +106,10 @@
         self._linger_timer: asyncio.TimerHandle | None = None
         self._linger_deadline = 0.0
         self._undelivered = 0
+        # Whether the caller may go on sending bytes that are not parsed, and the time
+        # until which they are discarded.
+        self._has_unread_upload = False
+        self._upload_deadline = 0.0
         self._accepts_requests = True
         # Whether the caller has announced that it sends no further request.
         self._caller_closes = False
@@ -138,6 +144,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
+        if self._linger_timer and self._has_unread_upload:
+            linger_deadline = min(monotonic() + LINGER_S, self._upload_deadline)
+            self._linger_deadline = max(self._linger_deadline, linger_deadline)
         if self._linger_timer or (self._is_closing and not self._exchanges):
             return
         try:
@@ -166,7 +175,7 @@
 
     def _handle_malformed(self, message: str) -> None:
         """Reply to malformed bytes after the replies to earlier requests."""
-        self._is_closing = True
+        self._is_closing = self._has_unread_upload = True
         self._parse_error = message
         for exchange in self._exchanges:
             _fail_content(exchange.content, message)
@@ -231,38 +240,35 @@
             status = HTTPStatus.INTERNAL_SERVER_ERROR
             self._write_error(status, Outcome.UNKNOWN, message)
             keep_alive = False
-        content = exchange.content
-        if not content.is_eof():
+        if not exchange.content.is_eof():
             keep_alive = False
-            await self._linger(content)
+            self._has_unread_upload = True
         return keep_alive
 
-    async def _linger(self, content: StreamReader) -> None:
-        """Read and discard the rest of an upload, so that the reply arrives."""
-        with contextlib.suppress(TimeoutError, MessageFormatError, RuntimeError):
-            async with asyncio.timeout(LINGER_S):
-                while await content.readany():
-                    pass
-
     def _close(self) -> None:
         """Close the connection once the caller has got everything.
 
-        A caller may have sent a request that crosses the last reply. If it arrived at
-        a closed socket, the system would reset the connection and drop what has not
-        been sent yet. Until then, all that arrives is read and discarded.
+        A caller may have sent a request that crosses the last reply, or go on with an
+        upload that was refused. If it arrived at a closed socket, the system would
+        reset the connection: it would drop what has not been sent yet, and the caller
+        may miss what it has not read. Until then, all that arrives is read and
+        discarded.
         """
         self._is_closing = True
         transport = self.transport
         if transport is None or transport.is_closing() or self._linger_timer:
             return
         self._undelivered = self._count_undelivered()
-        if self._caller_closes or not self._undelivered:
+        is_delivered = self._caller_closes or not self._undelivered
+        if is_delivered and not self._has_unread_upload:
             transport.close()
             return
         self._messages.clear()
         transport.write_eof()
         self._resume_transport_reading()
-        self._linger_deadline = monotonic() + LINGER_S
+        now = monotonic()
+        self._linger_deadline = now + LINGER_S
+        self._upload_deadline = now + MAX_UPLOAD_LINGER_S
         self._check_linger()
 
     def _count_undelivered(self) -> int:
@@ -283,7 +289,8 @@
             return
         undelivered, now = self._count_undelivered(), monotonic()
         if undelivered < self._undelivered:
-            linger_s = LINGER_S if undelivered else DELIVERED_LINGER_S
+            is_waiting = undelivered or self._has_unread_upload
+            linger_s = LINGER_S if is_waiting else DELIVERED_LINGER_S
             self._linger_deadline = now + linger_s
             self._undelivered = undelivered
         if now >= self._linger_deadline:
--- a/tests/node/test_ingress_stop.py
+++ b/tests/node/test_ingress_stop.py
@@ -277,3 +277,27 @@
     writer.write(b"GET /a HTTP/1.0\r\nHost: x\r\n\r\n")
     assert (await read_response(reader)).status == 502
     writer.close()
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.02])
+@pytest.mark.parametrize("fault", ["refused", "malformed"])
+async def test_answer_to_a_refused_upload_arrives(ingress, fault, pause_s, monkeypatch):
+    """The rest of the upload met a closed socket, so the caller saw only a reset."""
+    monkeypatch.setattr(connection_module, "LINGER_S", 0.3)
+
+    async def serve(call):
+        return Reply(413, "Content Too Large", b"", b"no")
+
+    ingress.serve = serve
+    reader, writer = await connect(ingress)
+    field = b"Bad Name: 1\r\n" if fault == "malformed" else b""
+    head = b"POST /p HTTP/1.1\r\nHost: x\r\n%bContent-Length: 2000000\r\n\r\n"
+    writer.write(head % field)
+    for _ in range(40):
+        await asyncio.sleep(pause_s)
+        writer.write(b"x" * 50_000)
+        await writer.drain()
+    answer = await read_response(reader)
+    assert answer.status == (400 if fault == "malformed" else 413)
+    assert await asyncio.wait_for(reader.read(), 5) == b""
+    writer.close()
