Let peers read the last answers of a stopping node

A request of another node that a worker had run to its end failed with a reset of the link, if its node stopped and the peer was slow to read (0.8 s in the test).

The stop waited only for the bytes that were still in the process. Those in the kernel were dropped when the next notice of the peer arrived at the closed socket.

The stop now counts the bytes that the peer's TCP has not acknowledged, as closes of caller connections do. It goes on while a peer takes bytes, and gives up after the time for which a link may be silent, at its deadline at the latest.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -1,9 +1,6 @@
 """One connection of a caller."""
 
 import asyncio
-import fcntl
-import struct
-import termios
 from collections import deque
 from http import HTTPStatus
 from time import monotonic
@@ -17,6 +14,7 @@
 
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause, Outcome
+from mangowell_node.delivery import count_undelivered
 from mangowell_node.exchange import (
     MAX_BUFFERED_BODY,
     AttemptError,
@@ -258,7 +256,7 @@
         transport = self.transport
         if transport is None or transport.is_closing() or self._linger_timer:
             return
-        self._undelivered = self._count_undelivered()
+        self._undelivered = count_undelivered(transport)
         is_delivered = self._caller_closes or not self._undelivered
         if is_delivered and not self._has_unread_upload:
             transport.close()
@@ -271,23 +269,11 @@
         self._upload_deadline = now + MAX_UPLOAD_LINGER_S
         self._check_linger()
 
-    def _count_undelivered(self) -> int:
-        """Return how many bytes the caller's TCP has not acknowledged."""
-        transport = self.transport
-        buffered = transport.get_write_buffer_size()
-        try:
-            fd = transport.get_extra_info("socket").fileno()
-            queued = fcntl.ioctl(fd, termios.TIOCOUTQ, bytes(4))
-        except OSError:
-            # Without an answer of the kernel, the connection is closed as usual.
-            return buffered
-        return buffered + struct.unpack("i", queued)[0]
-
     def _check_linger(self) -> None:
         """Close the connection if the caller has had enough time to read."""
         if self.transport.is_closing():
             return
-        undelivered, now = self._count_undelivered(), monotonic()
+        undelivered, now = count_undelivered(self.transport), monotonic()
         if undelivered < self._undelivered:
             is_waiting = undelivered or self._has_unread_upload
             linger_s = LINGER_S if is_waiting else DELIVERED_LINGER_S
--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import hmac
+import math
 from collections.abc import Awaitable, Callable
 from time import monotonic
 
 from mangowell_core.events import Event, EventCode
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause
+from mangowell_node.delivery import count_undelivered
 from mangowell_node.exchange import (
     Answer,
     AttemptError,
@@ -24,6 +26,7 @@
     NONCE_BYTES,
     PEER_CLOSE_TIMEOUT_S,
     REQUEST_FRAME,
+    SILENT_AFTER_S,
     WINDOW_UPDATE,
     FrameType,
     LinkAuthenticationError,
@@ -34,6 +37,8 @@
     log,
 )
 
+CLOSE_CHECK_INTERVAL_S = 0.005
+
 Handler = Callable[[RequestHead, Body | None, float], Awaitable[Answer]]
 
 
@@ -315,15 +320,7 @@
             if monotonic() >= deadline:
                 break
             await asyncio.sleep(0.01)
-        # A peer that cannot be reached must not hold up the stop.
-        close_deadline = monotonic() + PEER_CLOSE_TIMEOUT_S
-        while self.links and monotonic() < deadline:
-            has_unsent = any(
-                link.transport.get_write_buffer_size() for link in self.links
-            )
-            if not has_unsent and monotonic() >= close_deadline:
-                break
-            await asyncio.sleep(0.005)
+        await self._wait_for_peers(deadline)
         now = monotonic()
         for link in list(self.links):
             for event in link.report_cut(now):
@@ -331,3 +328,19 @@
             with contextlib.suppress(Exception):
                 link.transport.close()
             link.close("stopping")
+
+    async def _wait_for_peers(self, deadline: float) -> None:
+        """Wait until the peers have closed their links.
+
+        A peer that cannot be reached or takes no more bytes must not hold up the stop.
+        """
+        close_deadline = monotonic() + PEER_CLOSE_TIMEOUT_S
+        delivery_deadline = monotonic() + SILENT_AFTER_S
+        undelivered = math.inf
+        while self.links and (now := monotonic()) < deadline:
+            left = sum(count_undelivered(link.transport) for link in self.links)
+            if left < undelivered:
+                undelivered, delivery_deadline = left, now + SILENT_AFTER_S
+            if now >= (delivery_deadline if left else close_deadline):
+                break
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
--- a/tests/node/test_link_stop.py
+++ b/tests/node/test_link_stop.py
@@ -1,6 +1,7 @@
 """Stops of the link server and links that are accepted as they begin."""
 
 import asyncio
+import socket
 from time import monotonic
 
 from mangowell_core.policy.types import Outcome
@@ -60,3 +61,65 @@
         for pool in pools:
             pool.close()
         await server.stop(0.0)
+
+
+async def test_answer_that_a_slow_peer_has_yet_to_read_arrives():
+    """Its bytes were in the kernel, and a notice of the peer met a closed socket."""
+    body = b"x" * 900_000
+
+    async def handler(head, body_stream, deadline):
+        return Answer(AnswerHead(200, "OK", body=body))
+
+    key = derive_link_key("secret")
+    server = LinkServer(key, handler, lambda: 0.5, lambda event: None)
+    port = find_port()
+    await server.start("127.0.0.1", port)
+    pool = LinkPool("a", key, AddressFilter(), lambda event: None)
+    try:
+        await pool.connect("127.0.0.1", port, monotonic() + 1)
+        (link,) = pool.links
+        sock = link.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        call = asyncio.ensure_future(
+            pool.call(
+                *("127.0.0.1", port, make_head("/"), None, monotonic() + 5),
+                on_silence=lambda give_up: None,
+            )
+        )
+        await asyncio.sleep(0)
+        link.transport.pause_reading()
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.8, link.transport.resume_reading)
+        # The peer goes on sending, such as its status.
+        for number in range(1, 10):
+            loop.call_later(number / 10, link.send_notice, b"status")
+        await server.stop(monotonic() + 5)
+        assert (await call).head.body == body
+    finally:
+        pool.close()
+
+
+async def test_peer_that_takes_no_bytes_does_not_hold_up_the_stop_to_its_deadline():
+    async def handler(head, body_stream, deadline):
+        return Answer(AnswerHead(200, "OK", body=b"x" * 900_000))
+
+    key = derive_link_key("secret")
+    server = LinkServer(key, handler, lambda: 0.5, lambda event: None)
+    port = find_port()
+    await server.start("127.0.0.1", port)
+    pool = LinkPool("a", key, AddressFilter(), lambda event: None)
+    try:
+        await pool.connect("127.0.0.1", port, monotonic() + 1)
+        (link,) = pool.links
+        call = pool.call("127.0.0.1", port, make_head("/"), None, monotonic() + 9)
+        call = asyncio.ensure_future(call)
+        await asyncio.sleep(0)
+        link.transport.pause_reading()
+        await asyncio.sleep(0.1)
+        started = monotonic()
+        await server.stop(started + 9)
+        assert monotonic() - started < 3.0
+        call.cancel()
+    finally:
+        pool.close()
