Read long documents of the store over slow links

On a link that takes more than 1.5 s for the document (2.7 s after a watch), no node applied it, for as long as it was that long: operators saw the old version in force.

Each read had one time limit for the whole answer, so a slow body counted as an outage of the store, at each attempt anew; the entries of workers were held as after one.

The limit now ends when no bytes arrive for 0.5 s, or after 10 s in all. Bytes that arrive count as progress of the reader, so that it is not started again as stuck.

--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -85,6 +85,7 @@
         rng: random.Random,
     ):
         self._store = store
+        store.on_progress = self._extend_progress
         self._directory = directory
         self._emit = emit
         self._on_change = on_change
@@ -243,6 +244,12 @@
     def _expect_progress(self, limit_s: float) -> None:
         self._progress_deadline = monotonic() + limit_s
 
+    def _extend_progress(self) -> None:
+        """Expect the next step later, as an answer of the store is arriving."""
+        self._progress_deadline = max(
+            self._progress_deadline, monotonic() + WATCH_LIMIT_S
+        )
+
     async def _read_next(self) -> None:
         """Read all items, or wait for changes if they have been read."""
         if not self._revision:
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import socket
+from collections.abc import Callable
 from typing import Annotated, Any
 from urllib.parse import quote
 
@@ -45,6 +46,10 @@
 # Time limit of a read, in seconds: many times the usual 4 ms, so that an outage that
 # slows the store down is not taken for one that stops it.
 READ_TIMEOUT_S = 1.5
+# Time within which the next bytes of an answer arrive once it has begun, and within
+# which all of it does, in seconds. A long document takes its time on a slow link.
+STALL_TIMEOUT_S = 0.5
+MAX_ANSWER_S = 10.0
 # TCP keepalive probes detect a dead connection to the store, as a watch may be
 # silent for its whole wait.
 KEEPALIVE_IDLE_S = 1
@@ -187,9 +192,11 @@
         latest answer.
     """
 
-    __slots__ = ("_base_url", "_session", "calls", "era")
+    __slots__ = ("_base_url", "_session", "calls", "era", "on_progress")
 
     def __init__(self, address: Address):
+        # Called whenever bytes of an answer have arrived.
+        self.on_progress: Callable[[], None] = _ignore_progress
         self._base_url = f"http://{address.host}:{address.port}/api/"
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
@@ -301,12 +308,13 @@
     async def _get(self, path: str, timeout_s: float) -> tuple[int, bytes | None]:
         """Return era and body of an answer; the body is None if its status is 404."""
         self.calls += 1
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=READ_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=READ_TIMEOUT_S)
         try:
-            async with self._session.get(
-                self._base_url + path, timeout=timeout
-            ) as resp:
-                body = await resp.read()
+            async with (
+                asyncio.timeout(timeout_s) as limit,
+                self._session.get(self._base_url + path, timeout=timeout) as resp,
+            ):
+                body = await self._read_body(resp, limit)
                 era = self.era = _read_era(resp.headers)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise ConnectionLostError(f"{type(exc).__name__}: {exc}") from exc
@@ -320,6 +328,23 @@
             case status:
                 raise StoreError(f"status {status}")
 
+    async def _read_body(
+        self, resp: aiohttp.ClientResponse, limit: asyncio.Timeout
+    ) -> bytes:
+        """Read a body; its time limit is extended while it arrives."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + MAX_ANSWER_S
+        chunks = []
+        while chunk := await resp.content.readany():
+            chunks.append(chunk)
+            limit.reschedule(min(end, max(limit.when(), loop.time() + STALL_TIMEOUT_S)))
+            self.on_progress()
+        return b"".join(chunks)
+
+
+def _ignore_progress() -> None:
+    """Do nothing; replaced by the reader of the store."""
+
 
 async def _fail_on_disconnect(req, handler):
     """Raise an error for a lost connection, where aiohttp would repeat the call.
--- a/packages/standins/src/mangowell_standins/platform_store.py
+++ b/packages/standins/src/mangowell_standins/platform_store.py
@@ -11,6 +11,8 @@
 MAX_PAGE_ITEMS = 50
 # Length of the values of a page, which ends with the item that exceeds it.
 MAX_PAGE_CHARS = 1_000_000
+# Length of the parts of an answer that is sent slowly.
+SLOW_PART_BYTES = 8192
 # Field of a kept item with the changes of its other fields in the answers.
 _CHANGES = "changes"
 
@@ -43,6 +45,8 @@
         Whether new calls are left unanswered.
     delay_s : float
         Time by which every answer is late, in seconds.
+    bytes_per_s : float
+        Rate at which the bodies of answers are sent, or 0 for no limit.
     calls : int
         Calls received so far, including refused and unanswered ones.
     era : int
@@ -55,6 +59,7 @@
         self.refuse_status = 0
         self.is_silent = False
         self.delay_s = 0.0
+        self.bytes_per_s = 0.0
         self.calls = 0
         self.era = 0
         self.port = 0
@@ -176,7 +181,19 @@
         await asyncio.sleep(self.delay_s)
         if request.transport in self._silent_transports:
             await asyncio.sleep(3600)
-        return response
+        return await self._send_slowly(request, response)
+
+    async def _send_slowly(self, request: web.Request, response: web.Response):
+        """Send an answer at the rate that is set."""
+        if not self.bytes_per_s:
+            return response
+        slow = web.StreamResponse(status=response.status, headers=response.headers)
+        await slow.prepare(request)
+        for start in range(0, len(response.body), SLOW_PART_BYTES):
+            part = response.body[start : start + SLOW_PART_BYTES]
+            await asyncio.sleep(len(part) / self.bytes_per_s)
+            await slow.write(part)
+        return slow
 
     async def _add_era(self, request: web.Request, response: web.Response) -> None:
         response.headers["Store-Era"] = str(self.era)
--- a/tests/mesh/test_store_interruptions.py
+++ b/tests/mesh/test_store_interruptions.py
@@ -6,7 +6,7 @@
 import pytest
 
 from mangowell_node.platform import StoreError
-from mesh.support_mesh import make_entry, run_mesh, until
+from mesh.support_mesh import make_document, make_entry, make_route, run_mesh, until
 
 # Time from a disruption of connections until nodes are bound by what the store
 # says, in seconds.
@@ -144,3 +144,16 @@
         await until(lambda: not machine.node.directory.is_store_away)
         await asyncio.sleep(0.1)
         assert not lists_other(machine)
+
+
+@pytest.mark.parametrize("node_count", [1, 2])
+async def test_document_that_takes_long_to_arrive_is_applied(node_count):
+    """A slow link counted as an outage of the store, at each attempt anew."""
+    routes = {f"r{n}": make_route(f"/{n:04}{'x' * 200}/") for n in range(1400)}
+    async with run_mesh(node_count) as (store, machines):
+        store.bytes_per_s = 150_000.0
+        store.put("op/config", make_document(2, routes))
+        await until(
+            lambda: all(m.node.directory.document_version == 2 for m in machines), 10.0
+        )
+        assert not any(m.get_events("source_down") for m in machines)
