Keep leaving workers known while nodes restart in turn

A worker that had stated in its answers that it stops got requests again once the node beside it and then another node had restarted, although a third knew.

Only the node beside a worker told others, by its status, so the knowledge ended with it. A node now tells the peer of each new link all listed workers of which it knows that they leave, as it does with crashes; the peer may be the node beside such a worker.

--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -367,6 +367,18 @@
     age_s: float = 0.0
 
 
+class LeavingNotice(msgspec.Struct, frozen=True, tag=True):
+    """Workers that have stated in their answers that they are about to stop.
+
+    Parameters
+    ----------
+    workers : tuple of (str, int)
+        Id and start time in Unix milliseconds of each worker.
+    """
+
+    workers: tuple[tuple[WorkerId, Count], ...]
+
+
 class ProbeNotice(msgspec.Struct, frozen=True, tag=True):
     """Question to the node beside a worker when a request would start there.
 
@@ -437,6 +449,7 @@
     | StateNotice
     | ChangeNotice
     | CrashNotice
+    | LeavingNotice
     | ProbeNotice
     | ProbeReply
 )
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -29,6 +29,7 @@
     ChangeNotice,
     CrashNotice,
     FetchNotice,
+    LeavingNotice,
     Notice,
     ProbeNotice,
     ProbeReply,
@@ -246,11 +247,19 @@
     def _send_status(self, link: Link) -> None:
         """Tell the peer of a new link whether this node runs or stops.
 
-        The peer may have started since the last crashes, so it gets them too.
+        The peer may have started since workers crashed or stated that they leave, and
+        the nodes beside them too, so it is told what is known here.
         """
         link.send_notice(encode_notice(self._make_status()))
         for crash, age_s, fingerprints in self._crash_counter.export(monotonic()):
             link.send_notice(encode_notice(CrashNotice(crash, fingerprints, age_s)))
+        leaving = tuple(
+            (worker.id, worker.born_ms)
+            for worker in self._directory.get_workers()
+            if self._worker_states.get(worker).is_leaving
+        )
+        if leaving:
+            link.send_notice(encode_notice(LeavingNotice(leaving)))
 
     def _is_same_domain(self, link: Link) -> bool:
         host = link.address[0]
@@ -560,6 +569,11 @@
                 self._handle_changes(link, notice)
             case CrashNotice():
                 self._record_crash(notice)
+            case LeavingNotice():
+                for worker in notice.workers:
+                    self._worker_states.record_leaving(*worker)
+                # One of them may be the worker beside this node.
+                self._runner.sync()
 
     def _handle_status(self, link: Link, notice: StatusNotice) -> None:
         now = monotonic()
--- a/tests/mesh/test_worker_limits.py
+++ b/tests/mesh/test_worker_limits.py
@@ -235,6 +235,23 @@
         assert workers[0].count_arrivals(left_at) == 0
 
 
+async def test_worker_that_leaves_is_not_forgotten_while_nodes_restart():
+    """Only the node beside the worker told others, until it restarted itself."""
+    async with run_mesh(3) as (_, machines):
+        workers = set_workers(machines)
+        await load(machines, 0.3, callers=2)
+        workers[0].is_leaving = True
+        await load(machines, 0.3, callers=4)
+        for machine in machines[:2]:
+            await restart(machine)
+            await until(lambda machine=machine: len(machine.node.directory) == 3)
+            await until(lambda machine=machine: len(machine.node._links.links) == 2)
+        left_at = monotonic()
+        statuses = await load(machines[:2], 1.0, callers=4)
+        assert workers[0].count_arrivals(left_at) == 0
+        assert 200 in statuses
+
+
 async def test_new_start_of_a_worker_that_had_left_gets_requests():
     """Guards against a worker that is left idle for what its former start said."""
     async with run_mesh() as (store, (machine,)):
