Send the notices of a test on links that have opened

test_crash_with_an_age_out_of_range_is_ignored[120.0] failed once: no crash was known after 5 s. It sent its notices as soon as the server had a link, also if that was still in its handshake, in which the peer takes a notice for a protocol error. Trial with the notices sent at the first moment: the link is not authenticated, and the test fails in the same way.

--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -84,7 +84,9 @@
 @pytest.mark.parametrize("age_s", [-1.0, CRASH_TTL_S, float("inf"), float("nan")])
 async def test_crash_with_an_age_out_of_range_is_ignored(age_s):
     async with run_mesh(2) as (_, (first, second)):
-        await until(lambda: second.node._link_server.links)
+        links = second.node._link_server.links
+        # A link that is still in its handshake takes no notices.
+        await until(lambda: links and all(link.is_authenticated for link in links))
         for link in second.node._link_server.links:
             link.send_notice(encode_notice(CrashNotice("w1/1", (POISON,), age_s)))
             link.send_notice(encode_notice(CrashNotice("w2/1", (POISON,), 1.0)))
