Do not take a worker for crashed whose connections are all in use

A popular page could be refused by all nodes for 120 s although no worker had crashed: a worker lost one connection twice while all others to it were busy.

After a lost connection, the node opens another one and takes any failure for a crash, also the pool having none free within 0.2 s. Every request that was running then counts as a suspect, at all nodes. Only a connection that the worker does not accept counts now.

--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -37,7 +37,6 @@
 TIMEOUTS_MS = (2500, 4000, 4000, 4000)
 SERVICES = ("orders", "stock")
 BOUNDS = {
-    "bounds.grace": f"{GRACE_S}s",
     "bounds.retry-budget-ratio": "0.2",
     "bounds.budget-min-retries": "60",
     "bounds.budget-window": "10s",
@@ -88,9 +87,12 @@
     series = SERIES
     journal_type = Journal
     store_type = PlatformStore
+    worker_type = SoakWorker
+    caller_type = Caller
     node_code = NODE_CODE
 
     def __init__(self, seed: int, seconds: float, count: int):
+        self.grace_s = GRACE_S
         self.journal = self.journal_type()
         self.started_at = 0.0
         self._seed, self._seconds, self._count = seed, seconds, count
@@ -123,7 +125,7 @@
             await asyncio.sleep(LATE_RUNS_S)
             self._is_closing = True
             await asyncio.gather(*(self._stop(n, 0.0) for n in self._nodes))
-            await asyncio.wait(self._tasks, timeout=GRACE_S)
+            await asyncio.wait(self._tasks, timeout=self.grace_s)
         finally:
             for task in self._tasks:
                 task.cancel()
@@ -141,8 +143,9 @@
         for number in range(1, self._count + 1):
             names = {"zone": f"z{number % 3}", "service": SERVICES[number % 2]}
             fields = names | address | BOUNDS
+            fields["bounds.grace"] = f"{self.grace_s}s"
             node = NodeProcess(number, directory, fields, self.node_code)
-            worker = SoakWorker(number, node, self.journal, self._seed)
+            worker = self.worker_type(number, node, self.journal, self._seed)
             self._nodes[number], self._workers[number] = node, worker
             await worker.server.start(WORKER_PORT, node.host)
             if number < self._count:
@@ -153,7 +156,7 @@
         """Run one of the callers, which are dealt out to the nodes in turn."""
         kind, node = divmod(number, self._count)
         rng = random.Random(f"caller {self._seed} {number}")
-        caller = Caller(node + 1, self._nodes[node + 1], self.journal, rng)
+        caller = self.caller_type(node + 1, self._nodes[node + 1], self.journal, rng)
         await caller.run(*CALLERS[kind], lambda: self._is_over)
 
     async def _run_step(self, step: Step) -> None:
@@ -211,7 +214,7 @@
 
     async def _stop(self, number: int, value: float) -> None:
         node = self._nodes[number]
-        if self._send(number, signal.SIGTERM) and await node.wait(GRACE_S) is None:
+        if self._send(number, signal.SIGTERM) and await node.wait(self.grace_s) is None:
             self._fail(number, "still runs at the end of the grace period")
             self._signals[number] = signal.SIGKILL
             node.send_signal(signal.SIGKILL)
@@ -309,7 +312,7 @@
         logs = sorted(line for path in paths for line in path.open())
     journal = soak.journal
     faults = soak.find_faults(logs)
-    problems = find_problems(journal, GRACE_S) + find_more_problems(journal)
+    problems = find_problems(journal, soak.grace_s) + find_more_problems(journal)
     problems += [Problem("FAULT", f) for f in faults]
     if not problems:
         return journal, ""
--- a/bench/stop_soak_traffic.py
+++ b/bench/stop_soak_traffic.py
@@ -81,7 +81,7 @@
         deadline = run.started_at + int(request.headers["timeout-ms"]) / 1000
         self.journal.runs.setdefault(name, []).append(run)
         stamp += f"Response-Stamp: {self.id}\r\n"
-        work_s = MIN_WORK_S * (MAX_WORK_S / MIN_WORK_S) ** (self.rng.random() ** 1.5)
+        work_s = self.draw_work(deadline - monotonic())
         is_caller = self.node.fields["service"] == "orders"
         makes_call = is_caller and self.rng.random() < CALL_SHARE
         try:
@@ -101,6 +101,10 @@
         stamp += self.statements.fields
         return make_answer(make_body(name), "200 OK", stamp)
 
+    def draw_work(self, remaining_s: float) -> float:
+        """Return how long the worker runs a request that has `remaining_s` left."""
+        return MIN_WORK_S * (MAX_WORK_S / MIN_WORK_S) ** (self.rng.random() ** 1.5)
+
     async def call(self, prefix: str, deadline: float) -> bool:
         """Send a request to the own node, its id beginning with `prefix`."""
         caller = Caller(self.number, self.node, self.journal, self.rng)
@@ -171,17 +175,27 @@
         paths += [("/pay/", 1), ("/pay/", 1)] if size == 1 else []
         return self.send(*rng.choice(paths), timeout_s)
 
-    def send(self, path: str, version: int, timeout_s: float, prefix: str = "") -> Sent:
-        """Write one request and record it."""
+    def send(
+        self,
+        path: str,
+        version: int,
+        timeout_s: float,
+        prefix: str = "",
+        body_bytes: int = 0,
+    ) -> Sent:
+        """Write one request and record it; the caller sends `body_bytes` itself."""
         if self._writer.is_closing():
             raise ConnectionResetError
         name = f"{prefix}{self._number}-{next(_ids)}"
         is_unsafe = path == "/pay/"
-        method, length = ("POST", "Content-Length: 2\r\n") if is_unsafe else ("GET", "")
+        is_post = is_unsafe or body_bytes > 0
+        method, length = "GET", ""
+        if is_post:
+            method, length = "POST", f"Content-Length: {body_bytes or 2}\r\n"
         self._writer.write(
             f"{method} {path}x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {name}\r\n"
             f"Timeout-Ms: {round(timeout_s * 1000)}\r\n{length}\r\n".encode()
-            + b"{}" * is_unsafe
+            + b"{}" * (is_post and not body_bytes)
         )
         origin = self._number, self._start
         now = monotonic()
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -495,9 +495,11 @@
             await asyncio.sleep(CRASH_WINDOW_S)
             conn = await self.pool.open(monotonic() + CRASH_WINDOW_S * 4)
             conn.release()
-        except AttemptError:
+        except AttemptError as exc:
+            # All connections may be in use, which shows nothing about the worker.
+            has_failed = exc.refusal.cause is Cause.CONNECT_FAILED
             local_worker = self._local_worker
-            if local_worker is not None:
+            if local_worker is not None and has_failed:
                 self.on_crash(
                     f"{local_worker.id}/{local_worker.born_ms}",
                     tuple(self._lost_fingerprints),
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """Guards against requests that crash workers and reach more of them."""
 
+import asyncio
 from time import monotonic
 
 import pytest
@@ -9,7 +10,7 @@
 from mangowell_core.mesh.model import CrashNotice
 from mangowell_core.policy.request_digest import make_fingerprint
 from mangowell_node.mesh.notices import encode_notice
-from mesh.support_mesh import fill_slots, restart, run_mesh, until
+from mesh.support_mesh import answer_with_id, fill_slots, restart, run_mesh, until
 
 POISON = make_fingerprint("GET", "/x/poison", "", b"")
 OTHER = make_fingerprint("GET", "/x/other", "", b"")
@@ -93,3 +94,25 @@
         counter = first.node.gateway._crash_counter
         await until(lambda: counter)
         assert [n for n, *_ in counter.export(0.0)] == ["w2/1"]
+
+
+async def test_lost_connection_of_a_worker_that_runs_is_no_crash():
+    """All connections were in use, so the check whether it accepts one timed out."""
+    async with run_mesh() as (_, (machine,)):
+
+        async def work(request):
+            if request.target == "/x/lost":
+                await asyncio.sleep(0.1)
+                request.writer.transport.abort()
+                return None
+            await asyncio.sleep(0.6)
+            return await answer_with_id()(request)
+
+        machine.worker.handler = work
+        machine.node.runner.pool.limit = 1
+        lost = asyncio.create_task(machine.call("/x/lost", "POST", request="lost"))
+        await until(lambda: machine.worker.received)
+        answer = await machine.call("/x/other", request="other")
+        assert answer.status == 200
+        assert (await lost).status >= 500
+        assert not machine.node.gateway._crash_counter
