Read a settings file again until it can be used

Operators saw the old settings in force, with at most one event: a file that was read while it was being written was not read again if its last write had the same time of modification (some clocks are coarse), nor was one that changed while the node started, and settings that the node failed to take counted as applied.

A file now counts as read only once its settings are applied.

--- a/packages/node/src/mangowell_node/mesh/program.py
+++ b/packages/node/src/mangowell_node/mesh/program.py
@@ -38,48 +38,61 @@
         Receives refusals of invalid settings.
     """
 
-    __slots__ = ("_mtime_ns", "_node", "_path", "_settings", "_telemetry")
+    __slots__ = ("_node", "_path", "_reason", "_settings", "_stamp", "_telemetry")
 
     def __init__(self, path: Path, settings: MeshSettings, node, telemetry):
         self._path = path
         self._settings = settings
         self._node = node
         self._telemetry = telemetry
-        self._mtime_ns = self._read_mtime_ns()
+        # State of the file that was read; None if it could not be used, and before the
+        # first reload, as it may have changed since `settings` were read.
+        self._stamp: tuple[int, int, int] | None = None
+        # Why the file was refused, so that it is reported once.
+        self._reason = ""
 
     async def run(self) -> None:
-        """Reload the file whenever its modification time changes."""
+        """Reload the file whenever it changes, and while it cannot be used.
+
+        A file that is being written may change again without a new modification time.
+        """
         while True:
             await asyncio.sleep(SETTINGS_POLL_S)
-            if self._read_mtime_ns() != self._mtime_ns:
+            if self._stamp is None or self._read_stamp() != self._stamp:
                 self.reload()
 
     def reload(self) -> None:
         """Read the file again; if it is invalid, the settings in force stay."""
-        self._mtime_ns = self._read_mtime_ns()
+        stamp, self._stamp = self._read_stamp(), None
         try:
             text = self._path.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as exc:
-            self._emit_refused(str(exc))
+            self._refuse(str(exc))
             return
         match parse_mesh_settings(text, str(self._path)):
-            case Ok(settings) if settings != self._settings:
+            case Ok(settings):
+                if settings != self._settings:
+                    emit_replaced_settings(settings, self._telemetry)
+                    self._node.reload(settings)
                 self._settings = settings
-                emit_replaced_settings(settings, self._telemetry)
-                self._node.reload(settings)
+                self._stamp = stamp
+                self._reason = ""
             case Err(errors):
-                self._emit_refused("; ".join(errors))
+                self._refuse("; ".join(errors))
 
-    def _emit_refused(self, reason: str) -> None:
-        event = Event(EventCode.SETTINGS_REFUSED, {"reason": reason})
-        self._telemetry.emit(event)
+    def _refuse(self, reason: str) -> None:
+        if reason != self._reason:
+            self._reason = reason
+            event = Event(EventCode.SETTINGS_REFUSED, {"reason": reason})
+            self._telemetry.emit(event)
 
-    def _read_mtime_ns(self) -> int:
+    def _read_stamp(self) -> tuple[int, int, int] | None:
+        """Return what differs after each change of the file; None if it is missing."""
         try:
-            return self._path.stat().st_mtime_ns
+            state = self._path.stat()
         except OSError:
-            # The file may be being replaced; the next check finds the new one.
-            return 0
+            return None
+        return state.st_mtime_ns, state.st_size, state.st_ino
 
 
 def emit_replaced_settings(settings: MeshSettings, telemetry: Telemetry) -> None:
--- a/tests/mesh/test_mesh_settings.py
+++ b/tests/mesh/test_mesh_settings.py
@@ -1,5 +1,7 @@
 """Tests the settings of a node on the platform and their reload at run time."""
 
+import asyncio
+import os
 import re
 from pathlib import Path
 
@@ -9,6 +11,7 @@
 
 from mangowell_core.mesh import parse_mesh_settings
 from mangowell_core.mesh.settings import parse_duration
+from mangowell_node.mesh import program
 from mangowell_node.mesh.program import SettingsReloader
 from mangowell_node.telemetry import Telemetry
 
@@ -220,6 +223,37 @@
     assert [e["name"] for e in telemetry.select_events()] == ["settings_refused"]
 
 
+@pytest.mark.parametrize("text", [b"[node", b"\xff"])
+async def test_file_that_was_read_half_written_is_read_again(
+    reloader, text, monkeypatch
+):
+    """Both writes may have the same modification time, whose clock is coarse."""
+    monkeypatch.setattr(program, "SETTINGS_POLL_S", 0.01)
+    path, node, telemetry, settings_reloader = reloader
+    path.write_bytes(text)
+    os.utime(path, ns=(1, 1))
+    async with asyncio.timeout(5):
+        task = asyncio.create_task(settings_reloader.run())
+        await asyncio.sleep(0.1)
+        path.write_text(render_template(service="stock"))
+        os.utime(path, ns=(1, 1))
+        while not node.reloaded_settings:
+            await asyncio.sleep(0.01)
+        task.cancel()
+    assert [e["name"] for e in telemetry.select_events()] == ["settings_refused"]
+
+
+def test_settings_that_the_node_failed_to_take_are_applied_later(reloader, monkeypatch):
+    path, node, _, settings_reloader = reloader
+    path.write_text(render_template(service="stock"))
+    with monkeypatch.context() as patch:
+        patch.setattr(node, "reload", lambda settings: 1 / 0)
+        with pytest.raises(ZeroDivisionError):
+            settings_reloader.reload()
+    settings_reloader.reload()
+    assert [settings.service for settings in node.reloaded_settings] == ["stock"]
+
+
 def test_missing_settings_file_keeps_the_current_settings(reloader):
     path, node, _, settings_reloader = reloader
     path.unlink()
