Excuse a run that outlasts the node beside its worker in soaks of stops

The rule counts "a SIGTERM of the machine that took the request from the requester", and nothing but that node reaches the worker. Only such runs are excused now; what other nodes could still have done is checked as before.

--- a/bench/stop_soak_checks.py
+++ b/bench/stop_soak_checks.py
@@ -73,6 +73,8 @@
     is_early = request.sent_at <= stopped_at + EARLY_REQUEST_S
     if is_early and request.ended_at > stopped_at + CUT_SHARE * grace_s:
         return []
+    if any(_is_cut_at_end(request, run, stops, grace_s) for run in runs):
+        return []
     killed = _find_signals(journal, request, "SIGKILL", KILL_SHADOW_S)
     if not killed:
         reason = "" if stops else ", without a stop"
@@ -82,6 +84,18 @@
     return []
 
 
+def _is_cut_at_end(request: Sent, run: Run, stops: dict[int, float], grace_s) -> bool:
+    """Return whether a run outlasts the node beside its worker.
+
+    The node may have accepted it before its SIGTERM; no other reaches the worker.
+    """
+    stopped_at = stops.get(run.node)
+    if run.node == request.node or stopped_at is None:
+        return False
+    is_early = run.started_at <= stopped_at
+    return is_early and request.ended_at > stopped_at + CUT_SHARE * grace_s
+
+
 def _find_nodes(journal: Journal, request: Sent) -> set[int]:
     """Return the node that took a request and those beside its workers."""
     return {request.node} | {run.node for run in journal.runs.get(request.id, [])}
