Keep the crashes of a request that a worker has refused

A request that had crashed one worker and was then refused by a full one, or answered by another worker (421), crashed one worker more than others before the node refused it.

Each answer of the worker cleared the crashes that the node beside it knew, also those that others had told it, although a refused request has not run. Only answers to requests that have run clear them now.

--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -473,7 +473,7 @@
             if isinstance(exc, AttemptError):
                 self._record_lost_connection(head, exc)
             raise
-        if self._crash_counter:
+        if self._crash_counter and not answer.head.is_not_run:
             self._crash_counter.clear(compute_fingerprint(head))
         return answer
 
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -116,3 +116,21 @@
         assert answer.status == 200
         assert (await lost).status >= 500
         assert not machine.node.gateway._crash_counter
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "is_known"),
+    [
+        ("503 Service Unavailable", "Not-Executed: 1\r\n", True),
+        ("421 Misdirected Request", "", True),
+        ("200 OK", "Response-Stamp: s\r\n", False),
+    ],
+)
+async def test_refusal_of_a_worker_does_not_clear_a_request(status, headers, is_known):
+    """It has not run the request, so the request may still be the one that crashes."""
+    async with run_mesh() as (_, (machine,)):
+        machine.node._gossip.report_crash("w1/1", (POISON,))
+        machine.worker.handler = answer_with_id(b"", status, headers)
+        await machine.call("/x/poison")
+        assert machine.worker.received
+        assert bool(machine.node.gateway._crash_counter) is is_known
