Do not take the end of a worker that drains for a crash

A popular page could be refused by all nodes for 120 s after a release: it was running on two workers when they ended, as planned.

A worker that ends while it runs requests loses their connections and accepts no new one, which looked like a crash, and what it ran counted as suspected. A worker that is listed as draining or has stated that it leaves ends by itself now.

tests/mesh/test_crashing_requests.py::test_end_of_a_worker_that_drains_is_no_crash, before: [draining] failed, [ready] passed; after: both pass, 13 of 13 in the file.

--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -497,9 +497,11 @@
             conn.release()
         except AttemptError as exc:
             # All connections may be in use, which shows nothing about the worker.
-            has_failed = exc.refusal.cause is Cause.CONNECT_FAILED
+            has_ended = exc.refusal.cause is Cause.CONNECT_FAILED
             local_worker = self._local_worker
-            if local_worker is not None and has_failed:
+            # A worker that leaves ends by itself.
+            is_expected = local_worker is None or self._is_leaving(local_worker)
+            if has_ended and not is_expected:
                 self.on_crash(
                     f"{local_worker.id}/{local_worker.born_ms}",
                     tuple(self._lost_fingerprints),
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -10,7 +10,14 @@
 from mangowell_core.mesh.model import CrashNotice
 from mangowell_core.policy.request_digest import make_fingerprint
 from mangowell_node.mesh.notices import encode_notice
-from mesh.support_mesh import answer_with_id, fill_slots, restart, run_mesh, until
+from mesh.support_mesh import (
+    answer_with_id,
+    fill_slots,
+    make_entry,
+    restart,
+    run_mesh,
+    until,
+)
 
 POISON = make_fingerprint("GET", "/x/poison", "", b"")
 OTHER = make_fingerprint("GET", "/x/other", "", b"")
@@ -134,3 +141,25 @@
         await machine.call("/x/poison")
         assert machine.worker.received
         assert bool(machine.node.gateway._crash_counter) is is_known
+
+
+@pytest.mark.parametrize("state", ["draining", "ready"])
+async def test_end_of_a_worker_that_drains_is_no_crash(state):
+    """What two of them ran at their end, such as a popular page, was refused."""
+    async with run_mesh() as (store, (machine,)):
+
+        async def work(request):
+            await asyncio.sleep(5)
+
+        machine.worker.handler = work
+        call = asyncio.create_task(machine.call("/x/page"))
+        await until(lambda: machine.worker.received)
+        entry = make_entry(machine.host, machine.worker.port, state=state)
+        store.put(f"servers/{machine.id}", entry)
+        is_draining = state == "draining"
+        runner = machine.node.runner
+        await until(lambda: runner.local_worker.draining is is_draining)
+        machine.worker.crash()
+        assert (await call).status >= 500
+        await asyncio.sleep(0.5)
+        assert bool(machine.node.gateway._crash_counter) is not is_draining
