Serve the calls of running work at a stopping node without a platform

A request that a stopping node lets finish failed if it had to call another service: the node refused all calls. A node could not tell such a call from a new request of a caller on the same host, so the two tests of this contradicted each other: test_running_request_may_make_calls_while_its_node_stops wants the call served, and test_stopping_node_refuses_a_call_and_names_another_node the same bytes refused.

The backend server now gets the id of a request in Mangowell-Request and passes it on to calls of its own, as it does with the remaining time. While a node stops, it serves calls with the id of a request that runs at its backend server.

--- a/packages/node/src/mangowell_node/backend/dialect.py
+++ b/packages/node/src/mangowell_node/backend/dialect.py
@@ -67,8 +67,11 @@
     allows_close_delimited = False
 
     def write_fields(self, head: RequestHead, remaining_ms: int) -> bytes:
-        """Return the header line with the remaining time."""
-        return b"Mangowell-Deadline-Ms: %d\r\n" % remaining_ms
+        """Return the header lines with the remaining time and the id."""
+        return b"Mangowell-Deadline-Ms: %d\r\nMangowell-Request: %b\r\n" % (
+            remaining_ms,
+            head.request.encode(),
+        )
 
     def read_request_id(self, headers: CIMultiDictProxy[str]) -> str | None:
         """Return None: answers arrive in the order of their requests."""
--- a/packages/node/src/mangowell_node/calls.py
+++ b/packages/node/src/mangowell_node/calls.py
@@ -61,6 +61,7 @@
 _CRASH_CAUSES = frozenset({Cause.BACKEND_CRASHED, Cause.SUSPECTED})
 _CONNECTION = istr("Connection")
 _DEADLINE = istr("Mangowell-Deadline-Ms")
+_REQUEST = istr("Mangowell-Request")
 _TENANT = istr("Mangowell-Tenant")
 _KEY = istr("Idempotency-Key")
 
@@ -435,7 +436,8 @@
             self._active_calls -= 1
 
     async def _serve(self, call: IncomingCall, request: str, now: float) -> Reply:
-        if self._draining:
+        is_inner = call.headers.get(_REQUEST) in self._egress.running
+        if self._draining and not is_inner:
             refusal = refuse(Cause.LEAVING, "node is stopping")
             return self._replies.refuse(request, None, refusal, now)
         self._report_pause()
--- a/packages/node/src/mangowell_node/egress.py
+++ b/packages/node/src/mangowell_node/egress.py
@@ -90,6 +90,7 @@
         self._head = head
         self._started = monotonic()
         self._is_open = True
+        egress.running.add(head.request)
 
     async def run(self, exchange: Awaitable[Answer]) -> Answer:
         """Await an exchange in this slot.
@@ -123,6 +124,7 @@
         if not self._is_open:
             return
         self._is_open = False
+        self._egress.running.discard(self._head.request)
         now = monotonic()
         if error is not None:
             refusal = error.refusal
@@ -165,6 +167,8 @@
     ----------
     members : tuple of Instance
         Instances of the service, including the local one.
+    running : set of str
+        Ids of the requests that the backend server runs.
     health : str
         Last known health status of the backend server.
     has_open_connection : callable
@@ -196,6 +200,7 @@
         self._last_fence_number = 0
         self._keyed_tasks: set[asyncio.Task] = set()
         self.members: tuple[Instance, ...] = ()
+        self.running: set[str] = set()
         self.health = "starting"
         self.has_open_connection: Callable[[], bool] = lambda: True
 
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -46,7 +46,11 @@
         b"content-length",
     }
 )
-DROPPED_REQUEST_HEADERS = HOP_BY_HOP | {b"expect", b"mangowell-deadline-ms"}
+DROPPED_REQUEST_HEADERS = HOP_BY_HOP | {
+    b"expect",
+    b"mangowell-deadline-ms",
+    b"mangowell-request",
+}
 DROPPED_ANSWER_HEADERS = HOP_BY_HOP | {b"mangowell-outcome", b"mangowell-alternate"}
 
 
