--- a/tests/node/test_link_stop.py
+++ b/tests/node/test_link_stop.py
@@ -1,6 +1,7 @@
 """Stops of the link server and links that are accepted as they begin."""
 
 import asyncio
+import contextlib
 import socket
 from time import monotonic
 
@@ -63,9 +64,12 @@
         await server.stop(0.0)
 
 
-async def test_answer_that_a_slow_peer_has_yet_to_read_arrives():
-    """Its bytes were in the kernel, and a notice of the peer met a closed socket."""
-    body = b"x" * 900_000
+@contextlib.asynccontextmanager
+async def start_paused_call(body):
+    """Call a server that answers with `body`, and stop reading before the answer.
+
+    Yields the server, the link and the task of the call.
+    """
 
     async def handler(head, body_stream, deadline):
         return Answer(AnswerHead(200, "OK", body=body))
@@ -89,6 +93,15 @@
         await asyncio.sleep(0)
         link.transport.pause_reading()
         await asyncio.sleep(0.1)
+        yield server, link, call
+    finally:
+        pool.close()
+
+
+async def test_answer_that_a_slow_peer_has_yet_to_read_arrives():
+    """Its bytes were in the kernel, and a notice of the peer met a closed socket."""
+    body = b"x" * 900_000
+    async with start_paused_call(body) as (server, link, call):
         loop = asyncio.get_running_loop()
         loop.call_later(0.8, link.transport.resume_reading)
         # The peer goes on sending, such as its status.
@@ -96,30 +109,11 @@
             loop.call_later(number / 10, link.send_notice, b"status")
         await server.stop(monotonic() + 5)
         assert (await call).head.body == body
-    finally:
-        pool.close()
 
 
 async def test_peer_that_takes_no_bytes_does_not_hold_up_the_stop_to_its_deadline():
-    async def handler(head, body_stream, deadline):
-        return Answer(AnswerHead(200, "OK", body=b"x" * 900_000))
-
-    key = derive_link_key("secret")
-    server = LinkServer(key, handler, lambda: 0.5, lambda event: None)
-    port = find_port()
-    await server.start("127.0.0.1", port)
-    pool = LinkPool("a", key, AddressFilter(), lambda event: None)
-    try:
-        await pool.connect("127.0.0.1", port, monotonic() + 1)
-        (link,) = pool.links
-        call = pool.call("127.0.0.1", port, make_head("/"), None, monotonic() + 9)
-        call = asyncio.ensure_future(call)
-        await asyncio.sleep(0)
-        link.transport.pause_reading()
-        await asyncio.sleep(0.1)
+    async with start_paused_call(b"x" * 900_000) as (server, _, call):
         started = monotonic()
         await server.stop(started + 9)
         assert monotonic() - started < 3.0
         call.cancel()
-    finally:
-        pool.close()
