Excuse no run in soaks of stops that its worker has ended

The excuse added in was wider than its trace: it took any run that had begun before the SIGTERM of the node beside its worker, also one that the worker had run to its end and whose answer was lost afterwards, which is what these soaks look for.

--- a/bench/late_soak.py
+++ b/bench/late_soak.py
@@ -62,6 +62,9 @@
         ]
         head = b"\r\n".join([*lines, b"Transfer-Encoding: chunked"])
         request.writer.write(head + b"\r\n\r\n")
+        # The worker runs the request until its answer is whole.
+        run = self.journal.runs[request.headers["request-id"]][-1]
+        run.was_cut = True
         size = -(-len(body) // STREAM_PARTS)
         pause_s = self.rng.uniform(0.0, MAX_STREAM_S) / STREAM_PARTS
         for start in range(0, len(body), size):
@@ -69,6 +72,7 @@
             request.writer.write(b"%x\r\n%b\r\n" % (len(part), part))
             await request.writer.drain()
             await asyncio.sleep(pause_s)
+        run.was_cut, run.ended_at = False, monotonic()
         return b"0\r\n\r\n"
 
 
--- a/bench/stop_soak_checks.py
+++ b/bench/stop_soak_checks.py
@@ -87,10 +87,11 @@
 def _is_cut_at_end(request: Sent, run: Run, stops: dict[int, float], grace_s) -> bool:
     """Return whether a run outlasts the node beside its worker.
 
-    The node may have accepted it before its SIGTERM; no other reaches the worker.
+    The node may have accepted it before its SIGTERM; no other reaches the worker. A run
+    that has ended is not excused: its answer was there to be passed on.
     """
     stopped_at = stops.get(run.node)
-    if run.node == request.node or stopped_at is None:
+    if not run.was_cut or run.node == request.node or stopped_at is None:
         return False
     is_early = run.started_at <= stopped_at
     return is_early and request.ended_at > stopped_at + CUT_SHARE * grace_s
--- a/tests/mesh/test_late_soak.py
+++ b/tests/mesh/test_late_soak.py
@@ -43,21 +43,22 @@
 
 
 @pytest.mark.parametrize(
-    ("node", "started_at", "ended_at", "is_found"),
+    ("node", "started_at", "ended_at", "was_cut", "is_found"),
     (
-        (2, 9.0, 15.9, False),
-        (2, 10.2, 15.9, True),  # begun after SIGTERM
-        (2, 9.0, 14.0, True),  # cut long before the end
-        (3, 9.0, 15.9, True),  # at a node that did not stop
+        (2, 9.0, 15.9, True, False),
+        (2, 9.0, 15.9, False, True),  # run to its end, so its answer was lost
+        (2, 10.2, 15.9, True, True),  # begun after SIGTERM
+        (2, 9.0, 14.0, True, True),  # cut long before the end
+        (3, 9.0, 15.9, True, True),  # at a node that did not stop
     ),
 )
 def test_checks_excuse_only_runs_that_outlast_the_node_beside_them(
-    node, started_at, ended_at, is_found
+    node, started_at, ended_at, was_cut, is_found
 ):
     upload = make_upload(sent_at=9.0, ended_at=ended_at, timeout_s=8.0, status=502)
     journal = LateJournal()
     journal.requests.append(upload)
-    journal.runs["r"] = [Run(node, started_at, ended_at, was_cut=True)]
+    journal.runs["r"] = [Run(node, started_at, ended_at, was_cut)]
     journal.acts.append((10.0, 2, "SIGTERM"))
     journal.documents.append((0.0, 8.0))
     assert bool(find_problems(journal, 6.0)) is is_found
