Spread requests that are probed together over the workers

Cause: requests of a burst are probed together, so all of their replies show the same load. Each request then took the worker of the lowest cost by its own replies, which do not count what this node has sent since. Trace of a failing run: 15 requests, replies "i-3 0 pending, i-4 0 pending", all 15 sent to i-3; 9 of them were refused by it as the fourth full worker, and i-4 got nothing.

Change: a reply is kept with the attempts that were in flight when it arrived, and those that have been started since add to the predicted wait and utilization.

The new test of the spread fails with the term taken out ([16, 0, 0, 0] in place of [4, 4, 4, 4]).

--- a/packages/core/src/mangowell_core/mesh/placement.py
+++ b/packages/core/src/mangowell_core/mesh/placement.py
@@ -307,18 +307,24 @@
         self,
         endpoint: Endpoint,
         reply: ProbeReply,
+        sent_since: int,
         route: str,
         objective_s: float,
         now: float,
     ) -> float:
         """Return the predicted cost of an attempt on a worker that was just probed.
 
+        Requests of a burst are probed together, so each reply shows a load without
+        the others. Otherwise, all of them would be sent to the same worker.
+
         Parameters
         ----------
         endpoint : Endpoint
             Worker.
         reply : ProbeReply
             Prediction of the node beside the worker, which accepts the request.
+        sent_since : int
+            Attempts that this node has started on the worker since the reply.
         route, objective_s, now
             As in `select_worker`.
 
@@ -335,8 +341,12 @@
             work_s = self.estimate_work(route, endpoint.service) * stats.slowness
             if now < stats.warmup_ends_at:
                 work_s *= WARMUP_SLOWDOWN
-        utilization = min(1.0, reply.pending / max(1, reply.limit))
-        cost = work_s * (1.0 + UTILIZATION_COST * utilization) + reply.delay_s
+        limit = max(1, reply.limit)
+        pending = reply.pending + sent_since
+        queued_since = max(0, pending + 1 - limit) - max(0, reply.pending + 1 - limit)
+        utilization = min(1.0, pending / limit)
+        cost = work_s * (1.0 + UTILIZATION_COST * utilization)
+        cost += reply.delay_s + work_s * queued_since / limit
         # Failures of links are known only here, those of the worker better there.
         failure_rate = max(reply.failure_rate, stats.failure_rate.estimate(now))
         return self._add_risks(
@@ -377,6 +387,11 @@
         stats = self._stats_by_id.get(endpoint.id) or self._add_stats(endpoint, now)
         stats.in_flight += 1
 
+    def count_in_flight(self, endpoint: Endpoint) -> int:
+        """Return the number of attempts of this node on a worker."""
+        stats = self._stats_by_id.get(endpoint.id)
+        return 0 if stats is None else stats.in_flight
+
     def finish(self, endpoint: Endpoint) -> None:
         """Record the end of an attempt, whatever its outcome."""
         stats = self._stats_by_id.get(endpoint.id)
--- a/packages/core/src/mangowell_core/mesh/probing.py
+++ b/packages/core/src/mangowell_core/mesh/probing.py
@@ -68,15 +68,28 @@
 
     def __init__(self):
         self._asked: set[str] = set()
-        self._replies: list[tuple[Endpoint, ProbeReply]] = []
+        # Each reply with the attempts that were in flight when it arrived.
+        self._replies: list[tuple[Endpoint, ProbeReply, int]] = []
 
     def start_probe(self, endpoint: Endpoint) -> None:
         """Record that a worker is asked."""
         self._asked.add(endpoint.id)
 
-    def record_reply(self, endpoint: Endpoint, reply: ProbeReply) -> None:
-        """Record the reply of a worker."""
-        self._replies.append((endpoint, reply))
+    def record_reply(
+        self, endpoint: Endpoint, reply: ProbeReply, in_flight: int
+    ) -> None:
+        """Record the reply of a worker.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            Worker.
+        reply : ProbeReply
+            Prediction of the node beside it.
+        in_flight : int
+            Attempts of this node on the worker, see `Placement.count_in_flight`.
+        """
+        self._replies.append((endpoint, reply, in_flight))
 
     @property
     def asked(self) -> set[str]:
@@ -91,17 +104,21 @@
     @property
     def has_free_worker(self) -> bool:
         """Whether a worker would start the request at once."""
-        return any(reply.accepted and not reply.delay_s for _, reply in self._replies)
+        return any(
+            reply.accepted and not reply.delay_s for _, reply, _ in self._replies
+        )
 
     @property
     def are_all_refused(self) -> bool:
         """Whether every worker that was asked would refuse the request."""
-        return self.is_complete and not any(r.accepted for _, r in self._replies)
+        return self.is_complete and not any(
+            reply.accepted for _, reply, _ in self._replies
+        )
 
     @property
     def shortest_retry_s(self) -> float:
         """Time after which a worker is expected to accept the request, in seconds."""
-        return min(reply.delay_s for _, reply in self._replies if not reply.accepted)
+        return min(reply.delay_s for _, reply, _ in self._replies if not reply.accepted)
 
     def select(
         self, placement: Placement, route: str, objective_s: float, now: float
@@ -116,11 +133,16 @@
         costs = [
             (
                 placement.estimate_probed_cost(
-                    endpoint, reply, route, objective_s, now
+                    endpoint,
+                    reply,
+                    max(0, placement.count_in_flight(endpoint) - in_flight),
+                    route,
+                    objective_s,
+                    now,
                 ),
                 endpoint,
             )
-            for endpoint, reply in self._replies
+            for endpoint, reply, in_flight in self._replies
             if reply.accepted
         ]
         return min(costs, key=itemgetter(0), default=(math.inf, None))
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -280,7 +280,7 @@
         probe = self._make_probe(state, endpoint)
         if endpoint.host == self._settings.worker.host:
             pending.results.start_probe(endpoint)
-            pending.results.record_reply(endpoint, self._runner.predict(probe))
+            self._record_reply(pending, endpoint, self._runner.predict(probe))
             return
         link = self._links.get_link(endpoint.host, self._settings.link.port)
         if link is None or not link.is_usable:
@@ -290,6 +290,12 @@
         self._rounds[probe.probe] = pending
         link.send_notice(encode_notice(probe))
 
+    def _record_reply(
+        self, pending: _Round, endpoint: Endpoint, reply: ProbeReply
+    ) -> None:
+        in_flight = self._placement.count_in_flight(endpoint)
+        pending.results.record_reply(endpoint, reply, in_flight)
+
     def answer_probe(self, link: Link, probe: ProbeNotice) -> None:
         """Answer the probe of another node."""
         link.send_notice(encode_notice(self._runner.predict(probe)))
@@ -300,7 +306,7 @@
         if pending is None:
             return
         endpoint, _ = pending.unanswered.pop(reply.probe)
-        pending.results.record_reply(endpoint, reply)
+        self._record_reply(pending, endpoint, reply)
         load = LoadReport(reply.pending, reply.limit)
         self._placement.record_load(endpoint, load, monotonic())
         pending.update()
--- a/tests/mesh/support_load.py
+++ b/tests/mesh/support_load.py
@@ -157,7 +157,7 @@
             admission.running + admission.waiting,
             admission.limit,
         )
-        results.record_reply(endpoint, reply)
+        results.record_reply(endpoint, reply, placement.count_in_flight(endpoint))
     return results.select(placement, "r", OBJECTIVE_S, now)[1]
 
 
--- a/tests/mesh/test_probing.py
+++ b/tests/mesh/test_probing.py
@@ -91,7 +91,7 @@
     for number, reply in enumerate(replies):
         endpoint = endpoints[number] if endpoints else make_endpoint(f"w{number}")
         results.start_probe(endpoint)
-        results.record_reply(endpoint, reply)
+        results.record_reply(endpoint, reply, in_flight=0)
     selected = results.select(make_placement(), "r", 0.5, 0.0)[1]
     return None if selected is None else selected.id
 
@@ -113,6 +113,23 @@
     assert select(replies) == expected
 
 
+def test_requests_that_are_probed_together_are_spread_over_the_workers():
+    """Guards against a burst of which every request goes to the same worker.
+
+    Some were refused by four full workers while others were idle.
+    """
+    endpoints = [make_endpoint(f"w{number}") for number in range(4)]
+    placement = make_placement()
+    burst = [ProbeResults() for _ in range(16)]
+    for results in burst:
+        for endpoint in endpoints:
+            results.start_probe(endpoint)
+            results.record_reply(endpoint, make_reply(), in_flight=0)
+    for results in burst:
+        placement.start(results.select(placement, "r", 0.5, 0.0)[1], 0.0)
+    assert [placement.count_in_flight(endpoint) for endpoint in endpoints] == [4] * 4
+
+
 def test_other_domain_is_selected_only_if_the_local_wait_is_long():
     endpoints = [make_endpoint("w0", "a"), make_endpoint("w1", "b")]
     assert select([make_reply(delay_s=0.02), make_reply()], endpoints) == "w0"
