End the suspicion of a request at all nodes once a worker completes it

A popular page was refused by all nodes for 120 s after another request had crashed two workers, as it was running on both. A kill of two workers from outside had the same effect.

Cause: every request that runs at a crash is suspected, at all nodes, and after two crashes refused. A completed run dropped the suspicion only at the node beside its worker; the node at which the request enters went on refusing, so nothing ever ran to clear it. Crashes were also sent again for 4 s as if they were new, after the completion.

Change: a completion of a suspected request is told to all nodes and to the peers of new links. Crashes before it no longer count, in whatever order both arrive; later ones do. Crashes that are sent again have their age.

Result: the two new tests fail on the code before (the page is refused until the time limit of the test) and pass now, 15 of 15 in the file.

--- a/packages/core/src/mangowell_core/mesh/crashes.py
+++ b/packages/core/src/mangowell_core/mesh/crashes.py
@@ -3,8 +3,13 @@
 Callers repeat such a request at any node. After a crash, every request that ran
 on the worker is suspected. A request that was running at a second crash is
 refused by all nodes, so that it crashes two workers and not all of them.
+
+A popular request also runs at most crashes. One that a worker completes does not crash
+workers, so its earlier crashes no longer count, at any node.
 """
 
+import math
+
 # Number of crashes after which a request that was running is refused.
 CRASHES_UNTIL_REFUSAL = 2
 # Time for which crashes are remembered, seconds; it exceeds the time for which a
@@ -21,10 +26,12 @@
     notice of the same crash is not counted again.
     """
 
-    __slots__ = ("_crashes",)
+    __slots__ = ("_completed_at", "_crashes")
 
     def __init__(self):
         self._crashes: dict[str, dict[str, float]] = {}
+        # Latest completion of each request that was running at a crash.
+        self._completed_at: dict[str, float] = {}
 
     def __bool__(self) -> bool:
         return bool(self._crashes)
@@ -44,9 +51,12 @@
         Returns
         -------
         bool
-            Whether the crash is new; False also if the counter is full.
+            Whether the crash is new; False also if the counter is full or the request
+            has been completed since.
         """
         self._expire(now)
+        if now <= self._completed_at.get(fingerprint, -math.inf):
+            return False
         if fingerprint not in self._crashes and len(self._crashes) >= MAX_FINGERPRINTS:
             return False
         crash_times = self._crashes.setdefault(fingerprint, {})
@@ -84,11 +94,69 @@
             for (crash_id, time), names in fingerprints.items()
         ]
 
+    def record_completion(self, fingerprint: str, now: float) -> bool:
+        """Drop the crashes of a request that a worker has completed.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the request.
+        now : float
+            Monotonic time of the completion, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether an earlier crash was known, so that other nodes know it too.
+        """
+        crash_times = self._crashes.get(fingerprint, {})
+        later = {name: at for name, at in crash_times.items() if at > now}
+        if len(later) == len(crash_times):
+            return False
+        self._record_completed(fingerprint, now)
+        self.clear(fingerprint)
+        if later:
+            self._crashes[fingerprint] = later
+        return True
+
+    def record_told_completion(self, fingerprint: str, now: float) -> None:
+        """Record a completion at another node; its crash may be told later.
+
+        Takes the parameters of `record_completion`.
+        """
+        self._expire(now)
+        if not self.record_completion(fingerprint, now):
+            self._record_completed(fingerprint, now)
+
+    def export_completions(self, now: float) -> tuple[tuple[str, float], ...]:
+        """Return all completions, for a node that has not heard of them.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        tuple of (str, float)
+            Fingerprint of each request, and the seconds since its latest completion.
+        """
+        self._expire(now)
+        return tuple((name, now - at) for name, at in self._completed_at.items())
+
     def clear(self, fingerprint: str) -> None:
-        """Drop the crashes of a request that a worker has completed."""
+        """Drop the crashes of a request."""
         self._crashes.pop(fingerprint, None)
 
+    def _record_completed(self, fingerprint: str, now: float) -> None:
+        completed_at = self._completed_at
+        if fingerprint in completed_at or len(completed_at) < MAX_FINGERPRINTS:
+            completed_at[fingerprint] = max(now, completed_at.get(fingerprint, now))
+
     def _expire(self, now: float) -> None:
+        for fingerprint, completed_at in list(self._completed_at.items()):
+            if completed_at + CRASH_TTL_S <= now:
+                del self._completed_at[fingerprint]
         for fingerprint, crash_times in list(self._crashes.items()):
             if max(crash_times.values()) + CRASH_TTL_S <= now:
                 del self._crashes[fingerprint]
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -358,8 +358,7 @@
     fingerprints : tuple of str
         Fingerprints of the requests.
     age_s : float
-        Time since the crash, in seconds, if the notice is for a node that has started
-        since.
+        Time since the crash, in seconds, if the notice is sent later.
     """
 
     crash: str
@@ -367,6 +366,18 @@
     age_s: float = 0.0
 
 
+class CompletionNotice(msgspec.Struct, frozen=True, tag=True):
+    """Requests that a worker has completed although they were running at crashes.
+
+    Parameters
+    ----------
+    completions : tuple of (str, float)
+        Fingerprint of each request, and the time since its completion, in seconds.
+    """
+
+    completions: tuple[tuple[str, float], ...]
+
+
 class LeavingNotice(msgspec.Struct, frozen=True, tag=True):
     """Workers that have stated in their answers that they are about to stop.
 
@@ -449,6 +460,7 @@
     | StateNotice
     | ChangeNotice
     | CrashNotice
+    | CompletionNotice
     | LeavingNotice
     | ProbeNotice
     | ProbeReply
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -27,6 +27,7 @@
 from mangowell_core.mesh.crashes import CRASH_TTL_S
 from mangowell_core.mesh.model import (
     ChangeNotice,
+    CompletionNotice,
     CrashNotice,
     FetchNotice,
     LeavingNotice,
@@ -149,6 +150,7 @@
         self._crash_counter = crash_counter
         self._worker_states = worker_states
         runner.on_crash = self.report_crash
+        runner.on_completion = self._report_completion
         runner.on_worker_leaving = self.announce
         self._emit = emit
         self._on_change = on_change
@@ -165,7 +167,7 @@
         self._ahead_link: Link | None = None
         self._behind_since = 0.0
         self._fetched_at = float("-inf")
-        # Crashes of the local worker, each with the time until which it is resent.
+        # Crashes of the local worker, each with its time.
         self._crashes: deque[tuple[float, CrashNotice]] = deque()
         # Time at which this node ends, in monotonic seconds; infinite unless it stops.
         self._end_deadline = math.inf
@@ -251,6 +253,9 @@
         the nodes beside them too, so it is told what is known here.
         """
         link.send_notice(encode_notice(self._make_status()))
+        completions = self._crash_counter.export_completions(monotonic())
+        if completions:
+            link.send_notice(encode_notice(CompletionNotice(completions)))
         for crash, age_s, fingerprints in self._crash_counter.export(monotonic()):
             link.send_notice(encode_notice(CrashNotice(crash, fingerprints, age_s)))
         leaving = tuple(
@@ -272,7 +277,7 @@
         """Record a crash of the local worker and tell the other nodes."""
         notice = CrashNotice(crash, fingerprints)
         self._record_crash(notice)
-        self._crashes.append((monotonic() + CRASH_REPEAT_S, notice))
+        self._crashes.append((monotonic(), notice))
         self._send_all(encode_notice(notice))
 
     def _send_all(self, payload: bytes) -> None:
@@ -282,10 +287,11 @@
 
     def _resend_crashes(self) -> None:
         now = monotonic()
-        while self._crashes and self._crashes[0][0] <= now:
+        while self._crashes and self._crashes[0][0] + CRASH_REPEAT_S <= now:
             self._crashes.popleft()
-        for _, notice in self._crashes:
-            self._send_all(encode_notice(notice))
+        for crashed_at, notice in self._crashes:
+            aged = msgspec.structs.replace(notice, age_s=now - crashed_at)
+            self._send_all(encode_notice(aged))
 
     def _record_crash(self, notice: CrashNotice) -> None:
         if not 0 <= notice.age_s < CRASH_TTL_S:
@@ -304,6 +310,16 @@
             }
             self._emit(Event(EventCode.BACKEND_DOWN, fields))
 
+    def _report_completion(self, fingerprint: str) -> None:
+        """Tell the other nodes that a request does not crash workers."""
+        self._send_all(encode_notice(CompletionNotice(((fingerprint, 0.0),))))
+
+    def _record_completions(self, notice: CompletionNotice) -> None:
+        now = monotonic()
+        for fingerprint, age_s in notice.completions:
+            if 0 <= age_s < CRASH_TTL_S:
+                self._crash_counter.record_told_completion(fingerprint, now - age_s)
+
     async def _run_status(self) -> None:
         while True:
             self._status_steps.run_due()
@@ -569,6 +585,8 @@
                 self._handle_changes(link, notice)
             case CrashNotice():
                 self._record_crash(notice)
+            case CompletionNotice():
+                self._record_completions(notice)
             case LeavingNotice():
                 for worker in notice.workers:
                     self._worker_states.record_leaving(*worker)
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -106,6 +106,8 @@
         self._crash_check_task: asyncio.Task | None = None
         # Takes the id of a crash and the fingerprints of the requests that ran.
         self.on_crash: Callable[[str, tuple[str, ...]], None] = _ignore_crash
+        # Takes the fingerprint of a request that has run at a crash and was completed.
+        self.on_completion: Callable[[str], None] = _ignore_completion
         # Called once the local worker has stated that it leaves.
         self.on_worker_leaving: Callable[[], None] = _ignore_leaving
         self._settings = settings
@@ -474,7 +476,9 @@
                 self._record_lost_connection(head, exc)
             raise
         if self._crash_counter and not answer.head.is_not_run:
-            self._crash_counter.clear(compute_fingerprint(head))
+            fingerprint = compute_fingerprint(head)
+            if self._crash_counter.record_completion(fingerprint, monotonic()):
+                self.on_completion(fingerprint)
         return answer
 
     # Crashes
@@ -555,6 +559,10 @@
     """Ignore a crash; replaced by `Gossip`."""
 
 
+def _ignore_completion(fingerprint: str) -> None:
+    """Ignore a completed request; replaced by `Gossip`."""
+
+
 def _ignore_leaving() -> None:
     """Ignore a leaving worker; replaced by `Gossip`."""
 
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -89,6 +89,54 @@
     assert not known.export(10.0 + CRASH_TTL_S)
 
 
+async def test_popular_request_is_served_after_the_crashes_of_others():
+    """Two workers crashed while they ran it, and all nodes refused it for 120 s."""
+    released = asyncio.Event()
+
+    async def work(request):
+        await released.wait()
+        return await answer_with_id()(request)
+
+    async with run_mesh(3) as (_, machines):
+        first, second, last = machines
+        await until(lambda: all(len(m.node._links.links) == 2 for m in machines))
+        second.worker.handler = work
+        running = asyncio.create_task(second.call("/x/poison", timeout_ms=4000))
+        await until(lambda: second.worker.received)
+        report_crashes(first)
+        counters = [m.node.gateway._crash_counter for m in machines]
+        await until(lambda: all(c.is_refused(POISON, monotonic()) for c in counters))
+        released.set()
+        assert (await running).status == 200
+        await until(
+            lambda: not any(c.is_refused(POISON, monotonic()) for c in counters)
+        )
+        # Crashes are sent again, and to nodes that start later.
+        first.node._gossip._resend_crashes()
+        await restart(last)
+        await until(lambda: len(last.node.directory) == 3)
+        await asyncio.sleep(0.3)
+        for number, machine in enumerate(machines):
+            answer = await machine.call("/x/poison", request=f"again-{number}")
+            assert answer.status == 200
+
+
+def test_crash_after_a_completion_counts_and_earlier_ones_do_not():
+    counter = CrashCounter()
+    counter.record_crash("r", "w1/1", 1.0)
+    counter.record_told_completion("r", 2.0)
+    # Notices of both may arrive in any order.
+    assert not counter.record_crash("r", "w2/1", 1.5)
+    assert counter.record_crash("r", "w3/1", 3.0)
+    assert not counter.record_completion("r", 2.5)
+    assert not counter.is_refused("r", 3.0)
+    assert counter.record_crash("r", "w4/1", 4.0)
+    assert counter.is_refused("r", 4.0)
+    assert counter.record_completion("r", 3.5)
+    assert not counter.is_refused("r", 4.0)
+    assert not counter.export_completions(3.5 + CRASH_TTL_S)
+
+
 @pytest.mark.parametrize("age_s", [-1.0, CRASH_TTL_S, float("inf"), float("nan")])
 async def test_crash_with_an_age_out_of_range_is_ignored(age_s):
     async with run_mesh(2) as (_, (first, second)):
