Suspect no request at a crash that its worker has completed before

If two workers crashed at once, or no other worker was running it, a popular request was still refused by all nodes for 120 s: nothing ran it, so nothing ended the suspicion.

Change: the node beside a worker remembers the last 2048 requests that this start of the worker has completed, by a hash of 8 bytes each. When the worker crashes, these are not suspected. The memory ends with the start of the worker, as the next one may be of another version. A request that crashes every worker that runs it is never among them.

--- a/packages/core/src/mangowell_core/mesh/__init__.py
+++ b/packages/core/src/mangowell_core/mesh/__init__.py
@@ -7,7 +7,7 @@
 
 from mangowell_core.mesh.admission import Admission, AdmissionDecision
 from mangowell_core.mesh.changes import Publication
-from mangowell_core.mesh.crashes import CrashCounter
+from mangowell_core.mesh.crashes import CompletedRequests, CrashCounter
 from mangowell_core.mesh.directory import Directory
 from mangowell_core.mesh.model import (
     CallerLimits,
@@ -29,6 +29,7 @@
     "Admission",
     "AdmissionDecision",
     "CallerLimits",
+    "CompletedRequests",
     "CrashCounter",
     "Directory",
     "Endpoint",
--- a/packages/core/src/mangowell_core/mesh/crashes.py
+++ b/packages/core/src/mangowell_core/mesh/crashes.py
@@ -16,6 +16,38 @@
 # caller repeats a request.
 CRASH_TTL_S = 120.0
 MAX_FINGERPRINTS = 4096
+# Number of completed requests that are remembered.
+MAX_COMPLETED = 2048
+
+
+class CompletedRequests:
+    """Remembers which requests one start of a worker has completed lately.
+
+    If the worker crashes, another request has crashed it. A popular request is
+    therefore not suspected, even if it runs on several workers that crash at once.
+    """
+
+    __slots__ = ("_keys",)
+
+    def __init__(self):
+        # Hashes of the requests, the latest last.
+        self._keys: dict[int, None] = {}
+
+    def record(self, method: str, target: str, body: bytes) -> None:
+        """Record a request that the worker has completed."""
+        key = hash((method, target, body))
+        self._keys.pop(key, None)
+        self._keys[key] = None
+        if len(self._keys) > MAX_COMPLETED:
+            del self._keys[next(iter(self._keys))]
+
+    def has(self, method: str, target: str, body: bytes) -> bool:
+        """Return whether the worker has completed the request."""
+        return hash((method, target, body)) in self._keys
+
+    def clear(self) -> None:
+        """Forget all requests; another start of the worker may crash on them."""
+        self._keys.clear()
 
 
 class CrashCounter:
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -10,6 +10,7 @@
 from mangowell_core.mesh import (
     Admission,
     AdmissionDecision,
+    CompletedRequests,
     CrashCounter,
     Directory,
     MeshSettings,
@@ -102,6 +103,7 @@
         # Rate limit in the latest event, requests per second.
         self._logged_limit = NO_RATE_LIMIT
         self._crash_counter = crash_counter
+        self._completed = CompletedRequests()
         self._lost_fingerprints: list[str] = []
         self._crash_check_task: asyncio.Task | None = None
         # Takes the id of a crash and the fingerprints of the requests that ran.
@@ -138,6 +140,7 @@
         if previous is not None and not _is_same_start(previous, local_worker):
             self._clear_queue(_make_unlisted_refusal())
             self.pool.forget_refusals()
+            self._completed.clear()
         if local_worker is None:
             return
         self._apply_rate_limit()
@@ -475,7 +478,10 @@
             if isinstance(exc, AttemptError):
                 self._record_lost_connection(head, exc)
             raise
-        if self._crash_counter and not answer.head.is_not_run:
+        if answer.head.is_not_run:
+            return answer
+        self._completed.record(head.method, head.target, head.body)
+        if self._crash_counter:
             fingerprint = compute_fingerprint(head)
             if self._crash_counter.record_completion(fingerprint, monotonic()):
                 self.on_completion(fingerprint)
@@ -486,7 +492,8 @@
     def _record_lost_connection(self, head: RequestHead, exc: AttemptError) -> None:
         if exc.refusal.cause is not Cause.CONNECTION_LOST:
             return
-        self._lost_fingerprints.append(compute_fingerprint(head))
+        if not self._completed.has(head.method, head.target, head.body):
+            self._lost_fingerprints.append(compute_fingerprint(head))
         if self._crash_check_task is None:
             self._crash_check_task = start_loop(self._detect_crash())
 
@@ -505,6 +512,8 @@
             local_worker = self._local_worker
             # A worker that leaves ends by itself.
             is_expected = local_worker is None or self._is_leaving(local_worker)
+            if has_ended:
+                self._completed.clear()
             if has_ended and not is_expected:
                 self.on_crash(
                     f"{local_worker.id}/{local_worker.born_ms}",
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from mangowell_core.mesh import CrashCounter
-from mangowell_core.mesh.crashes import CRASH_TTL_S
+from mangowell_core.mesh import CompletedRequests, CrashCounter
+from mangowell_core.mesh.crashes import CRASH_TTL_S, MAX_COMPLETED
 from mangowell_core.mesh.model import CrashNotice
 from mangowell_core.policy.request_digest import make_fingerprint
 from mangowell_node.mesh.notices import encode_notice
@@ -121,6 +121,45 @@
             assert answer.status == 200
 
 
+async def test_popular_request_is_not_suspected_if_its_worker_has_completed_it():
+    """Workers that crash at once leave no run of it that could end the suspicion."""
+
+    async def work(request):
+        await asyncio.sleep(5)
+
+    async with run_mesh(2) as (_, machines):
+        await until(lambda: all(m.node._links.links for m in machines))
+        for number, machine in enumerate(machines):
+            assert (await machine.call("/x/other", request=f"{number}")).status == 200
+            machine.worker.handler = work
+        calls = [
+            asyncio.create_task(machine.call(path, request=f"{path}-{number}"))
+            for number, machine in enumerate(machines)
+            for path in ("/x/other", "/x/poison")
+        ]
+        await until(lambda: all(m.worker.executions == 3 for m in machines))
+        for machine in machines:
+            machine.worker.crash()
+        await asyncio.gather(*calls)
+        counters = [m.node.gateway._crash_counter for m in machines]
+        await until(lambda: all(c.is_refused(POISON, monotonic()) for c in counters))
+        assert not any(c.is_refused(OTHER, monotonic()) for c in counters)
+        # What one start has completed says nothing about the next one.
+        runner = machines[0].node.runner
+        assert not runner._completed.has("GET", "/x/other", b"")
+
+
+def test_requests_that_were_completed_long_ago_are_forgotten():
+    """Guards against a memory that grows with the requests."""
+    completed = CompletedRequests()
+    for number in range(MAX_COMPLETED + 1):
+        completed.record("GET", f"/{number}", b"")
+        completed.record("GET", "/1", b"")
+    assert completed.has("GET", "/1", b"")
+    assert not completed.has("GET", "/0", b"")
+    assert len(completed._keys) == MAX_COMPLETED
+
+
 def test_crash_after_a_completion_counts_and_earlier_ones_do_not():
     counter = CrashCounter()
     counter.record_crash("r", "w1/1", 1.0)
