--- a/packages/core/src/mangowell_core/mesh/placement.py
+++ b/packages/core/src/mangowell_core/mesh/placement.py
@@ -212,9 +212,19 @@
         Endpoint or None
             None if there is no eligible worker.
         """
-        costs = self._estimate_costs(
+        costs = self.estimate_costs(
             endpoints, route, objective_s, excluded, now, get_suspicion
         )
+        return self.select_cheapest(costs)
+
+    def select_cheapest(self, costs: list[tuple[float, Endpoint]]) -> Endpoint | None:
+        """Return the worker of the lowest cost; None if there is none.
+
+        Parameters
+        ----------
+        costs : list of (float, Endpoint)
+            As returned by `estimate_costs`.
+        """
         return min(
             costs,
             key=lambda pair: pair[0] * (1.0 + 0.02 * self._rng.random()),
@@ -223,12 +233,8 @@
 
     def sample_workers(
         self,
-        endpoints: Iterable[Endpoint],
-        route: str,
+        costs: list[tuple[float, Endpoint]],
         objective_s: float,
-        excluded: set[str],
-        now: float,
-        get_suspicion: Callable[[str], bool | None],
         count: int,
         exploration: float,
     ) -> list[tuple[float, Endpoint]]:
@@ -238,8 +244,10 @@
 
         Parameters
         ----------
-        endpoints, route, objective_s, excluded, now, get_suspicion
-            As in `select_worker`.
+        costs : list of (float, Endpoint)
+            As returned by `estimate_costs`.
+        objective_s : float
+            Time within which an answer has its full value, in seconds.
         count : int
             Maximum number of workers.
         exploration : float
@@ -254,19 +262,25 @@
         # The lowest values of cost less Gumbel noise are a sample without
         # replacement whose weights fall exponentially with the cost.
         scale = exploration * max(objective_s, MIN_EXPLORED_OBJECTIVE_S)
-        costs = self._estimate_costs(
-            endpoints, route, objective_s, excluded, now, get_suspicion
-        )
         noisy = (
             (cost + scale * math.log(self._rng.expovariate(1.0)), index)
             for index, (cost, _) in enumerate(costs)
         )
         return [costs[index] for _, index in nsmallest(count, noisy)]
 
-    def _estimate_costs(
-        self, endpoints, route, objective_s, excluded, now, get_suspicion
+    def estimate_costs(
+        self,
+        endpoints: Iterable[Endpoint],
+        route: str,
+        objective_s: float,
+        excluded: set[str],
+        now: float,
+        get_suspicion: Callable[[str], bool | None],
     ) -> list[tuple[float, Endpoint]]:
-        """Return the cost of each eligible worker."""
+        """Return the predicted cost of an attempt on each eligible worker, in seconds.
+
+        Takes the parameters of `select_worker`.
+        """
         costs = []
         for endpoint in endpoints:
             if endpoint.draining or endpoint.id in excluded:
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -3,8 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable, Iterable
-from itertools import filterfalse
+from collections.abc import Callable
 from time import monotonic
 
 from mangowell_core.mesh import (
@@ -135,13 +134,16 @@
         AttemptError
             If all workers that were asked would refuse the request.
         """
-        likely = self._select_unprobed(state, state.excluded)
+        costs = self._estimate_costs(state, state.excluded)
+        likely = self._placement.select_cheapest(costs)
         if likely is None or self._is_free_here(state, likely):
             return likely
         results = ProbeResults()
-        await self._run_round(state, results, self._sample_local(state))
+        local, remote = self._split_by_domain(costs)
+        await self._run_round(state, results, self._sample(state, local, LOCAL_PROBES))
         if not results.has_free_worker:
-            await self._probe_remote(state, results)
+            sample = self._sample(state, remote, REMOTE_PROBES)
+            await self._probe_remote(state, results, sample)
         _, selected = self._select_probed(state, results)
         if selected is not None:
             return selected
@@ -151,12 +153,17 @@
                 Cause.OVERLOADED, reason, retry_after_s=results.shortest_retry_s
             )
             raise AttemptError(refusal)
-        return self._select_unprobed(state, state.excluded | results.asked) or likely
+        costs = self._estimate_costs(state, state.excluded | results.asked)
+        return self._placement.select_cheapest(costs) or likely
 
-    async def _probe_remote(self, state: RequestState, results: ProbeResults) -> None:
+    async def _probe_remote(
+        self,
+        state: RequestState,
+        results: ProbeResults,
+        sample: list[tuple[float, Endpoint]],
+    ) -> None:
         """Ask workers of other failure domains if one of them may be better."""
         lowest_cost_s, _ = self._select_probed(state, results)
-        sample = self._sample_remote(state)
         if all(cost_s >= lowest_cost_s for cost_s, _ in sample):
             return
         if results.asked and not self._remote_probing.is_due(state.service):
@@ -181,26 +188,20 @@
             if not self._worker_states.get(worker).is_leaving
         ]
 
-    def _sample_local(self, state: RequestState) -> list[tuple[float, Endpoint]]:
-        workers = self._get_workers(state.service)
-        return self._sample(state, filter(self._is_local, workers), LOCAL_PROBES)
-
-    def _sample_remote(self, state: RequestState) -> list[tuple[float, Endpoint]]:
-        workers = self._get_workers(state.service)
-        return self._sample(state, filterfalse(self._is_local, workers), REMOTE_PROBES)
+    def _split_by_domain(
+        self, costs: list[tuple[float, Endpoint]]
+    ) -> tuple[list[tuple[float, Endpoint]], list[tuple[float, Endpoint]]]:
+        """Return the costs of workers of the local failure domain, and of others."""
+        local, remote = [], []
+        for pair in costs:
+            (local if self._is_local(pair[1]) else remote).append(pair)
+        return local, remote
 
     def _sample(
-        self, state: RequestState, workers: Iterable[Endpoint], count: int
+        self, state: RequestState, costs: list[tuple[float, Endpoint]], count: int
     ) -> list[tuple[float, Endpoint]]:
         return self._placement.sample_workers(
-            workers,
-            state.route.name,
-            state.route.objective_s,
-            state.excluded,
-            monotonic(),
-            self._make_suspicion(state),
-            count,
-            EXPLORATION,
+            costs, state.route.objective_s, count, EXPLORATION
         )
 
     def _select_probed(
@@ -211,10 +212,10 @@
             self._placement, route.name, route.objective_s, monotonic()
         )
 
-    def _select_unprobed(
+    def _estimate_costs(
         self, state: RequestState, excluded: set[str]
-    ) -> Endpoint | None:
-        return self._placement.select_worker(
+    ) -> list[tuple[float, Endpoint]]:
+        return self._placement.estimate_costs(
             self._get_workers(state.service),
             state.route.name,
             state.route.objective_s,
--- a/tests/mesh/support_load.py
+++ b/tests/mesh/support_load.py
@@ -131,16 +131,10 @@
 def select_by_probes(replay, placement, excluded, now):
     """Ask a few workers, and select the one of the lowest predicted cost."""
     results = ProbeResults()
-    sample = placement.sample_workers(
-        replay.endpoints,
-        "r",
-        OBJECTIVE_S,
-        excluded,
-        now,
-        lambda host: False,
-        LOCAL_PROBES,
-        EXPLORATION,
+    costs = placement.estimate_costs(
+        replay.endpoints, "r", OBJECTIVE_S, excluded, now, lambda host: False
     )
+    sample = placement.sample_workers(costs, OBJECTIVE_S, LOCAL_PROBES, EXPLORATION)
     for _, endpoint in sample:
         admission = replay.admissions[endpoint.id]
         replay._expire(admission, now)
--- a/tests/mesh/test_probing.py
+++ b/tests/mesh/test_probing.py
@@ -161,9 +161,10 @@
     asked = set()
     for seed in range(30):
         placement = Placement("10.0.0.9", "a", random.Random(seed))
-        sample = placement.sample_workers(
-            endpoints, "r", 0.5, {"w0"}, 0.0, lambda _: False, 3, EXPLORATION
+        costs = placement.estimate_costs(
+            endpoints, "r", 0.5, {"w0"}, 0.0, lambda _: False
         )
+        sample = placement.sample_workers(costs, 0.5, 3, EXPLORATION)
         ids = [endpoint.id for _, endpoint in sample]
         assert len(set(ids)) == 3
         asked |= set(ids)
@@ -173,10 +174,9 @@
 def test_sample_prefers_workers_of_low_cost():
     endpoints = [make_endpoint("near", "a"), make_endpoint("far", "b", port=2)]
     placement = make_placement()
+    costs = placement.estimate_costs(endpoints, "r", 0.5, set(), 0.0, lambda _: False)
     first = [
-        placement.sample_workers(
-            endpoints, "r", 0.5, set(), 0.0, lambda _: False, 1, EXPLORATION
-        )[0][1].id
+        placement.sample_workers(costs, 0.5, 1, EXPLORATION)[0][1].id
         for _ in range(200)
     ]
     assert first.count("near") > 150
