Do not give up running work for silence while the node stops

A safe request was answered 504 by a node 2.3 s after its SIGTERM, 0.94 s after it was sent, while its worker was at work; the time limit of its route is 1.5 s.

Another worker accepted the probe for a repeat, the running attempt was cancelled, and the repeat then failed or was refused: a probe reserves nothing.

Change: a node that stops lets attempts go on until their answer, their deadline or the loss of the link. Its caller cannot come back to it with another try. Other nodes repeat as before.

tests/mesh/test_field_failures.py::test_stopping_node_does_not_give_up_running_work_for_silence fails before (a second worker gets the request) and passes in 3 of 3 runs now.

--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -101,6 +101,8 @@
         self._crash_counter = crash_counter
         self._worker_states = worker_states
         self._emit = emit
+        # Whether attempts go on until their answer or deadline, whatever is silent.
+        self.keeps_running_work = False
         self.placement = Placement(settings.worker.host, settings.failure_domain, rng)
         self.prober = Prober(
             settings,
@@ -198,10 +200,13 @@
 
         A silent link may only be full, and its worker about to answer. The attempt
         therefore goes on until there is a worker that would take the request and the
-        retry budget has granted the repeat.
+        retry budget has granted the repeat. That worker may refuse it all the same, so
+        a node that stops does not give up work that runs.
         """
         now = monotonic()
-        if not _may_offer(state, now) or state.retry_granted is False:
+        if self.keeps_running_work or not _may_offer(state, now):
+            return
+        if state.retry_granted is False:
             return
         if self._find_repeat_obstacle(state, now) is not None:
             return
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -152,6 +152,7 @@
             Latest deadline of a request, in monotonic seconds.
         """
         self._end_deadline = deadline
+        self.attempts.keeps_running_work = True
         expires_in_s = deadline - EXPIRY_MARGIN_S - monotonic()
         expires_at = asyncio.get_running_loop().time() + expires_in_s
         for state, timeout in self._open.items():
--- a/tests/mesh/test_field_failures.py
+++ b/tests/mesh/test_field_failures.py
@@ -25,6 +25,7 @@
     run_mesh,
     until,
 )
+from mesh.test_work_at_stopping_nodes import stop_node
 from node.support_calls import make_answer, read_response
 
 PAY = ("/pay/1", "POST", b"x")
@@ -356,6 +357,41 @@
         assert started.empty()
 
 
+async def test_stopping_node_does_not_give_up_running_work_for_silence():
+    """Guards against a request that is given up while its worker is at work.
+
+    The worker that was to repeat it might refuse, and the caller of a node that stops
+    then got 504 before the time limit.
+    """
+    async with run_mesh(3) as (_, machines):
+        first = machines[0]
+        await until(lambda: len(first.node._links.links) == 2)
+        fill_slots(first, waiting=200)
+        started, finish = asyncio.Queue(), asyncio.Event()
+
+        async def run(request):
+            started.put_nowait(request)
+            await finish.wait()
+            return await answer_with_id(b"done")(request)
+
+        for machine in machines[1:]:
+            machine.worker.handler = run
+        call = asyncio.create_task(first.call(timeout_ms=1900))
+        await started.get()
+        (silent,) = (m for m in machines[1:] if m.worker.received)
+        transport, is_reported = silence_link(first, silent)
+        node = first.node
+        async with stop_node(first):
+            await is_reported.wait()
+            await asyncio.sleep(0.1)
+            transport.resume_reading()
+            finish.set()
+            answer = await call
+        assert (answer.status, answer.body) == (200, b"done")
+        assert started.empty()
+        assert node.gateway.in_flight == 0
+
+
 async def test_work_on_a_silent_link_is_repeated_elsewhere_and_charged_once():
     """Guards against a wait for a lost link, and against two charges for one repeat."""
     async with run_mesh(3) as (_, machines):
