--- a/bench/restart_soak.py
+++ b/bench/restart_soak.py
@@ -64,11 +64,7 @@
 
 
 class FragileWorker(SoakWorker):
-    """Worker that some requests crash.
-
-    The question whether its node answers has a path of its own: a node may refuse a
-    popular request that has run at two crashes.
-    """
+    """Worker that some requests crash."""
 
     on_crash = staticmethod(lambda number: None)
 
@@ -81,13 +77,6 @@
             self.on_crash(self.number)
         raise ConnectionResetError
 
-    async def call(self, prefix: str, deadline: float) -> bool:
-        """Send a request to the own node, its id beginning with `prefix`."""
-        if prefix:
-            return await super().call(prefix, deadline)
-        caller = CrashCaller(self.number, self.node, self.journal, self.rng)
-        return await self.send_call(caller, prefix, deadline)
-
 
 class CrashCaller(Caller):
     """Caller of one request that comes again; all others have a few paths together."""
--- a/bench/stop_soak_traffic.py
+++ b/bench/stop_soak_traffic.py
@@ -108,10 +108,6 @@
     async def call(self, prefix: str, deadline: float) -> bool:
         """Send a request to the own node, its id beginning with `prefix`."""
         caller = Caller(self.number, self.node, self.journal, self.rng)
-        return await self.send_call(caller, prefix, deadline)
-
-    async def send_call(self, caller: "Caller", prefix: str, deadline: float) -> bool:
-        """Send the request of `call` by a new caller; return whether it succeeds."""
         try:
             await caller.connect()
             request = caller.send("/stock/", 1, deadline - monotonic(), prefix)
