Read uploads, paces, cold starts and evacuations of the platform

Evacuations come with the store's changes, are listed where the platform names a bound for them, and travel with states and changes between nodes. Workers of an evacuated domain are no candidates, and the node beside one refuses late arrivals as not run.

--- a/packages/core/src/mangowell_core/mesh/changes.py
+++ b/packages/core/src/mangowell_core/mesh/changes.py
@@ -125,9 +125,12 @@
         document: MeshDocument | None,
         history: DocumentHistory,
         endpoints: dict[str, Endpoint],
+        evacuated: frozenset[str] = frozenset(),
     ) -> ChangeNotice | None:
         """Return the changes since the last published state and mark them published.
 
+        The evacuated failure domains are few, so each notice names all of them.
+
         Returns
         -------
         ChangeNotice or None
@@ -149,4 +152,12 @@
         removed = tuple(name for name in published if name not in endpoints)
         if revision == since and delta is None and not changed and not removed:
             return None
-        return ChangeNotice(since, revision, self._version, delta, changed, removed)
+        return ChangeNotice(
+            since,
+            revision,
+            self._version,
+            delta,
+            changed,
+            removed,
+            evacuated=tuple(sorted(evacuated)),
+        )
--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -46,6 +46,9 @@
     ----------
     uptime : StoreUptime
         Since when the store has answered without a long gap.
+    evacuated : frozenset of str
+        Failure domains whose workers get no new requests. While the store is away,
+        the last known orders hold.
     """
 
     __slots__ = (
@@ -60,6 +63,7 @@
         "_withheld_until",
         "document",
         "epoch",
+        "evacuated",
         "history",
         "revision",
         "uptime",
@@ -71,6 +75,7 @@
         self.history = DocumentHistory()
         # Increases with every change of the endpoints.
         self.epoch = 0
+        self.evacuated: frozenset[str] = frozenset()
         self._endpoints: dict[str, Endpoint] = {}
         # Missing entries that are held, each with the revision at which it was missing.
         self._held: dict[str, int] = {}
@@ -169,9 +174,48 @@
         if current is not None and current.revision <= revision:
             self._drop(endpoint_id, revision, now)
 
-    def load(self, endpoints: Iterable[Endpoint], revision: int, now: float) -> None:
-        """Apply the complete list at `revision`; remove entries missing from it."""
+    def evacuate(self, failure_domain: str) -> None:
+        """Record the order to send nothing more to a failure domain."""
+        self._set_evacuated({*self.evacuated, failure_domain})
+
+    def end_evacuation(self, failure_domain: str) -> None:
+        """Record that a failure domain may be used again."""
+        self._set_evacuated(self.evacuated - {failure_domain})
+
+    def is_evacuated(self, failure_domain: str) -> bool:
+        """Return whether the workers of a failure domain get no new requests."""
+        return failure_domain in self.evacuated
+
+    def _set_evacuated(self, failure_domains: Iterable[str] | None) -> None:
+        if failure_domains is None:
+            return
+        evacuated = frozenset(failure_domains)
+        if evacuated != self.evacuated:
+            self.evacuated = evacuated
+            self.epoch += 1
+
+    def load(
+        self,
+        endpoints: Iterable[Endpoint],
+        revision: int,
+        now: float,
+        evacuated: Iterable[str] | None = None,
+    ) -> None:
+        """Apply the complete list at `revision`; remove entries missing from it.
+
+        Parameters
+        ----------
+        endpoints : iterable of Endpoint
+            Entries of all workers.
+        revision : int
+            Revision of the list.
+        now : float
+            Monotonic time, in seconds.
+        evacuated : iterable of str or None
+            All evacuated failure domains; None keeps those that are known.
+        """
         self._follow_restore(revision, now)
+        self._set_evacuated(evacuated)
         listed_by_id = {endpoint.id: endpoint for endpoint in endpoints}
         for endpoint in listed_by_id.values():
             self.put(endpoint)
@@ -203,7 +247,7 @@
             return False
         if state.revision <= self.revision:
             return False
-        self.load(state.endpoints, state.revision, now)
+        self.load(state.endpoints, state.revision, now, state.evacuated)
         return True
 
     def apply_changes(self, changes: ChangeNotice, now: float) -> bool:
@@ -223,6 +267,7 @@
         if self.document_version < changes.version:
             return False
         self._follow_restore(changes.revision, now)
+        self._set_evacuated(changes.evacuated)
         for endpoint in changes.endpoints:
             self.put(endpoint)
         for endpoint_id in changes.removed:
@@ -256,7 +301,9 @@
         delta = self.history.compute_delta_from(version)
         document = self.document if delta is None else None
         endpoints = tuple(self.listed.values())
-        return StateNotice(MeshState(self.revision, document, endpoints), delta)
+        evacuated = tuple(sorted(self.evacuated))
+        state = MeshState(self.revision, document, endpoints, evacuated)
+        return StateNotice(state, delta)
 
     def expire(self, now: float) -> None:
         """Drop held entries whose workers did not register again in time.
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -54,6 +54,8 @@
         pattern=rf"^(?:22[0-3]|2[01][0-9]|1[0-9][0-9]|[1-9][0-9]?)(?:\.{_OCTET}){{3}}\Z"
     ),
 ]
+# Target of a request, written to the request line.
+HealthPath = Annotated[str, Meta(max_length=1024, pattern=r"^(?:/[!-~]*)?\Z")]
 # Routes are matched by prefixes that begin and end with a slash.
 Prefix = Annotated[str, Meta(pattern=r"^/(?:[^\x00-\x1f\x7f]*/)?\Z")]
 
@@ -103,10 +105,19 @@
         Name of the service.
     max_connections : int
         Maximum number of connections that one worker accepts.
+    health_path : str
+        Path of the worker's health requests; empty if there is none.
+    warmup_s : float
+        Time for which a worker is cold after its start, in seconds.
+    warmup_per_s : float
+        Requests per second that a cold worker takes; 0 for no limit.
     """
 
     name: Name
     max_connections: Count
+    health_path: HealthPath = ""
+    warmup_s: Seconds = 0.0
+    warmup_per_s: Rate = 0.0
 
 
 class CallerLimits(msgspec.Struct, frozen=True, array_like=True):
@@ -203,11 +214,14 @@
         Document, if the node has one and it is not sent as a delta.
     endpoints : tuple of Endpoint
         Entries of all workers.
+    evacuated : tuple of str or None
+        Failure domains whose workers get no new requests; None if unknown.
     """
 
     revision: Count
     document: MeshDocument | None
     endpoints: tuple[Endpoint, ...]
+    evacuated: tuple[Name, ...] | None = None
 
 
 class DocumentDelta(msgspec.Struct, frozen=True, array_like=True):
@@ -337,6 +351,8 @@
         Ids of the removed workers.
     store_uptime : UptimeReport or None
         As in `StatusNotice`.
+    evacuated : tuple of str or None
+        All evacuated failure domains at `revision`; None if unknown.
     """
 
     since: Count
@@ -346,6 +362,7 @@
     endpoints: tuple[Endpoint, ...]
     removed: tuple[WorkerId, ...]
     store_uptime: UptimeReport | None = None
+    evacuated: tuple[Name, ...] | None = None
 
 
 class CrashNotice(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/mangowell_core/mesh/settings.py
+++ b/packages/core/src/mangowell_core/mesh/settings.py
@@ -23,6 +23,10 @@
 # Stands for an unknown report interval of the workers, in seconds. Their leases may
 # then be short, so entries that are missing after any failed call are held.
 DEFAULT_HEARTBEAT_S = 0.0
+# Requests per second that a cold worker may get, as a multiple of what it states, and
+# the number in addition, if the platform names no bounds.
+DEFAULT_WARMUP_OVERAGE = 1.0
+DEFAULT_WARMUP_SLACK = 0.0
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _PORT = re.compile(r"[1-9][0-9]{0,4}")
@@ -70,6 +74,18 @@
     heartbeat_s : float
         Interval at which workers renew their entries in the store, in seconds; 0 if
         it is unknown.
+    warmup_overage : float
+        Requests per second that a cold worker may get, as a multiple of the rate
+        that its service states.
+    warmup_slack : float
+        Requests in one second that it may get in addition.
+    evacuate_s : float
+        Time after an evacuation order within which the workers of the failure domain
+        get no further request, in seconds; 0 if there are no such orders.
+    memory_mb : float
+        Memory of the process, in megabytes; 0 if it is unknown.
+    max_fds : float
+        Number of descriptors of the process; 0 if it is unknown.
     warnings : tuple of str
         One message for each value that was replaced by its default.
     """
@@ -89,6 +105,11 @@
     retry_floor: float
     retry_window_s: float
     heartbeat_s: float = DEFAULT_HEARTBEAT_S
+    warmup_overage: float = DEFAULT_WARMUP_OVERAGE
+    warmup_slack: float = DEFAULT_WARMUP_SLACK
+    evacuate_s: float = 0.0
+    memory_mb: float = 0.0
+    max_fds: float = 0.0
     warnings: tuple[str, ...] = ()
 
 
@@ -119,6 +140,9 @@
     warnings = []
     for field, (section, parse, default) in _FIELDS.items():
         raw = parser.get(section, field, fallback="").strip()
+        if not raw and field in _OPTIONAL_FIELDS:
+            values[field] = default
+            continue
         try:
             values[field] = formats.decode(parse, raw, _SettingError)
         except _SettingError as exc:
@@ -204,4 +228,13 @@
     "retry_ratio": ("retries", _parse_number, 0.0),
     "retry_floor": ("retries", _parse_number, 0.0),
     "retry_window_s": ("retries", _parse_window, DEFAULT_RETRY_WINDOW_S),
+    "warmup_overage": ("warmup", _parse_number, DEFAULT_WARMUP_OVERAGE),
+    "warmup_slack": ("warmup", _parse_number, DEFAULT_WARMUP_SLACK),
+    "evacuate_s": ("evacuation", parse_duration, 0.0),
+    "memory_mb": ("limits", _parse_number, 0.0),
+    "max_fds": ("limits", _parse_number, 0.0),
 }
+# Fields that not every platform names; their defaults need no warning.
+_OPTIONAL_FIELDS = frozenset(
+    {"warmup_overage", "warmup_slack", "evacuate_s", "memory_mb", "max_fds"}
+)
--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -479,6 +479,7 @@
             head.slots = dialect.read_slots(headers)
             head.rate_limit = dialect.read_rate_limit(headers)
             head.is_leaving = dialect.is_leaving(headers)
+            head.pace = dialect.read_pace(headers)
         self._read_keep_alive(headers.get("Keep-Alive", ""))
         self._head = head
         self._body = payload
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -214,6 +214,9 @@
         for no limit, negative if unknown.
     is_leaving : bool
         Whether the backend server states that it is stopping.
+    pace : float
+        How long work takes on the backend server's machine now, relative to usual; 0
+        if unknown.
     """
 
     status: _Status
@@ -234,6 +237,7 @@
     slots: _Integer = 0
     rate_limit: _RateLimit = -1.0
     is_leaving: bool = False
+    pace: _Finite = 0.0
 
 
 class Answer:
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -76,6 +76,8 @@
         Called without arguments after each change of the directory.
     rng : random.Random
         Source of random numbers for pauses.
+    reads_evacuations : bool
+        Whether operators may order failure domains to be evacuated.
     """
 
     def __init__(
@@ -85,7 +87,9 @@
         emit: Callable[[Event], None],
         on_change: Callable[[], None],
         rng: random.Random,
+        reads_evacuations: bool = False,
     ):
+        self._reads_evacuations = reads_evacuations
         self._store = store
         store.on_progress = self._extend_progress
         self._directory = directory
@@ -293,6 +297,10 @@
         sent_at = asyncio.get_running_loop().time()
         listing = await self._store.list_endpoints()
         document = await self._store.read_document()
+        evacuated = None
+        if self._reads_evacuations:
+            orders = await self._store.list_evacuations()
+            evacuated = [item.evacuated_domain for item in orders.items]
         now = asyncio.get_running_loop().time()
         self._record_era(listing.revision, now)
         self._record_up(now, sent_at)
@@ -306,7 +314,9 @@
                 endpoints.append(self._read_endpoint(item))
             except PlatformFormatError:
                 unreadable.append(item)
-        self._directory.load(endpoints, listing.revision, now)
+        if evacuated is not None:
+            self._emit_evacuations(frozenset(evacuated), listing.revision)
+        self._directory.load(endpoints, listing.revision, now, evacuated)
         for item in unreadable:
             self._directory.discard(item.endpoint_id, item.revision, now)
         self._advance_revision(listing.revision)
@@ -339,6 +349,34 @@
             self._apply_document(item)
         elif item.endpoint_id:
             self._apply_endpoint(item)
+        elif item.evacuated_domain and self._reads_evacuations:
+            self._apply_evacuation(item)
+
+    def _apply_evacuation(self, item: Item) -> None:
+        """Apply an order, whatever its value is, or the end of one."""
+        domain = item.evacuated_domain
+        known = self._directory.evacuated
+        evacuated = known - {domain} if item.value is None else known | {domain}
+        self._emit_evacuations(evacuated, item.revision)
+        if item.value is None:
+            self._directory.end_evacuation(domain)
+        else:
+            self._directory.evacuate(domain)
+
+    def _emit_evacuations(self, evacuated: frozenset[str], revision: int) -> None:
+        """Emit an event for each failure domain whose evacuation begins or ends."""
+        known = self._directory.evacuated
+        codes = {
+            EventCode.EVACUATION_STARTED: evacuated - known,
+            EventCode.EVACUATION_ENDED: known - evacuated,
+        }
+        for code, domains in codes.items():
+            for domain in sorted(domains):
+                fields = {
+                    "domain": formats.quote(domain),
+                    "revision": get_number(revision),
+                }
+                self._emit(Event(code, fields))
 
     def _apply_document(self, item: Item) -> None:
         if item.value is None:
@@ -347,7 +385,7 @@
             )
             return
         try:
-            document = item.read_document()
+            document = item.read_document(self._make_route_warning(item))
         except PlatformFormatError as exc:
             self._emit_refused_document(str(exc), item)
             return
@@ -358,6 +396,15 @@
             }
             self._emit(Event(EventCode.VERSION_APPLIED, fields))
 
+    def _make_route_warning(self, item: Item) -> Callable[[str], None]:
+        """Return a function that reports a route that is applied with assumptions."""
+
+        def warn(reason: str) -> None:
+            fields = {"reason": reason, "revision": get_number(item.revision)}
+            self._emit(Event(EventCode.ROUTE_ASSUMED, fields))
+
+        return warn
+
     def _emit_refused_document(self, reason: str, item: Item) -> None:
         fields = {"reason": reason, "revision": get_number(item.revision)}
         self._emit(Event(EventCode.VERSION_REFUSED, fields))
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -368,7 +368,7 @@
             return
         try:
             changes = self._publication.collect(
-                *state, directory.history, directory.listed
+                *state, directory.history, directory.listed, directory.evacuated
             )
             if changes is None:
                 return
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -80,7 +80,12 @@
         self.directory = directory = Directory(settings.heartbeat_s)
         self._store = StoreClient(settings.store)
         self._feed = StateFeed(
-            self._store, directory, emit, self._on_directory_change, rng
+            self._store,
+            directory,
+            emit,
+            self._on_directory_change,
+            rng,
+            reads_evacuations=settings.evacuate_s > 0,
         )
         crash_counter = CrashCounter()
         worker_states = WorkerStates()
@@ -331,6 +336,7 @@
             "store_answer_age_s": self._feed.compute_answer_age(monotonic()),
             "store_era": self._store.era,
             "endpoints": len(directory),
+            "evacuated_domains": len(directory.evacuated),
             "requests_in_flight": self.gateway.in_flight,
             "worker_running": self.runner.admission.running,
             "worker_waiting": self.runner.admission.waiting,
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -177,15 +177,17 @@
         return endpoint.failure_domain == self._settings.failure_domain
 
     def _get_workers(self, service: str) -> list[Endpoint]:
-        """Return the workers of a service that have not stated that they leave.
+        """Return the workers of a service that may get new requests.
 
-        The list may still show such a worker as ready, such as while the store
-        cannot be reached.
+        The list may still show a worker as ready that has stated that it leaves, such
+        as while the store cannot be reached.
         """
+        evacuated = self._directory.evacuated
         return [
             worker
             for worker in self._directory.look_up_service(service)
-            if not self._worker_states.get(worker).is_leaving
+            if worker.failure_domain not in evacuated
+            and not self._worker_states.get(worker).is_leaving
         ]
 
     def _split_by_domain(
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -152,6 +152,8 @@
                 self.pool.limit = max(local_worker.slots, limit)
         if self._is_leaving(local_worker):
             self._clear_queue(_make_leaving_refusal())
+        elif self._is_evacuated:
+            self._clear_queue(_make_evacuated_refusal())
 
     def limit_deadlines(self, deadline: float) -> None:
         """Refuse requests, also waiting ones, that may outlast the node.
@@ -180,6 +182,14 @@
         """Return whether the list or the worker itself tells that it will stop."""
         return worker.draining or self._worker_states.get(worker).is_leaving
 
+    @property
+    def _is_evacuated(self) -> bool:
+        """Whether the workers of this failure domain get no new requests.
+
+        Nodes that have not heard of the order yet may still send some.
+        """
+        return self._directory.is_evacuated(self._settings.failure_domain)
+
     @property
     def leaving_worker(self) -> tuple[str, int] | None:
         """Id and start time (Unix ms) of the local worker if it says that it leaves."""
@@ -238,6 +248,8 @@
             raise AttemptError(_make_unlisted_refusal())
         if self._is_leaving(local_worker):
             raise AttemptError(_make_leaving_refusal())
+        if self._is_evacuated:
+            raise AttemptError(_make_evacuated_refusal())
         if deadline > self._end_deadline:
             raise AttemptError(_make_stopping_refusal())
         self._check_crashes(head)
@@ -288,6 +300,7 @@
             local_worker is None
             or local_worker.id != probe.instance
             or self._is_leaving(local_worker)
+            or self._is_evacuated
             or now + probe.remaining_s > self._end_deadline
         ):
             accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
@@ -560,6 +573,10 @@
     return refuse(Cause.LEAVING, "worker is leaving")
 
 
+def _make_evacuated_refusal() -> Refusal:
+    return refuse(Cause.LEAVING, "failure domain is evacuated")
+
+
 def _make_stopping_refusal() -> Refusal:
     return refuse(Cause.LEAVING, "node is stopping")
 
--- a/packages/node/src/mangowell_node/platform/document.py
+++ b/packages/node/src/mangowell_node/platform/document.py
@@ -1,6 +1,7 @@
 """Decoding of the values that operators and workers write to the store."""
 
 import re
+from collections.abc import Callable
 from typing import Annotated, Any
 
 import msgspec
@@ -12,6 +13,7 @@
     CallerLimits,
     Count,
     Endpoint,
+    HealthPath,
     Host,
     MeshDocument,
     MeshRoute,
@@ -20,6 +22,7 @@
     Port,
     Prefix,
     Priority,
+    Rate,
     Slots,
     Weight,
     WorkerId,
@@ -28,10 +31,14 @@
 
 DOCUMENT_KEY = "op/config"
 ENDPOINT_PREFIX = "servers/"
+# Followed by the name of a failure domain, whose workers get nothing new.
+EVACUATION_PREFIX = "op/evacuate/"
 # Whether a worker is draining, by its state.
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
-# Whether requests are idempotent, by the type of their route.
-_IDEMPOTENT_BY_ROUTE_TYPE = {"safe": True, "unsafe": False}
+# Whether requests are idempotent, by the type of their route. A route of another type
+# counts as not idempotent: a repeat may do harm, and without the route the whole
+# document could not be applied.
+_IDEMPOTENT_BY_ROUTE_TYPE = {"safe": True, "unsafe": False, "upload": False}
 _PORT = re.compile(r"[1-9][0-9]{0,4}")
 Positive = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
 
@@ -49,7 +56,7 @@
     name: Name
     hostname: Name
     prefix: Prefix
-    route_type: str  # `safe` or `unsafe`: whether a request may be repeated
+    route_type: Name  # `safe`, `unsafe` or `upload`: whether a request may be repeated
     timeout: str
     target_latency: str  # an answer within this time has its full value
     priority: Priority
@@ -61,6 +68,9 @@
 class _Service(msgspec.Struct, rename="kebab"):
     name: Name
     max_connections: Count  # at one worker
+    health_path: str | None = None
+    warmup: str | None = None  # how long a worker is cold after its start
+    warmup_per_s: Rate | None = None  # requests that a cold worker takes
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -117,27 +127,51 @@
 _entry_decoder = msgspec.json.Decoder(_Entry)
 
 
-def decode_document(value: bytes) -> MeshDocument:
+def ignore_warning(message: str) -> None:
+    """Do nothing; the default of `decode_document`."""
+
+
+def decode_document(
+    value: bytes, warn: Callable[[str], None] = ignore_warning
+) -> MeshDocument:
     """Decode the operators' document.
 
     Parameters
     ----------
     value : bytes
         JSON text.
+    warn : callable, optional
+        Called with a message for each route of an unknown type.
 
     Raises
     ------
     PlatformFormatError
         If any part of the document is invalid.
     """
-    return formats.decode(_read_document, value, PlatformFormatError, "document")
+    return formats.decode(
+        lambda value: _read_document(value, warn),
+        value,
+        PlatformFormatError,
+        "document",
+    )
 
 
-def _read_document(value: bytes) -> MeshDocument:
+def _read_document(value: bytes, warn: Callable[[str], None]) -> MeshDocument:
     raw = _document_decoder.decode(value)
-    routes = tuple(_make_route(route) for route in raw.routes.convert(_Route))
+    raw_routes = raw.routes.convert(_Route)
+    routes = tuple(_make_route(route) for route in raw_routes)
+    for route in raw_routes:
+        if route.route_type not in _IDEMPOTENT_BY_ROUTE_TYPE:
+            route_type = formats.quote(route.route_type)
+            warn(f"route {route.name} has the unknown type {route_type}")
     services = tuple(
-        MeshService(service.name, service.max_connections)
+        MeshService(
+            service.name,
+            service.max_connections,
+            msgspec.convert(service.health_path or "", HealthPath),
+            0.0 if service.warmup is None else parse_duration(service.warmup),
+            service.warmup_per_s or 0.0,
+        )
         for service in raw.services.convert(_Service)
     )
     limits = CallerLimits(
@@ -163,7 +197,7 @@
         # The lower case of a letter may be longer.
         msgspec.convert(raw.hostname.lower(), Name),
         raw.prefix,
-        _IDEMPOTENT_BY_ROUTE_TYPE[raw.route_type],
+        _IDEMPOTENT_BY_ROUTE_TYPE.get(raw.route_type, False),
         parse_duration(raw.timeout),
         parse_duration(raw.target_latency),
         raw.priority,
--- a/packages/node/src/mangowell_node/platform/headers.py
+++ b/packages/node/src/mangowell_node/platform/headers.py
@@ -4,6 +4,7 @@
 
 from multidict import CIMultiDictProxy, istr
 
+from mangowell_core.mesh.model import MAX_DURATION_S
 from mangowell_core.mesh.worker_states import NO_RATE_LIMIT, UNKNOWN_RATE_LIMIT
 from mangowell_node.exchange import HOP_BY_HOP, RequestHead
 
@@ -15,14 +16,20 @@
 _SERVER_LOAD = istr("Server-Load")
 _SERVER_LIMIT = istr("Server-Limit")
 _SERVER_LEAVING = istr("Server-Leaving")
+_WARMUP_MS = istr("Warmup-Ms")
+_INSTANCE_ID = istr("Instance-Id")
 # Status of a worker that was started at the address of another one. It has not run
 # the request.
 _MISDIRECTED_STATUS = 421
 _MAX_TIMEOUT_MS = 86_400_000
+# Highest pace that is used; a worker that slow gets nothing in any case.
+MAX_PACE = 100.0
 # Non-negative decimal number of a reasonable length.
 _DECIMAL = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?")
 # Number of slots that a link can carry and the placement can calculate with.
 _SLOTS = re.compile(r"[0-9]{1,6}")
+# Running and waiting requests, slots, and on some platforms the pace in percent.
+_LOAD_FIELDS = (3, 4)
 # Fields that the node sets itself; those of the caller are dropped.
 _NODE_FIELDS = frozenset({b"timeout-ms", b"caller-service", b"expected-instance"})
 
@@ -100,10 +107,31 @@
     def read_slots(self, headers: CIMultiDictProxy[str]) -> int:
         """Return the number of slots that the worker reports, or 0 if it is missing."""
         fields = headers.get(_SERVER_LOAD, "").split(",")
-        if len(fields) != 3 or _SLOTS.fullmatch(fields[2].strip()) is None:
+        if len(fields) not in _LOAD_FIELDS or not _SLOTS.fullmatch(fields[2].strip()):
             return 0
         return int(fields[2])
 
+    def read_pace(self, headers: CIMultiDictProxy[str]) -> float:
+        """Return how long work takes on the worker's machine now, relative to usual.
+
+        0 if the worker does not report it.
+        """
+        fields = headers.get(_SERVER_LOAD, "").split(",")
+        if len(fields) < 4 or not _DECIMAL.fullmatch(fields[3].strip()):
+            return 0.0
+        return min(MAX_PACE, float(fields[3]) / 100)
+
+    def read_warmup(self, headers: CIMultiDictProxy[str]) -> float | None:
+        """Return for how long the worker stays cold, in seconds; None if not stated."""
+        text = headers.get(_WARMUP_MS, "").strip()
+        if _DECIMAL.fullmatch(text) is None:
+            return None
+        return min(float(text) / 1000, MAX_DURATION_S)
+
+    def read_instance(self, headers: CIMultiDictProxy[str]) -> str:
+        """Return the id that the worker states; empty if it states none."""
+        return headers.get(_INSTANCE_ID, "").strip()
+
     def read_rate_limit(self, headers: CIMultiDictProxy[str]) -> float:
         """Return the requests per second that the worker takes from all nodes.
 
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -24,8 +24,10 @@
 from mangowell_node.platform.document import (
     DOCUMENT_KEY,
     ENDPOINT_PREFIX,
+    EVACUATION_PREFIX,
     decode_document,
     decode_endpoint,
+    ignore_warning,
 )
 
 # Counts how often the store has been restored from an older copy.
@@ -109,9 +111,18 @@
             return ""
         return self.key.removeprefix(ENDPOINT_PREFIX)
 
-    def read_document(self) -> MeshDocument:
-        """Decode the value; raises `PlatformFormatError`."""
-        return decode_document(self.value)
+    @property
+    def evacuated_domain(self) -> str:
+        """Failure domain that the item orders to evacuate, or an empty string."""
+        if not self.key.startswith(EVACUATION_PREFIX):
+            return ""
+        return self.key.removeprefix(EVACUATION_PREFIX)
+
+    def read_document(
+        self, warn: Callable[[str], None] = ignore_warning
+    ) -> MeshDocument:
+        """Decode the value; see `decode_document`."""
+        return decode_document(self.value, warn)
 
     def read_endpoint(self) -> Endpoint:
         """Decode the value; raises `PlatformFormatError`."""
@@ -228,7 +239,15 @@
         return Listing([_make_item(reply, era)], make_revision(era, reply.as_of))
 
     async def list_endpoints(self) -> Listing:
-        """List the entries of all workers.
+        """List the entries of all workers; see `_list`."""
+        return await self._list(ENDPOINT_PREFIX)
+
+    async def list_evacuations(self) -> Listing:
+        """List the orders to evacuate failure domains; see `_list`."""
+        return await self._list(EVACUATION_PREFIX)
+
+    async def _list(self, prefix: str) -> Listing:
+        """List the items whose keys begin with a prefix.
 
         The revision is that of the first page, so that a watch from this revision
         contains all changes that are made while further pages are read.
@@ -239,7 +258,7 @@
         revision = 0
         after = ""
         while True:
-            path = f"kv-range?prefix={quote(ENDPOINT_PREFIX, safe='')}"
+            path = f"kv-range?prefix={quote(prefix, safe='')}"
             if after:
                 path += f"&after={quote(after, safe='')}"
             era, body = await self._get(path, READ_TIMEOUT_S)
--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -67,6 +67,7 @@
             retry_floor=100,
             retry_window_s=10.0,
             heartbeat_s=self.heartbeat_s,
+            evacuate_s=2.0,
         )
         sink = None
         if self.log_path is not None:
--- a/tests/mesh/test_mesh_settings.py
+++ b/tests/mesh/test_mesh_settings.py
@@ -32,6 +32,11 @@
     "bounds.retry-budget-ratio": "0.2",
     "bounds.budget-min-retries": "60",
     "bounds.budget-window": "10s",
+    "bounds.warmup-overage": "",
+    "bounds.warmup-slack": "",
+    "bounds.evacuate": "",
+    "limits.memory-mb": "300",
+    "limits.max-fds": "4100",
 }
 
 
@@ -48,6 +53,17 @@
     assert settings.heartbeat_s == 1.5
 
 
+def test_bounds_of_other_platforms_need_no_warning_if_they_are_missing():
+    settings = parse_mesh_settings(render_template(), "x").unwrap()
+    assert (settings.warnings, settings.evacuate_s) == ((), 0.0)
+    bounds = {"overage": "1.5", "slack": "8"}
+    changes = {f"bounds.warmup-{name}": value for name, value in bounds.items()}
+    text = render_template(**changes, **{"bounds.evacuate": "5000ms"})
+    settings = parse_mesh_settings(text, "x").unwrap()
+    assert (settings.warmup_overage, settings.warmup_slack) == (1.5, 8.0)
+    assert (settings.evacuate_s, settings.memory_mb) == (5.0, 300.0)
+
+
 @pytest.mark.parametrize(
     ("change", "expected"),
     [
