Weigh the distance and the size before a request leaves its domain

An upload of 60 kB cost as little as one of 8 kB.

The cost of another domain was capped at 0.25 objectives, whatever the size and the distance, and did not depend on the urgency.

The decision is now in `mesh/crossing.py`. The cost grows with the bytes both ways (the size of the request at hand, and the route's mean answer) and, above 2 ms, with the shortest round trip of handshakes, pings and probes, less that within the domain. The distance weighs less for urgent requests and for calls. Other domains are asked only if an idle worker there would cost less than staying, or than a rejection, and at random in proportion to the difference. Requests of few bytes leave sooner while others are refused at home. Small requests between close domains cost what they did.

--- a/packages/core/src/mangowell_core/mesh/placement.py
+++ b/packages/core/src/mangowell_core/mesh/placement.py
@@ -11,13 +11,21 @@
 
 The local failure domain is preferred as long as its workers are expected to
 answer well within the objective, because traffic between domains is expensive
-and a partition cuts it off.
+and a partition cuts it off. `crossing` has the cost of leaving it.
 """
 
 import math
 from collections.abc import Callable, Iterable
 from heapq import nsmallest
 
+from mangowell_core.mesh.crossing import (
+    DEFAULT_TRANSFER,
+    LATE_COST,
+    RoundTrips,
+    RouteSizes,
+    Transfer,
+    estimate_transfer_cost,
+)
 from mangowell_core.mesh.failure_rate import FailureRate
 from mangowell_core.mesh.model import Endpoint, ProbeReply
 
@@ -30,14 +38,6 @@
 SLOWNESS_RANGE = (0.2, 20.0)
 # Approximate slowdown of a worker that is warming up, as the platform states.
 WARMUP_SLOWDOWN = 2.0
-# Cost of a worker in another failure domain, in objectives: a fixed part, a part for
-# each kilobyte of request and answer, and the maximum, which is also assumed for a
-# route whose size is not known yet.
-CROSS_DOMAIN_COST = 0.04
-CROSS_DOMAIN_COST_PER_KB = 0.03
-MAX_CROSS_DOMAIN_COST = 0.25
-# Weight of the newest size in the moving average of a route.
-SIZE_GAIN = 0.05
 # Cost of a worker on another host of the local domain, seconds for one hop.
 HOP_COST_S = 0.002
 # Cost of a failed attempt, in objectives.
@@ -45,9 +45,6 @@
 # Cost of a host that is suspected of a failure because it has not answered for a
 # moment, in objectives.
 SUSPECT_COST = 1.0
-# Cost of a late answer, in objectives. A late answer loses about four times as
-# much value as an answer from another domain costs.
-LATE_COST = 0.9
 # Standard deviation of the logarithm of the work; the services have 0.3 to 0.8.
 WORK_LOG_STDDEV = 0.6
 # Weight of the load below the limit, so that an idle worker is preferred to a
@@ -153,10 +150,11 @@
         "_failure_domain",
         "_host",
         "_rng",
-        "_route_kilobytes",
         "_route_work_s",
         "_service_work_s",
         "_stats_by_id",
+        "round_trips",
+        "sizes",
     )
 
     def __init__(self, host: str, failure_domain: str, rng):
@@ -165,8 +163,9 @@
         self._rng = rng
         self._stats_by_id: dict[str, _WorkerStats] = {}
         self._route_work_s: dict[str, float] = {}
-        self._route_kilobytes: dict[str, float] = {}
         self._service_work_s: dict[str, float] = {}
+        self.round_trips = RoundTrips(failure_domain)
+        self.sizes = RouteSizes()
 
     def sync(self, endpoints: Iterable[Endpoint], now: float) -> None:
         """Update the set of workers; drop the statistics of removed ones."""
@@ -276,28 +275,85 @@
         excluded: set[str],
         now: float,
         get_suspicion: Callable[[str], bool | None],
+        transfer: Transfer = DEFAULT_TRANSFER,
     ) -> list[tuple[float, Endpoint]]:
         """Return the predicted cost of an attempt on each eligible worker, in seconds.
 
-        Takes the parameters of `select_worker`.
+        Takes the parameters of `select_worker`, and `transfer` with what determines
+        the cost of leaving the failure domain.
         """
         costs = []
+        transfer_costs = {}
         for endpoint in endpoints:
             if endpoint.draining or endpoint.id in excluded:
                 continue
             is_suspect = get_suspicion(endpoint.host)
             if is_suspect is None:
                 continue
-            cost = self.estimate_cost(endpoint, route, objective_s, now)
+            domain = endpoint.failure_domain
+            transfer_cost = transfer_costs.get(domain)
+            if transfer_cost is None:
+                transfer_cost = self.estimate_transfer_cost(domain, route, transfer)
+                transfer_costs[domain] = transfer_cost
+            cost = self._estimate_cost(endpoint, route, objective_s, now, transfer_cost)
             if is_suspect:
                 cost += SUSPECT_COST * objective_s
             costs.append((cost, endpoint))
         return costs
 
     def estimate_cost(
-        self, endpoint: Endpoint, route: str, objective_s: float, now: float
+        self,
+        endpoint: Endpoint,
+        route: str,
+        objective_s: float,
+        now: float,
+        transfer: Transfer = DEFAULT_TRANSFER,
     ) -> float:
         """Return the predicted cost of an attempt, in seconds."""
+        transfer_cost = self.estimate_transfer_cost(
+            endpoint.failure_domain, route, transfer
+        )
+        return self._estimate_cost(endpoint, route, objective_s, now, transfer_cost)
+
+    def estimate_lowest_cost(
+        self,
+        endpoint: Endpoint,
+        route: str,
+        objective_s: float,
+        transfer: Transfer = DEFAULT_TRANSFER,
+    ) -> float:
+        """Return the cost of an attempt if the worker were idle, in seconds."""
+        work_s = self.estimate_work(route, endpoint.service)
+        stats = self._stats_by_id.get(endpoint.id)
+        if stats is not None:
+            work_s *= min(1.0, stats.slowness)
+        late = LATE_COST * estimate_late_probability(work_s, objective_s)
+        share = late + self.estimate_transfer_cost(
+            endpoint.failure_domain, route, transfer
+        )
+        return work_s + share * objective_s
+
+    def estimate_transfer_cost(
+        self, failure_domain: str, route: str, transfer: Transfer
+    ) -> float:
+        """Return the cost of serving a request in a failure domain, in objectives."""
+        if failure_domain == self._failure_domain:
+            return 0.0
+        return estimate_transfer_cost(
+            self.sizes.estimate(route, transfer.request_bytes),
+            self.round_trips.estimate(failure_domain),
+            transfer.urgency,
+            transfer.relief,
+        )
+
+    def _estimate_cost(
+        self,
+        endpoint: Endpoint,
+        route: str,
+        objective_s: float,
+        now: float,
+        transfer_cost: float,
+    ) -> float:
         stats = self._stats_by_id.get(endpoint.id)
         if stats is None:
             stats = self._add_stats(endpoint, now)
@@ -314,7 +370,7 @@
         cost += slowness * service_work_s * UTILIZATION_COST * min(1.0, pending / limit)
         failure_rate = stats.failure_rate.estimate(now)
         return self._add_risks(
-            endpoint, stats, cost, failure_rate, route, objective_s, now
+            endpoint, stats, cost, failure_rate, objective_s, now, transfer_cost
         )
 
     def estimate_probed_cost(
@@ -325,6 +381,7 @@
         route: str,
         objective_s: float,
         now: float,
+        transfer: Transfer = DEFAULT_TRANSFER,
     ) -> float:
         """Return the predicted cost of an attempt on a worker that was just probed.
 
@@ -339,8 +396,8 @@
             Prediction of the node beside the worker, which accepts the request.
         sent_since : int
             Attempts that this node has started on the worker since the reply.
-        route, objective_s, now
-            As in `select_worker`.
+        route, objective_s, now, transfer
+            As in `estimate_costs`.
 
         Returns
         -------
@@ -363,19 +420,22 @@
         cost += reply.delay_s + work_s * queued_since / limit
         # Failures of links are known only here, those of the worker better there.
         failure_rate = max(reply.failure_rate, stats.failure_rate.estimate(now))
+        transfer_cost = self.estimate_transfer_cost(
+            endpoint.failure_domain, route, transfer
+        )
         return self._add_risks(
-            endpoint, stats, cost, failure_rate, route, objective_s, now
+            endpoint, stats, cost, failure_rate, objective_s, now, transfer_cost
         )
 
     def _add_risks(
-        self, endpoint, stats, time_s, failure_rate, route, objective_s, now
+        self, endpoint, stats, time_s, failure_rate, objective_s, now, transfer_cost
     ) -> float:
         """Add to a predicted time the costs of the path, of lateness and failure."""
         cost = time_s
         cost += LATE_COST * objective_s * estimate_late_probability(cost, objective_s)
         cost += FAILURE_COST * objective_s * failure_rate
         if endpoint.failure_domain != self._failure_domain:
-            cost += self._estimate_cross_domain_share(route) * objective_s
+            cost += transfer_cost * objective_s
         elif endpoint.host != self._host:
             cost += HOP_COST_S
         if now < stats.backoff_until:
@@ -384,18 +444,6 @@
             cost += 100.0 + stats.backoff_until - now
         return cost
 
-    def _estimate_cross_domain_share(self, route: str) -> float:
-        """Return the cost of another failure domain, in objectives.
-
-        Traffic between domains is expensive by the byte. Moving a short answer is
-        cheaper than making it late.
-        """
-        kilobytes = self._route_kilobytes.get(route)
-        if kilobytes is None:
-            return MAX_CROSS_DOMAIN_COST
-        share = CROSS_DOMAIN_COST + CROSS_DOMAIN_COST_PER_KB * kilobytes
-        return min(MAX_CROSS_DOMAIN_COST, share)
-
     def start(self, endpoint: Endpoint, now: float) -> None:
         """Record the start of an attempt."""
         stats = self._stats_by_id.get(endpoint.id) or self._add_stats(endpoint, now)
@@ -445,9 +493,7 @@
 
     def record_size(self, route: str, size_bytes: int) -> None:
         """Record the size of a request and its answer, in bytes."""
-        kilobytes = size_bytes / 1000
-        mean = self._route_kilobytes.get(route, kilobytes)
-        self._route_kilobytes[route] = mean + SIZE_GAIN * (kilobytes - mean)
+        self.sizes.record(route, size_bytes)
 
     def record_failure(self, endpoint: Endpoint, now: float) -> None:
         """Record an attempt that the worker failed or refused."""
--- a/packages/core/src/mangowell_core/mesh/probing.py
+++ b/packages/core/src/mangowell_core/mesh/probing.py
@@ -11,6 +11,12 @@
 import math
 from operator import itemgetter
 
+from mangowell_core.mesh.crossing import (
+    DEFAULT_TRANSFER,
+    REFUSAL_COST,
+    Spillover,
+    Transfer,
+)
 from mangowell_core.mesh.model import Endpoint, ProbeReply
 from mangowell_core.mesh.placement import Placement
 
@@ -26,6 +32,8 @@
 MAX_REPLY_WAIT_WHEN_FREE_S = 0.004
 # Weight of the newest observation in the share of remote probes that were useful.
 USEFUL_GAIN = 0.1
+# Lower bound of the objective in the unit of costs, for routes without one, seconds.
+MIN_OBJECTIVE_S = 0.1
 # Chance of remote probes while none is useful, so that a change is noticed.
 MIN_REMOTE_CHANCE = 0.1
 # Ratio of the chance of remote probes to the share that was useful.
@@ -121,7 +129,12 @@
         return min(reply.delay_s for _, reply, _ in self._replies if not reply.accepted)
 
     def select(
-        self, placement: Placement, route: str, objective_s: float, now: float
+        self,
+        placement: Placement,
+        route: str,
+        objective_s: float,
+        now: float,
+        transfer: Transfer = DEFAULT_TRANSFER,
     ) -> tuple[float, Endpoint | None]:
         """Return the worker of the lowest predicted cost that accepts the request.
 
@@ -139,6 +152,7 @@
                     route,
                     objective_s,
                     now,
+                    transfer,
                 ),
                 endpoint,
             )
@@ -146,3 +160,53 @@
             if reply.accepted
         ]
         return min(costs, key=itemgetter(0), default=(math.inf, None))
+
+    def may_leave(
+        self,
+        placement: Placement,
+        spillover: Spillover,
+        sample: list[tuple[float, Endpoint]],
+        route: str,
+        objective_s: float,
+        now: float,
+        transfer: Transfer,
+    ) -> bool:
+        """Return whether to ask other failure domains, after the replies of this one.
+
+        They are asked only if their answer can change the decision: if an idle worker
+        there would cost less, with the transfer, than staying.
+
+        Parameters
+        ----------
+        placement : Placement
+            Predicts the costs.
+        spillover : Spillover
+            Decides at random, see `Spillover.is_due`.
+        sample : list of (float, Endpoint)
+            Workers of other domains that would be asked.
+        route, objective_s, now, transfer
+            As in `Placement.estimate_costs`.
+        """
+        if not sample:
+            return False
+        if not self._asked:
+            return True
+        home_s, _ = self.select(placement, route, objective_s, now, transfer)
+        service = sample[0][1].service
+        is_refused = home_s == math.inf
+        spillover.record_home(service, transfer.urgency, is_refused)
+        transfer.relief = spillover.estimate_relief(service, transfer.urgency)
+        unit_s = max(objective_s, MIN_OBJECTIVE_S)
+        if self.are_all_refused:
+            home_s = REFUSAL_COST * unit_s
+        remote_s = min(
+            placement.estimate_lowest_cost(endpoint, route, objective_s, transfer)
+            for _, endpoint in sample
+        )
+        return spillover.is_due(
+            service,
+            transfer.urgency,
+            home_s / unit_s,
+            remote_s / unit_s,
+            is_refused,
+        )
--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -111,6 +111,7 @@
         self.ready: asyncio.Future = self.loop.create_future()
         self.leaving = False
         self.last_used_at = monotonic()
+        self._authenticated_at = 0.0
         self._handlers = {FrameType.HELLO: self._on_hello}
 
     @property
@@ -146,6 +147,7 @@
         self._server_nonce = nonce
         proof = compute_proof(self._key, b"client", nonce, self._nonce, self._name)
         self.send(FrameType.AUTHENTICATE, 0, self._nonce + proof + self._name)
+        self._authenticated_at = monotonic()
         self._handlers = {FrameType.WELCOME: self._on_welcome}
 
     def _on_welcome(self, stream_id: int, payload: bytes) -> None:
@@ -155,6 +157,7 @@
         if not hmac.compare_digest(proof, payload):
             raise LinkAuthenticationError("peer does not know the fleet's secret")
         self._end_handshake()
+        self._report_round_trip(monotonic() - self._authenticated_at)
         self._handlers = {
             ANSWER_FRAME: self._on_answer,
             FrameType.DATA: self._on_data,
@@ -387,6 +390,7 @@
         self._emit = emit
         self._local_address = None if host is None else (host, 0)
         self.on_notice: Callable[[Link, bytes], None] | None = None
+        self.on_round_trip: Callable[[Link, float], None] | None = None
         self._links: dict[tuple[str, int], ClientLink] = {}
         # Addresses whose last link failed or did not open.
         self._unreachable: set[tuple[str, int]] = set()
@@ -478,6 +482,7 @@
         link = ClientLink(self._key, self._name)
         # The first notice may arrive together with the end of the handshake.
         link.on_notice = self.on_notice
+        link.on_round_trip = self.on_round_trip
         link.on_silent = self._mark_suspect_links
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -185,11 +185,15 @@
         self._silent_since = 0.0
         self._last_check_at = 0.0
         self._last_ping_at = 0.0
+        # Time of the ping that has no answer yet; 0 if there is none.
+        self._ping_sent_at = 0.0
         self.last_received_at = 0.0
         # Whether the link may be silent, such as after a ping without an answer.
         self.is_suspect = False
         self.on_silent: Callable[[Link], None] | None = None
         self.on_notice: Callable[[Link, bytes], None] | None = None
+        # Takes the round trip of a handshake or ping, in seconds.
+        self.on_round_trip: Callable[[Link, float], None] | None = None
         self._check_timer: asyncio.TimerHandle | None = None
         self._paused = False
         self._drain_waiters: list[asyncio.Future] = []
@@ -336,13 +340,19 @@
 
     def _ping(self, now: float) -> None:
         self.send(FrameType.PING)
-        self._last_ping_at = now
+        self._last_ping_at = self._ping_sent_at = now
 
     def _on_ping(self, stream_id: int, payload: bytes) -> None:
         self.send(FrameType.PONG)
 
     def _on_pong(self, stream_id: int, payload: bytes) -> None:
-        pass
+        sent_at, self._ping_sent_at = self._ping_sent_at, 0.0
+        if sent_at:
+            self._report_round_trip(monotonic() - sent_at)
+
+    def _report_round_trip(self, seconds: float) -> None:
+        if self.on_round_trip is not None:
+            self.on_round_trip(self, seconds)
 
     @property
     def is_authenticated(self) -> bool:
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -14,6 +14,7 @@
     StoppingPeers,
     WorkerStates,
 )
+from mangowell_core.mesh.crossing import Spillover, Transfer
 from mangowell_core.mesh.model import ProbeNotice, ProbeReply
 from mangowell_core.mesh.placement import LoadReport
 from mangowell_core.mesh.probing import (
@@ -51,7 +52,8 @@
         self._end = self._loop.create_future()
         self._timer = self._loop.call_later(MAX_REPLY_WAIT_S, self._finish)
         self.results = results
-        self.unanswered: dict[int, tuple[Endpoint, Link]] = {}
+        # Probed workers, their links and the times of the probes.
+        self.unanswered: dict[int, tuple[Endpoint, Link, float]] = {}
 
     def update(self) -> None:
         """Adapt the wait to the replies that have arrived."""
@@ -117,9 +119,11 @@
         self._worker_states = worker_states
         self._get_suspicion = get_suspicion
         self._remote_probing = RemoteProbing(rng)
+        self._spillover = Spillover(rng)
         self.stopping_peers = StoppingPeers()
         self._numbers = itertools.count(1)
         self._rounds: dict[int, _Round] = {}
+        links.on_round_trip = self._record_round_trip
 
     async def select_worker(self, state: RequestState) -> Endpoint | None:
         """Return the worker for the next attempt of a request.
@@ -134,7 +138,8 @@
         AttemptError
             If all workers that were asked would refuse the request.
         """
-        costs = self._estimate_costs(state, state.excluded)
+        transfer = self._make_transfer(state)
+        costs = self._estimate_costs(state, state.excluded, transfer)
         likely = self._placement.select_cheapest(costs)
         if likely is None or self._is_free_here(state, likely):
             return likely
@@ -143,8 +148,8 @@
         await self._run_round(state, results, self._sample(state, local, LOCAL_PROBES))
         if not results.has_free_worker:
             sample = self._sample(state, remote, REMOTE_PROBES)
-            await self._probe_remote(state, results, sample)
-        _, selected = self._select_probed(state, results)
+            await self._probe_remote(state, results, sample, transfer)
+        _, selected = self._select_probed(state, results, transfer)
         if selected is not None:
             return selected
         if results.asked and results.are_all_refused:
@@ -153,26 +158,47 @@
                 Cause.OVERLOADED, reason, retry_after_s=results.shortest_retry_s
             )
             raise AttemptError(refusal)
-        costs = self._estimate_costs(state, state.excluded | results.asked)
-        return self._placement.select_cheapest(costs) or likely
+        get_suspicion = self._make_suspicion(state)
+        unasked = [
+            pair
+            for pair in costs
+            if pair[1].id not in results.asked
+            and get_suspicion(pair[1].host) is not None
+        ]
+        return self._placement.select_cheapest(unasked) or likely
 
     async def _probe_remote(
         self,
         state: RequestState,
         results: ProbeResults,
         sample: list[tuple[float, Endpoint]],
+        transfer: Transfer,
     ) -> None:
         """Ask workers of other failure domains if one of them may be better."""
-        lowest_cost_s, _ = self._select_probed(state, results)
-        if all(cost_s >= lowest_cost_s for cost_s, _ in sample):
+        route = state.route
+        if not results.may_leave(
+            self._placement,
+            self._spillover,
+            sample,
+            route.name,
+            route.objective_s,
+            monotonic(),
+            transfer,
+        ):
             return
         if results.asked and not self._remote_probing.is_due(state.service):
             return
         await self._run_round(state, results, sample)
-        _, selected = self._select_probed(state, results)
+        _, selected = self._select_probed(state, results, transfer)
         was_useful = selected is not None and not self._is_local(selected)
         self._remote_probing.record(state.service, was_useful)
 
+    def _make_transfer(self, state: RequestState) -> Transfer:
+        head = state.head
+        size = len(head.headers) + max(len(head.body), head.length)
+        self._placement.sizes.record_request(state.route.name, size)
+        return Transfer(state.route.priority, head.is_call, size)
+
     def _is_local(self, endpoint: Endpoint) -> bool:
         return endpoint.failure_domain == self._settings.failure_domain
 
@@ -207,15 +233,15 @@
         )
 
     def _select_probed(
-        self, state: RequestState, results: ProbeResults
+        self, state: RequestState, results: ProbeResults, transfer: Transfer
     ) -> tuple[float, Endpoint | None]:
         route = state.route
         return results.select(
-            self._placement, route.name, route.objective_s, monotonic()
+            self._placement, route.name, route.objective_s, monotonic(), transfer
         )
 
     def _estimate_costs(
-        self, state: RequestState, excluded: set[str]
+        self, state: RequestState, excluded: set[str], transfer: Transfer
     ) -> list[tuple[float, Endpoint]]:
         return self._placement.estimate_costs(
             self._get_workers(state.service),
@@ -224,6 +250,7 @@
             excluded,
             monotonic(),
             self._make_suspicion(state),
+            transfer,
         )
 
     def _make_suspicion(self, state: RequestState) -> Callable[[str], bool | None]:
@@ -273,7 +300,7 @@
         try:
             await pending.wait()
         finally:
-            for number, (_, link) in pending.unanswered.items():
+            for number, (_, link, _) in pending.unanswered.items():
                 self._rounds.pop(number, None)
                 link.check_alive()
 
@@ -289,7 +316,7 @@
         if link is None or not link.is_usable:
             return
         pending.results.start_probe(endpoint)
-        pending.unanswered[probe.probe] = endpoint, link
+        pending.unanswered[probe.probe] = endpoint, link, monotonic()
         self._rounds[probe.probe] = pending
         link.send_notice(encode_notice(probe))
 
@@ -299,6 +326,12 @@
         in_flight = self._placement.count_in_flight(endpoint)
         pending.results.record_reply(endpoint, reply, in_flight)
 
+    def _record_round_trip(self, link: Link, seconds: float) -> None:
+        now = monotonic()
+        for endpoint in self._directory.look_up_host(link.address[0]):
+            domain = endpoint.failure_domain
+            self._placement.round_trips.record(domain, seconds, now)
+
     def answer_probe(self, link: Link, probe: ProbeNotice) -> None:
         """Answer the probe of another node."""
         link.send_notice(encode_notice(self._runner.predict(probe)))
@@ -308,8 +341,10 @@
         pending = self._rounds.pop(reply.probe, None)
         if pending is None:
             return
-        endpoint, _ = pending.unanswered.pop(reply.probe)
+        endpoint, _, sent_at = pending.unanswered.pop(reply.probe)
+        now = monotonic()
+        self._placement.round_trips.record(endpoint.failure_domain, now - sent_at, now)
         self._record_reply(pending, endpoint, reply)
         load = LoadReport(reply.pending, reply.limit)
-        self._placement.record_load(endpoint, load, monotonic())
+        self._placement.record_load(endpoint, load, now)
         pending.update()
