Try another worker after 421, and never pass 421 to a caller

After a loss of all machines, 625 responses 421 of workers reached callers. A worker had started at the address of another one, the list still showed the old one, and its 421 counted as an attempt that reached a worker, so it was the final response once the attempts or the retry budget were used up.

The node beside the worker now reports 421 as a refusal that was not run. It counts neither as an attempt nor against the budget. If the worker states its Instance-Id, the node refuses requests and probes for the listed worker at once until the entry changes; once a second a request checks again, as a kept connection may lead to a worker that is ending. A refusal of a full worker that names no Retry-After is replaced by one of the node that does.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -476,6 +476,7 @@
             self._has_skipped_refusal = False
             if head.is_not_run:
                 self._pool.record_refusal(found is not None)
+                head.instance = dialect.read_instance(headers)
             head.slots = dialect.read_slots(headers)
             head.rate_limit = dialect.read_rate_limit(headers)
             head.is_leaving = dialect.is_leaving(headers)
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -217,6 +217,9 @@
     pace : float
         How long work takes on the backend server's machine now, relative to usual; 0
         if unknown.
+    instance : str
+        Id that a backend server states which did not run a request because another
+        one was expected; else empty.
     """
 
     status: _Status
@@ -238,6 +241,7 @@
     rate_limit: _RateLimit = -1.0
     is_leaving: bool = False
     pace: _Finite = 0.0
+    instance: str = ""
 
 
 class Answer:
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -281,6 +281,12 @@
         was_granted, state.retry_granted = state.retry_granted, None
         try:
             answer = await self._send(state, endpoint)
+            if answer.head.status == HTTPStatus.MISDIRECTED_REQUEST:
+                # From a node of an earlier version; others report it as a refusal.
+                _close(answer)
+                raise AttemptError(
+                    refuse(Cause.NO_INSTANCE, "another worker has answered")
+                )
         except AttemptError as exc:
             self._record_error(endpoint, exc)
             is_unsent = exc.refusal.outcome is Outcome.NOT_RUN
@@ -296,17 +302,16 @@
         finally:
             placement.finish(endpoint)
         now = monotonic()
-        if answer.head.status != HTTPStatus.MISDIRECTED_REQUEST:
-            self._worker_states.record(
-                endpoint, answer.head.rate_limit, answer.head.is_leaving
-            )
+        self._worker_states.record(
+            endpoint, answer.head.rate_limit, answer.head.is_leaving
+        )
         if answer.head.pending >= 0:
             slots = answer.head.slots or endpoint.slots
             load = LoadReport(answer.head.pending, slots)
             placement.record_load(endpoint, load, now)
         if answer.head.is_not_run:
             placement.record_failure(endpoint, now)
-            state.refusals += answer.head.status != HTTPStatus.MISDIRECTED_REQUEST
+            state.refusals += 1
             state.may_have_run = may_have_run_before
             state.answer = answer
             return False
@@ -349,7 +354,7 @@
         elif cause is Cause.OVERLOADED:
             load = LoadReport(int(exc.backend_load), exc.slots or endpoint.slots)
             self.placement.record_load(endpoint, load, now)
-        elif cause in _WORKER_FAILURE_CAUSES:
+        elif cause in _WORKER_FAILURE_CAUSES or cause is Cause.NO_INSTANCE:
             self.placement.record_failure(endpoint, now)
 
 
@@ -358,6 +363,12 @@
     return may_offer_again(state.refusals, elapsed_s, state.route.objective_s)
 
 
+def _close(answer: Answer) -> None:
+    """Release an answer that is not passed on."""
+    if answer.stream is not None:
+        answer.stream.close()
+
+
 def _compute_size(head: RequestHead, answer: Answer) -> int:
     """Return the bytes that a request and its answer take on a link."""
     body_bytes = max(len(answer.head.body), answer.head.length)
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -371,11 +371,10 @@
     # Replies
 
     def _make_reply(self, state: RequestState, request: str) -> Reply:
-        answer = state.answer
-        if answer is not None and answer.head.is_not_run and state.may_have_run:
-            # This worker did not run the request, but an earlier one may have.
-            answer = None
+        answer = state.passed_on_answer
         if answer is None:
+            if state.answer is not None and state.answer.stream is not None:
+                state.answer.stream.close()
             refusal = state.make_refusal()
             return self._make_refusal_reply(
                 request, state, refusal, state.call.arrived_at
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -1,6 +1,7 @@
 """State of one request on the platform's request path."""
 
 from enum import Enum
+from http import HTTPStatus
 
 from mangowell_core.mesh import Endpoint, MeshRoute
 from mangowell_core.policy.outcome import Stage, refuse
@@ -8,6 +9,10 @@
 from mangowell_node.exchange import Answer, AttemptError, RequestHead
 from mangowell_node.ingress import IncomingCall
 
+# Retry-After value if workers have refused a request without naming one, in seconds:
+# about the time in which a worker completes a request.
+REFUSED_RETRY_AFTER_S = 0.3
+
 
 class EndReason(Enum):
     """Reason why no further attempt was made; the values are those of the events."""
@@ -80,8 +85,31 @@
         self.answer: Answer | None = None
         self.error: AttemptError | None = None
 
+    @property
+    def passed_on_answer(self) -> Answer | None:
+        """Answer that the caller gets, or None if it gets a refusal of the node.
+
+        A worker that did not run the request may only speak for itself. If it is full
+        and names no time to retry, the refusal of the node is more useful.
+        """
+        answer = self.answer
+        if answer is None or not answer.head.is_not_run:
+            return answer
+        # An earlier worker may have run the request.
+        if self.may_have_run:
+            return None
+        is_full = answer.head.status == HTTPStatus.SERVICE_UNAVAILABLE
+        names_retry = b"\nretry-after:" in b"\n" + answer.head.headers.lower()
+        return None if is_full and not names_retry else answer
+
     def make_refusal(self) -> Refusal:
         """Return the refusal for a request that no worker has answered."""
+        if self.error is None and not self.may_have_run:
+            return refuse(
+                Cause.OVERLOADED,
+                f"workers of {self.service} have refused the request",
+                retry_after_s=REFUSED_RETRY_AFTER_S,
+            )
         if self.error is None:
             return refuse(Cause.CONNECTION_LOST, "outcome unknown", stage=Stage.SENT)
         refusal = self.error.refusal
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -55,6 +55,10 @@
 CRASH_WINDOW_S = 0.05
 # Retry-After value if another worker is listed here, in seconds.
 NO_INSTANCE_RETRY_AFTER_S = 0.2
+# Time for which requests for a worker are refused after another worker has answered at
+# its address, in seconds. A kept connection may lead to a worker that is ending while
+# the listed one starts, so a request checks again after this time.
+MISPLACED_RECHECK_S = 1.0
 # A change of a worker's rate limit by this factor is logged.
 LOGGED_LIMIT_RATIO = 1.25
 # Calls of running requests precede new requests of any priority.
@@ -115,6 +119,8 @@
         self._settings = settings
         self._directory = directory
         self._local_worker: Endpoint | None = None
+        # Time until which the listed worker counts as gone, in monotonic seconds.
+        self._misplaced_until = -math.inf
         self._running_ids: set[str] = set()
         # Time at which the node ends, in monotonic seconds. A request with a later
         # deadline might be cut, so it is left to the worker of another node.
@@ -138,6 +144,7 @@
         local_worker = self._directory.look_up_address(worker.host, worker.port)
         previous, self._local_worker = self._local_worker, local_worker
         if previous is not None and not _is_same_start(previous, local_worker):
+            self._misplaced_until = -math.inf
             self._clear_queue(_make_unlisted_refusal())
             self.pool.forget_refusals()
             self._completed.clear()
@@ -246,6 +253,8 @@
         local_worker = self._local_worker
         if local_worker is None or local_worker.id != head.instance:
             raise AttemptError(_make_unlisted_refusal())
+        if self._is_misplaced:
+            raise AttemptError(_make_misplaced_refusal())
         if self._is_leaving(local_worker):
             raise AttemptError(_make_leaving_refusal())
         if self._is_evacuated:
@@ -260,13 +269,16 @@
             started = monotonic()
             self._running_ids.add(head.request)
             answer = await self._exchange(head, deadline)
+            if answer.head.status == HTTPStatus.MISDIRECTED_REQUEST:
+                raise self._make_misdirected_error(local_worker, answer)
             self._record_statements(local_worker, answer.head)
             has_run = not answer.head.is_not_run and answer.head.status < 500
             self._failure_rate.record(not has_run, monotonic())
             answer.head.work_s = monotonic() - started
             return answer
-        except AttemptError:
-            self._failure_rate.record(True, monotonic())
+        except AttemptError as exc:
+            if exc.refusal.cause is not Cause.NO_INSTANCE:
+                self._failure_rate.record(True, monotonic())
             raise
         finally:
             self._running_ids.discard(head.request)
@@ -299,6 +311,7 @@
         if (
             local_worker is None
             or local_worker.id != probe.instance
+            or self._is_misplaced
             or self._is_leaving(local_worker)
             or self._is_evacuated
             or now + probe.remaining_s > self._end_deadline
@@ -397,11 +410,30 @@
 
     # Statements of the worker
 
+    @property
+    def _is_misplaced(self) -> bool:
+        """Whether another worker than the listed one has answered here recently."""
+        return monotonic() < self._misplaced_until
+
+    def _make_misdirected_error(self, worker: Endpoint, answer: Answer) -> AttemptError:
+        """Return the error for a request that another worker did not run.
+
+        Only a stated id proves that the listed worker is gone. Its requests are then
+        refused, including those that wait, until the entry changes.
+        """
+        if answer.stream is not None:
+            answer.stream.close()
+        found = answer.head.instance
+        if found and found != worker.id and _is_same_start(worker, self._local_worker):
+            if not self._is_misplaced:
+                fields = {"backend": worker.id, "found": found}
+                self._emit(Event(EventCode.CALL_MISDIRECTED, fields))
+            self._misplaced_until = monotonic() + MISPLACED_RECHECK_S
+            self._clear_queue(_make_misplaced_refusal())
+        return AttemptError(_make_misplaced_refusal())
+
     def _record_statements(self, worker: Endpoint, head: AnswerHead) -> None:
         """Record what the worker states about itself in an answer."""
-        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-            # Another worker has answered.
-            return
         # The entry may have changed since the request was sent.
         is_local = _is_same_start(worker, self._local_worker)
         was_leaving = self._worker_states.get(worker).is_leaving
@@ -569,6 +601,14 @@
     )
 
 
+def _make_misplaced_refusal() -> Refusal:
+    return refuse(
+        Cause.NO_INSTANCE,
+        "another worker has answered here",
+        retry_after_s=NO_INSTANCE_RETRY_AFTER_S,
+    )
+
+
 def _make_leaving_refusal() -> Refusal:
     return refuse(Cause.LEAVING, "worker is leaving")
 
