Answer 503 when a request has provably reached no worker

As soon as an attempt had begun, the time limit was answered as an unknown outcome, although the request only waited for a link, in the queue of its node, or after a refusal of a worker. A request in the queue of another node learned nothing in time, and a deadline before sending was answered 504.

An attempt now records when it leaves the node: after its link has opened, or after the local queue has admitted it. A time limit before that is 503 with Retry-After. The node beside the worker refuses a waiting request 30 ms before its deadline, so that the refusal arrives in time. A slow body is answered 503. Requests on links that are lost, and those in queues of others when the node at which they entered stops, keep 502 and 504.

Without the margin a request in the queue of another node gets 504.

--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -279,6 +279,7 @@
         state.attempts += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
         was_granted, state.retry_granted = state.retry_granted, None
+        state.is_passed_on = False
         try:
             answer = await self._send(state, endpoint)
             if answer.head.status == HTTPStatus.MISDIRECTED_REQUEST:
@@ -299,6 +300,12 @@
             if not (is_unsent and state.error is not None and state.may_have_run):
                 state.error = _select_error(state.error, exc)
             return False
+        except asyncio.CancelledError:
+            if not state.is_passed_on:
+                # It waited for a link or in the queue of this node, and has left both.
+                state.attempts -= 1
+                state.may_have_run = may_have_run_before
+            raise
         finally:
             placement.finish(endpoint)
         now = monotonic()
@@ -327,10 +334,13 @@
 
     async def _send(self, state: RequestState, endpoint: Endpoint) -> Answer:
         if endpoint.host == self._settings.worker.host:
-            return await self._runner.run(state.head, None, state.deadline)
+            return await self._runner.run(
+                state.head, None, state.deadline, state.pass_on
+            )
         port = self._settings.link.port
         deadline = min(state.deadline, monotonic() + CONNECT_WAIT_S)
         await self._links.connect(endpoint.host, port, deadline)
+        state.pass_on()
         preparation: asyncio.Task | None = None
 
         def on_silence(give_up: Callable[[], None]) -> None:
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -36,7 +36,11 @@
 from mangowell_node.link import LinkPool
 from mangowell_node.mesh.attempts import AttemptLoop
 from mangowell_node.mesh.body_budget import BodyBudget, BodyBudgetError
-from mangowell_node.mesh.request_state import EndReason, RequestState
+from mangowell_node.mesh.request_state import (
+    EndReason,
+    RequestState,
+    make_unsent_refusal,
+)
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.platform import (
     PlatformDialect,
@@ -233,7 +237,7 @@
             async with self._limit_time(state):
                 await self.attempts.run(state)
         except TimeoutError:
-            stage = Stage.SENT if state.attempts else Stage.UNSENT
+            stage = Stage.SENT if state.may_have_run else Stage.UNSENT
             reason = "time limit of the route or the caller reached"
             if self._is_cut_by_stop(state):
                 reason = "time for stopping has passed"
@@ -307,7 +311,7 @@
         except TimeoutError:
             if self._is_cut_by_stop(state):
                 return _make_stopping_refusal()
-            return refuse(Cause.DEADLINE, "request body arrives too slowly")
+            return make_unsent_refusal("request body arrives too slowly")
         except BodyBudgetError as exc:
             return refuse(Cause.OVERLOADED, str(exc))
         if body is None:
@@ -371,7 +375,7 @@
     # Replies
 
     def _make_reply(self, state: RequestState, request: str) -> Reply:
-        answer = state.passed_on_answer
+        answer = state.caller_answer
         if answer is None:
             if state.answer is not None and state.answer.stream is not None:
                 state.answer.stream.close()
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -54,6 +54,7 @@
         "has_reset_exclusions",
         "head",
         "held_body_bytes",
+        "is_passed_on",
         "may_have_run",
         "next_worker",
         "refusals",
@@ -81,12 +82,18 @@
         self.next_worker: Endpoint | None = None
         self.has_reset_exclusions = False
         self.may_have_run = False
+        # Whether the current attempt has left this node for a worker or another node.
+        self.is_passed_on = False
         self.ended_by = EndReason.NOT_STARTED
         self.answer: Answer | None = None
         self.error: AttemptError | None = None
 
+    def pass_on(self) -> None:
+        """Record that the current attempt leaves this node."""
+        self.is_passed_on = True
+
     @property
-    def passed_on_answer(self) -> Answer | None:
+    def caller_answer(self) -> Answer | None:
         """Answer that the caller gets, or None if it gets a refusal of the node.
 
         A worker that did not run the request may only speak for itself. If it is full
@@ -116,4 +123,20 @@
         if self.may_have_run and refusal.outcome is Outcome.NOT_RUN:
             # An earlier attempt may have run, so the outcome is unknown.
             return refuse(Cause.CONNECTION_LOST, refusal.reason, stage=Stage.SENT)
+        if refusal.cause is Cause.DEADLINE and refusal.outcome is Outcome.NOT_RUN:
+            return make_unsent_refusal(refusal.reason)
         return refusal
+
+
+def make_unsent_refusal(reason: str) -> Refusal:
+    """Return the refusal of a request whose time has passed before it left this node.
+
+    504 would not tell that it was not run, and a caller may not repeat it then.
+    """
+    return Refusal(
+        Outcome.NOT_RUN,
+        Cause.DEADLINE,
+        HTTPStatus.SERVICE_UNAVAILABLE.value,
+        REFUSED_RETRY_AFTER_S,
+        reason,
+    )
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -46,6 +46,12 @@
 MAX_UNSAFE_IDLE_S = 0.5
 # Interval at which waiting requests are checked, in seconds.
 SWEEP_INTERVAL_S = 0.02
+# Time before its deadline at which a waiting request is refused, in seconds. Its caller
+# then learns that it was not run: the refusal has to arrive before the node at which
+# the request entered gives it up, over a link of up to 10 ms and a busy event loop.
+QUEUE_MARGIN_S = 0.03
+# Retry-After value of a request that has waited until its deadline, in seconds.
+QUEUE_RETRY_AFTER_S = 0.2
 # Limit of concurrent requests until the worker is listed: that of a small worker.
 DEFAULT_SLOTS = 6
 # Connections of the worker that are reserved for others, such as health checks.
@@ -65,6 +71,10 @@
 CALL_RANK = -1
 
 
+def _ignore_admission() -> None:
+    """Ignore the admission of a request from another node."""
+
+
 class _Waiter:
     """Request that waits for a slot."""
 
@@ -229,7 +239,13 @@
         """Return whether the worker runs the request with this id now."""
         return request in self._running_ids
 
-    async def run(self, head: RequestHead, body: Body | None, deadline: float):
+    async def run(
+        self,
+        head: RequestHead,
+        body: Body | None,
+        deadline: float,
+        on_admitted: Callable[[], None] = _ignore_admission,
+    ) -> Answer:
         """Run a request at the worker.
 
         Parameters
@@ -240,6 +256,9 @@
             Unused: the body is part of the head.
         deadline : float
             Monotonic time, in seconds.
+        on_admitted : callable, optional
+            Called before the request may reach the worker. If `run` is cancelled
+            before that, the request never runs.
 
         Returns
         -------
@@ -266,6 +285,7 @@
         ticket = await self._admit(head, deadline)
         has_run = False
         try:
+            on_admitted()
             started = monotonic()
             self._running_ids.add(head.request)
             answer = await self._exchange(head, deadline)
@@ -353,6 +373,9 @@
         waiter = self._waiters[ticket] = _Waiter(self._loop.create_future(), deadline)
         # A more urgent request may delay others past their latest start.
         self._refuse_expired()
+        timer = self._loop.call_later(
+            deadline - QUEUE_MARGIN_S - monotonic(), self._refuse_late, ticket
+        )
         try:
             await waiter.fut
         except asyncio.CancelledError:
@@ -362,9 +385,16 @@
                 self.admission.cancel(ticket)
             raise
         finally:
+            timer.cancel()
             self._waiters.pop(ticket, None)
         return ticket
 
+    def _refuse_late(self, ticket: Ticket) -> None:
+        """Refuse a request that waits until shortly before its deadline."""
+        if not ticket.is_running:
+            self.admission.cancel(ticket)
+            self._fail_waiter(ticket, self._make_overload_error(QUEUE_RETRY_AFTER_S))
+
     def _make_overload_error(self, retry_after_s: float) -> AttemptError:
         reason = f"{self.admission.waiting} requests wait for the worker"
         refusal = refuse(Cause.OVERLOADED, reason, retry_after_s=retry_after_s)
