--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -279,8 +279,15 @@
         state.attempts += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
         was_granted, state.retry_granted = state.retry_granted, None
+        state.is_passed_on = False
         try:
             answer = await self._send(state, endpoint)
+            if answer.head.status == HTTPStatus.MISDIRECTED_REQUEST:
+                # From a node of an earlier version; others report it as a refusal.
+                _close(answer)
+                raise AttemptError(
+                    refuse(Cause.NO_INSTANCE, "another worker has answered")
+                )
         except AttemptError as exc:
             self._record_error(endpoint, exc)
             is_unsent = exc.refusal.outcome is Outcome.NOT_RUN
@@ -293,20 +300,25 @@
             if not (is_unsent and state.error is not None and state.may_have_run):
                 state.error = _select_error(state.error, exc)
             return False
+        except asyncio.CancelledError:
+            if not state.is_passed_on:
+                # It waited for a link or in the queue of this node, and has left both.
+                state.attempts -= 1
+                state.may_have_run = may_have_run_before
+            raise
         finally:
             placement.finish(endpoint)
         now = monotonic()
-        if answer.head.status != HTTPStatus.MISDIRECTED_REQUEST:
-            self._worker_states.record(
-                endpoint, answer.head.rate_limit, answer.head.is_leaving
-            )
+        self._worker_states.record(
+            endpoint, answer.head.rate_limit, answer.head.is_leaving
+        )
         if answer.head.pending >= 0:
             slots = answer.head.slots or endpoint.slots
             load = LoadReport(answer.head.pending, slots)
             placement.record_load(endpoint, load, now)
         if answer.head.is_not_run:
             placement.record_failure(endpoint, now)
-            state.refusals += answer.head.status != HTTPStatus.MISDIRECTED_REQUEST
+            state.refusals += 1
             state.may_have_run = may_have_run_before
             state.answer = answer
             return False
@@ -322,10 +334,13 @@
 
     async def _send(self, state: RequestState, endpoint: Endpoint) -> Answer:
         if endpoint.host == self._settings.worker.host:
-            return await self._runner.run(state.head, None, state.deadline)
+            return await self._runner.run(
+                state.head, None, state.deadline, state.pass_on
+            )
         port = self._settings.link.port
         deadline = min(state.deadline, monotonic() + CONNECT_WAIT_S)
         await self._links.connect(endpoint.host, port, deadline)
+        state.pass_on()
         preparation: asyncio.Task | None = None
 
         def on_silence(give_up: Callable[[], None]) -> None:
@@ -349,7 +364,7 @@
         elif cause is Cause.OVERLOADED:
             load = LoadReport(int(exc.backend_load), exc.slots or endpoint.slots)
             self.placement.record_load(endpoint, load, now)
-        elif cause in _WORKER_FAILURE_CAUSES:
+        elif cause in _WORKER_FAILURE_CAUSES or cause is Cause.NO_INSTANCE:
             self.placement.record_failure(endpoint, now)
 
 
@@ -358,6 +373,12 @@
     return may_offer_again(state.refusals, elapsed_s, state.route.objective_s)
 
 
+def _close(answer: Answer) -> None:
+    """Release an answer that is not passed on."""
+    if answer.stream is not None:
+        answer.stream.close()
+
+
 def _compute_size(head: RequestHead, answer: Answer) -> int:
     """Return the bytes that a request and its answer take on a link."""
     body_bytes = max(len(answer.head.body), answer.head.length)
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -1,6 +1,7 @@
 """State of one request on the platform's request path."""
 
 from enum import Enum
+from http import HTTPStatus
 
 from mangowell_core.mesh import Endpoint, MeshRoute
 from mangowell_core.policy.outcome import Stage, refuse
@@ -8,6 +9,10 @@
 from mangowell_node.exchange import Answer, AttemptError, RequestHead
 from mangowell_node.ingress import IncomingCall
 
+# Retry-After value if workers have refused a request without naming one, in seconds:
+# about the time in which a worker completes a request.
+REFUSED_RETRY_AFTER_S = 0.3
+
 
 class EndReason(Enum):
     """Reason why no further attempt was made; the values are those of the events."""
@@ -49,6 +54,7 @@
         "has_reset_exclusions",
         "head",
         "held_body_bytes",
+        "is_passed_on",
         "may_have_run",
         "next_worker",
         "refusals",
@@ -76,16 +82,61 @@
         self.next_worker: Endpoint | None = None
         self.has_reset_exclusions = False
         self.may_have_run = False
+        # Whether the current attempt has left this node for a worker or another node.
+        self.is_passed_on = False
         self.ended_by = EndReason.NOT_STARTED
         self.answer: Answer | None = None
         self.error: AttemptError | None = None
 
+    def pass_on(self) -> None:
+        """Record that the current attempt leaves this node."""
+        self.is_passed_on = True
+
+    @property
+    def caller_answer(self) -> Answer | None:
+        """Answer that the caller gets, or None if it gets a refusal of the node.
+
+        A worker that did not run the request may only speak for itself. If it is full
+        and names no time to retry, the refusal of the node is more useful.
+        """
+        answer = self.answer
+        if answer is None or not answer.head.is_not_run:
+            return answer
+        # An earlier worker may have run the request.
+        if self.may_have_run:
+            return None
+        is_full = answer.head.status == HTTPStatus.SERVICE_UNAVAILABLE
+        names_retry = b"\nretry-after:" in b"\n" + answer.head.headers.lower()
+        return None if is_full and not names_retry else answer
+
     def make_refusal(self) -> Refusal:
         """Return the refusal for a request that no worker has answered."""
+        if self.error is None and not self.may_have_run:
+            return refuse(
+                Cause.OVERLOADED,
+                f"workers of {self.service} have refused the request",
+                retry_after_s=REFUSED_RETRY_AFTER_S,
+            )
         if self.error is None:
             return refuse(Cause.CONNECTION_LOST, "outcome unknown", stage=Stage.SENT)
         refusal = self.error.refusal
         if self.may_have_run and refusal.outcome is Outcome.NOT_RUN:
             # An earlier attempt may have run, so the outcome is unknown.
             return refuse(Cause.CONNECTION_LOST, refusal.reason, stage=Stage.SENT)
+        if refusal.cause is Cause.DEADLINE and refusal.outcome is Outcome.NOT_RUN:
+            return make_unsent_refusal(refusal.reason)
         return refusal
+
+
+def make_unsent_refusal(reason: str) -> Refusal:
+    """Return the refusal of a request whose time has passed before it left this node.
+
+    504 would not tell that it was not run, and a caller may not repeat it then.
+    """
+    return Refusal(
+        Outcome.NOT_RUN,
+        Cause.DEADLINE,
+        HTTPStatus.SERVICE_UNAVAILABLE.value,
+        REFUSED_RETRY_AFTER_S,
+        reason,
+    )
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -46,6 +46,12 @@
 MAX_UNSAFE_IDLE_S = 0.5
 # Interval at which waiting requests are checked, in seconds.
 SWEEP_INTERVAL_S = 0.02
+# Time before its deadline at which a waiting request is refused, in seconds. Its caller
+# then learns that it was not run: the refusal has to arrive before the node at which
+# the request entered gives it up, over a link of up to 10 ms and a busy event loop.
+QUEUE_MARGIN_S = 0.03
+# Retry-After value of a request that has waited until its deadline, in seconds.
+QUEUE_RETRY_AFTER_S = 0.2
 # Limit of concurrent requests until the worker is listed: that of a small worker.
 DEFAULT_SLOTS = 6
 # Connections of the worker that are reserved for others, such as health checks.
@@ -55,12 +61,20 @@
 CRASH_WINDOW_S = 0.05
 # Retry-After value if another worker is listed here, in seconds.
 NO_INSTANCE_RETRY_AFTER_S = 0.2
+# Time for which requests for a worker are refused after another worker has answered at
+# its address, in seconds. A kept connection may lead to a worker that is ending while
+# the listed one starts, so a request checks again after this time.
+MISPLACED_RECHECK_S = 1.0
 # A change of a worker's rate limit by this factor is logged.
 LOGGED_LIMIT_RATIO = 1.25
 # Calls of running requests precede new requests of any priority.
 CALL_RANK = -1
 
 
+def _ignore_admission() -> None:
+    """Ignore the admission of a request from another node."""
+
+
 class _Waiter:
     """Request that waits for a slot."""
 
@@ -115,6 +129,8 @@
         self._settings = settings
         self._directory = directory
         self._local_worker: Endpoint | None = None
+        # Time until which the listed worker counts as gone, in monotonic seconds.
+        self._misplaced_until = -math.inf
         self._running_ids: set[str] = set()
         # Time at which the node ends, in monotonic seconds. A request with a later
         # deadline might be cut, so it is left to the worker of another node.
@@ -138,6 +154,7 @@
         local_worker = self._directory.look_up_address(worker.host, worker.port)
         previous, self._local_worker = self._local_worker, local_worker
         if previous is not None and not _is_same_start(previous, local_worker):
+            self._misplaced_until = -math.inf
             self._clear_queue(_make_unlisted_refusal())
             self.pool.forget_refusals()
             self._completed.clear()
@@ -222,7 +239,13 @@
         """Return whether the worker runs the request with this id now."""
         return request in self._running_ids
 
-    async def run(self, head: RequestHead, body: Body | None, deadline: float):
+    async def run(
+        self,
+        head: RequestHead,
+        body: Body | None,
+        deadline: float,
+        on_admitted: Callable[[], None] = _ignore_admission,
+    ) -> Answer:
         """Run a request at the worker.
 
         Parameters
@@ -233,6 +256,9 @@
             Unused: the body is part of the head.
         deadline : float
             Monotonic time, in seconds.
+        on_admitted : callable, optional
+            Called before the request may reach the worker. If `run` is cancelled
+            before that, the request never runs.
 
         Returns
         -------
@@ -246,6 +272,8 @@
         local_worker = self._local_worker
         if local_worker is None or local_worker.id != head.instance:
             raise AttemptError(_make_unlisted_refusal())
+        if self._is_misplaced:
+            raise AttemptError(_make_misplaced_refusal())
         if self._is_leaving(local_worker):
             raise AttemptError(_make_leaving_refusal())
         if self._is_evacuated:
@@ -257,16 +285,20 @@
         ticket = await self._admit(head, deadline)
         has_run = False
         try:
+            on_admitted()
             started = monotonic()
             self._running_ids.add(head.request)
             answer = await self._exchange(head, deadline)
+            if answer.head.status == HTTPStatus.MISDIRECTED_REQUEST:
+                raise self._make_misdirected_error(local_worker, answer)
             self._record_statements(local_worker, answer.head)
             has_run = not answer.head.is_not_run and answer.head.status < 500
             self._failure_rate.record(not has_run, monotonic())
             answer.head.work_s = monotonic() - started
             return answer
-        except AttemptError:
-            self._failure_rate.record(True, monotonic())
+        except AttemptError as exc:
+            if exc.refusal.cause is not Cause.NO_INSTANCE:
+                self._failure_rate.record(True, monotonic())
             raise
         finally:
             self._running_ids.discard(head.request)
@@ -299,6 +331,7 @@
         if (
             local_worker is None
             or local_worker.id != probe.instance
+            or self._is_misplaced
             or self._is_leaving(local_worker)
             or self._is_evacuated
             or now + probe.remaining_s > self._end_deadline
@@ -340,6 +373,9 @@
         waiter = self._waiters[ticket] = _Waiter(self._loop.create_future(), deadline)
         # A more urgent request may delay others past their latest start.
         self._refuse_expired()
+        timer = self._loop.call_later(
+            deadline - QUEUE_MARGIN_S - monotonic(), self._refuse_late, ticket
+        )
         try:
             await waiter.fut
         except asyncio.CancelledError:
@@ -349,9 +385,16 @@
                 self.admission.cancel(ticket)
             raise
         finally:
+            timer.cancel()
             self._waiters.pop(ticket, None)
         return ticket
 
+    def _refuse_late(self, ticket: Ticket) -> None:
+        """Refuse a request that waits until shortly before its deadline."""
+        if not ticket.is_running:
+            self.admission.cancel(ticket)
+            self._fail_waiter(ticket, self._make_overload_error(QUEUE_RETRY_AFTER_S))
+
     def _make_overload_error(self, retry_after_s: float) -> AttemptError:
         reason = f"{self.admission.waiting} requests wait for the worker"
         refusal = refuse(Cause.OVERLOADED, reason, retry_after_s=retry_after_s)
@@ -397,11 +440,30 @@
 
     # Statements of the worker
 
+    @property
+    def _is_misplaced(self) -> bool:
+        """Whether another worker than the listed one has answered here recently."""
+        return monotonic() < self._misplaced_until
+
+    def _make_misdirected_error(self, worker: Endpoint, answer: Answer) -> AttemptError:
+        """Return the error for a request that another worker did not run.
+
+        Only a stated id proves that the listed worker is gone. Its requests are then
+        refused, including those that wait, until the entry changes.
+        """
+        if answer.stream is not None:
+            answer.stream.close()
+        found = answer.head.instance
+        if found and found != worker.id and _is_same_start(worker, self._local_worker):
+            if not self._is_misplaced:
+                fields = {"backend": worker.id, "found": found}
+                self._emit(Event(EventCode.CALL_MISDIRECTED, fields))
+            self._misplaced_until = monotonic() + MISPLACED_RECHECK_S
+            self._clear_queue(_make_misplaced_refusal())
+        return AttemptError(_make_misplaced_refusal())
+
     def _record_statements(self, worker: Endpoint, head: AnswerHead) -> None:
         """Record what the worker states about itself in an answer."""
-        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-            # Another worker has answered.
-            return
         # The entry may have changed since the request was sent.
         is_local = _is_same_start(worker, self._local_worker)
         was_leaving = self._worker_states.get(worker).is_leaving
@@ -569,6 +631,14 @@
     )
 
 
+def _make_misplaced_refusal() -> Refusal:
+    return refuse(
+        Cause.NO_INSTANCE,
+        "another worker has answered here",
+        retry_after_s=NO_INSTANCE_RETRY_AFTER_S,
+    )
+
+
 def _make_leaving_refusal() -> Refusal:
     return refuse(Cause.LEAVING, "worker is leaving")
 
