Take an answer with an invalid status code for no answer

Callers got status 0 if a worker answered "HTTP/1.1 000" with the id of their request, and 600 to 999 likewise; 99, 1000, 0200, -1 and an empty code were 502 before. On a link, 0 was read as a failed attempt with the invalid status 0.

Cause: the parser takes any three digits for a status, and all that was not 100 to 199 counted as a final answer.

A final status is now 200 to 599. Anything else is a bad answer: the request may have run, so a repeatable one gets another attempt within its budgets and others get 502. A health answer with such a status counts as down, not as a statement that the backend server fails.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -17,6 +17,7 @@
 from mangowell_node.backend.dialect import RefusalIds
 from mangowell_node.exchange import (
     DROPPED_ANSWER_HEADERS,
+    FINAL_STATUSES,
     MAX_STATED_LENGTH,
     AnswerHead,
     AttemptError,
@@ -432,6 +433,8 @@
     def _handle_head(self, message, payload: StreamReader) -> None:
         if 100 <= message.code < 200:
             return
+        if message.code not in FINAL_STATUSES:
+            raise ValueError(f"status {message.code:03}")
         try:
             head = _make_head(message, self._expects_body)
         except MessageFormatError as exc:
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -19,6 +19,9 @@
 MAX_INLINE_BODY = 65_536  # bytes; answers up to this size are sent in one piece
 MAX_HEADER_BLOCK = 65_536  # bytes
 MAX_STATED_LENGTH = 2**62  # bytes; a length that a link can carry
+# Status codes of a final answer. A parser also accepts others of three digits, such
+# as 000, which no caller can interpret.
+FINAL_STATUSES = range(200, 600)
 
 # Bounds of the numbers in a head that another node has sent: numbers with which a
 # timer or a sum can be calculated, so neither infinity nor NaN.
--- /dev/null
+++ b/tests/mesh/test_status_codes.py
@@ -0,0 +1,84 @@
+"""Guards against answers whose status is no status of an answer.
+
+A worker that answered ``HTTP/1.1 000`` was passed on: callers got status 0.
+"""
+
+import pytest
+
+from mesh.support_mesh import answer_with_id, run_mesh, until
+
+INVALID = (
+    "000 X",
+    "001 X",
+    "099 X",
+    "600 X",
+    "999 X",
+    # These were refused before as well.
+    "99 X",
+    "1000 X",
+    "0200 X",
+    " X",
+    "-1 X",
+)
+on_local_and_linked_worker = pytest.mark.parametrize(
+    "count", (1, 2), ids=("local", "linked")
+)
+
+
+async def unlist_first(store, machines):
+    """Leave only the worker behind another node listed, if there is one."""
+    if len(machines) > 1:
+        store.delete(f"servers/{machines[0].id}")
+        await until(lambda: len(machines[0].node.directory) == 1)
+    return machines[-1].worker
+
+
+def answer_first_with(status, fields=""):
+    """Return a handler whose first answer has a status, and all later ones 200."""
+    seen = []
+
+    async def handle(request):
+        seen.append(request)
+        if len(seen) > 1:
+            return await answer_with_id()(request)
+        return await answer_with_id(b"ok", status, fields)(request)
+
+    return handle
+
+
+@pytest.mark.parametrize("status", INVALID)
+@on_local_and_linked_worker
+async def test_payment_with_an_invalid_status_is_unknown_and_runs_once(status, count):
+    """Guards against status 0 at callers, and against 503 for what may have run."""
+    async with run_mesh(count) as (store, machines):
+        worker = await unlist_first(store, machines)
+        worker.handler = answer_with_id(b"ok", status, "Response-Stamp: s\r\n")
+        answer = await machines[0].call("/pay/1", "POST", b"x")
+        assert (answer.status, worker.executions) == (502, 1)
+        assert "response-stamp" not in answer.headers
+        worker.handler = answer_with_id()
+        assert (await machines[0].call("/pay/1", "POST", b"x")).status == 200
+
+
+@pytest.mark.parametrize("fields", ("", "Not-Executed: 1\r\n"), ids=("", "not-run"))
+@pytest.mark.parametrize("status", ("000 X", "600 X"))
+@on_local_and_linked_worker
+async def test_repeatable_request_gets_another_attempt(status, fields, count):
+    async with run_mesh(count) as (store, machines):
+        worker = await unlist_first(store, machines)
+        worker.handler = answer_first_with(status, fields)
+        answer = await machines[0].call("/x")
+        assert (answer.status, answer.body, worker.executions) == (200, b"ok", 2)
+        worker.handler = answer_with_id(b"ok", status, fields)
+        assert (await machines[0].call("/x")).status == 502
+        assert worker.executions == 4
+
+
+@pytest.mark.parametrize("status", ("200 OK", "299 X", "404 X", "599 X"))
+@on_local_and_linked_worker
+async def test_valid_status_is_passed_on(status, count):
+    async with run_mesh(count) as (store, machines):
+        worker = await unlist_first(store, machines)
+        worker.handler = answer_with_id(b"ok", status)
+        answer = await machines[0].call("/pay/1", "POST", b"x")
+        assert (answer.status, answer.body) == (int(status[:3]), b"ok")
--- a/tests/node/test_backend.py
+++ b/tests/node/test_backend.py
@@ -286,6 +286,26 @@
         assert (await poller.poll())[0] == "down"
 
 
+@pytest.mark.parametrize("status", ["000 X", "600 X"])
+async def test_invalid_http_status_of_a_health_answer_counts_as_down(status):
+    """Guards against an answer that is none, taken for the statement of a failure."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(make_answer(b'{"status": "ok"}', status))
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = BackendPool("127.0.0.1", port, AddressFilter())
+    try:
+        poller = HealthPoller(pool, lambda status, load: None)
+        assert (await poller.poll())[0] == "down"
+        await until(lambda: not pool.open_connections)
+    finally:
+        pool.close()
+        server.close()
+
+
 async def test_stale_idle_connection_loses_no_answer_and_runs_no_request_twice():
     """The backend server closes an idle connection when a request arrives on it.
 
