Read the answer behind an interim one that announces a body

A request got 502 after its worker had run it, if an interim answer had a Content-Length or was chunked: the parser read the start of the final answer as that body (seen for 199; the parser knows 100 to 103 as answers without a body).

An interim answer has no body, whatever its fields say, so the next answer is now read by a new parser.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -432,6 +432,10 @@
 
     def _handle_head(self, message, payload: StreamReader) -> None:
         if 100 <= message.code < 200:
+            if not payload.is_eof():
+                # An interim answer has no body, but the parser expects one because of
+                # its fields. Only a new parser reads the next answer.
+                self._create_parser(self._expects_body)
             return
         if message.code not in FINAL_STATUSES:
             raise ValueError(f"status {message.code:03}")
--- a/tests/mesh/test_status_codes.py
+++ b/tests/mesh/test_status_codes.py
@@ -82,3 +82,25 @@
         worker.handler = answer_with_id(b"ok", status)
         answer = await machines[0].call("/pay/1", "POST", b"x")
         assert (answer.status, answer.body) == (int(status[:3]), b"ok")
+
+
+@pytest.mark.parametrize(
+    "framing", ("", "Content-Length: 5", "Transfer-Encoding: chunked")
+)
+@pytest.mark.parametrize("status", ("100 Continue", "101 X", "103 Early", "199 X"))
+@on_local_and_linked_worker
+async def test_fields_of_an_interim_answer_announce_no_body(status, framing, count):
+    """The final answer was taken for the body that an interim one had announced."""
+    interim = f"HTTP/1.1 {status}\r\n{framing}\r\n\r\n".replace(
+        "\r\n\r\n\r\n", "\r\n\r\n"
+    )
+
+    async def handle(request):
+        return interim.encode() * 2 + await answer_with_id()(request)
+
+    async with run_mesh(count) as (store, machines):
+        worker = await unlist_first(store, machines)
+        worker.handler = handle
+        for _ in range(2):
+            answer = await machines[0].call("/pay/1", "POST", b"x")
+            assert (answer.status, answer.body) == (200, b"ok")
