Refuse bytes that begin no answer at once

A request waited until its time limit, and was then answered 504, if its worker sent an interim answer with a body and nothing more: the node read "ok" as the start of a head and waited for the rest.

Bytes that cannot begin an answer are now a bad answer as soon as they arrive, so that a repeatable request has time for another attempt. A switch of protocols that no request has asked for stays a bad answer and has a test.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -40,6 +40,7 @@
 MAX_FRAMING_RATIO = 16
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
 _BODILESS_STATUSES = frozenset({204, 304})
+_HEAD_START = b"HTTP/"
 _HEAD_END = b"\r\n\r\n"
 # A backend server may reject a longer request body before it has read all of it.
 LONG_BODY_BYTES = 16_384
@@ -392,6 +393,11 @@
         head = self._head_bytes
         start = max(0, len(head) - len(_HEAD_END) + 1)
         head += data
+        # Bytes that begin no answer, such as the body of an interim one, must not keep
+        # the request waiting for the end of a head until its time limit.
+        prefix = bytes(head[:16]).lstrip(b"\r\n")[: len(_HEAD_START)]
+        if not _HEAD_START.startswith(prefix):
+            raise ValueError("bytes that begin no answer")
         end = head.find(_HEAD_END, start)
         size = len(head) if end < 0 else end + len(_HEAD_END)
         if self._heads_bytes + size > MAX_HEAD_BYTES:
--- a/tests/mesh/test_status_codes.py
+++ b/tests/mesh/test_status_codes.py
@@ -3,6 +3,8 @@
 A worker that answered ``HTTP/1.1 000`` was passed on: callers got status 0.
 """
 
+import asyncio
+
 import pytest
 
 from mesh.support_mesh import answer_with_id, run_mesh, until
@@ -104,3 +106,26 @@
         for _ in range(2):
             answer = await machines[0].call("/pay/1", "POST", b"x")
             assert (answer.status, answer.body) == (200, b"ok")
+
+
+@pytest.mark.parametrize("status", ("100 Continue", "101 X", "199 X"))
+@on_local_and_linked_worker
+async def test_interim_answer_with_a_body_is_no_answer(status, count):
+    """Guards against a request that waits for the final answer until its time limit."""
+
+    async def handle(request):
+        request.writer.write(await answer_with_id(b"ok", status)(request))
+        await asyncio.sleep(30)
+
+    async with run_mesh(count) as (store, machines):
+        worker = await unlist_first(store, machines)
+        worker.handler = handle
+        answer = await machines[0].call("/pay/1", "POST", b"x")
+        assert (answer.status, worker.executions) == (502, 1)
+
+
+async def test_upgrade_that_no_request_has_asked_for_is_no_answer():
+    async with run_mesh() as (_, (machine,)):
+        fields = "Upgrade: x\r\nConnection: upgrade\r\n"
+        machine.worker.handler = answer_with_id(b"", "101 Switching", fields)
+        assert (await machine.call("/pay/1", "POST", b"x")).status == 502
