Keep no connection on which an announced body may still arrive

A payment got 502 after its worker had run it, if the answer before it on the connection was a 204 or 304 with a Content-Length or chunked, and the worker sent that body late: its bytes were read as the start of the payment's answer.

These answers have no body, so the connection was kept at once. It is now closed after such an answer. Connections of answers to HEAD were never kept; tests of these and of bodies behind 204, 304 and HEAD that arrive at once are added.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -466,6 +466,9 @@
             raise ValueError("answer without Content-Length or chunked encoding")
         if message.should_close or self._reads_until_eof:
             self._is_reusable = False
+        if not has_body and (message.chunked or head.length > 0):
+            # The backend server may still send the body that its fields announce.
+            self._is_reusable = False
         if dialect.echoes_request_id:
             found = dialect.read_request_id(headers)
             head.is_not_run = dialect.is_not_run(message.code, headers)
--- a/tests/mesh/test_status_codes.py
+++ b/tests/mesh/test_status_codes.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from mesh.support_mesh import answer_with_id, run_mesh, until
+from mangowell_standins.scripted_http import read_response
+from mesh.support_mesh import answer_with_id, make_request, run_mesh, until
 
 INVALID = (
     "000 X",
@@ -129,3 +130,74 @@
         fields = "Upgrade: x\r\nConnection: upgrade\r\n"
         machine.worker.handler = answer_with_id(b"", "101 Switching", fields)
         assert (await machine.call("/pay/1", "POST", b"x")).status == 502
+
+
+class BodyAfterNothing:
+    """Announces a body where there is none, and sends it before the next answer.
+
+    Parameters
+    ----------
+    status : str
+        Status line of the answers to requests of ``/x``.
+    framing : str
+        Field that announces the body.
+    """
+
+    def __init__(self, status, framing):
+        self._head = f"HTTP/1.1 {status}\r\n{framing}\r\n"
+        self._kept = set()
+
+    async def __call__(self, request):
+        if request.target != "/x":
+            late_body = b"hello" if request.writer in self._kept else b""
+            return late_body + await answer_with_id()(request)
+        self._kept.add(request.writer)
+        request_id = request.headers["request-id"]
+        return f"{self._head}Request-Id: {request_id}\r\n\r\n".encode()
+
+
+@pytest.mark.parametrize("framing", ("Content-Length: 5", "Transfer-Encoding: chunked"))
+@pytest.mark.parametrize(
+    "method,status", [("GET", "204 N"), ("GET", "304 N"), ("HEAD", "200 OK")]
+)
+@on_local_and_linked_worker
+async def test_late_body_of_an_answer_without_one_costs_no_other_request(
+    method, status, framing, count
+):
+    """The bytes were read as the head of the next answer, whose request got 502."""
+    async with run_mesh(count) as (store, machines):
+        worker = await unlist_first(store, machines)
+        worker.handler = BodyAfterNothing(status, framing)
+        for _ in range(2):
+            reader, writer = await machines[0].connect()
+            writer.write(make_request("/x", method))
+            answer = await read_response(reader, "HEAD")
+            writer.close()
+            assert answer.status == int(status[:3])
+            answer = await machines[0].call("/pay/1", "POST", b"x")
+            assert (answer.status, answer.body) == (200, b"ok")
+
+
+@pytest.mark.parametrize("size", (5, 200_000))
+@pytest.mark.parametrize(
+    "method,status", [("GET", "204 N"), ("GET", "304 N"), ("HEAD", "200 OK")]
+)
+@on_local_and_linked_worker
+async def test_body_of_an_answer_without_one_reaches_no_caller(
+    method, status, size, count
+):
+    """Guards against bytes that the caller takes for its next answer."""
+    async with run_mesh(count) as (store, machines):
+        worker = await unlist_first(store, machines)
+        worker.handler = answer_with_id(b"x" * size, status)
+        reader, writer = await machines[0].connect()
+        writer.write(
+            make_request("/x", method) + make_request("/x", method, request="2")
+        )
+        for _ in range(2):
+            answer = await read_response(reader, "HEAD")
+            assert answer.status == int(status[:3])
+        worker.handler = answer_with_id()
+        writer.write(make_request("/pay/1", "POST", b"x"))
+        assert (await read_response(reader)).body == b"ok"
+        writer.close()
