--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -17,6 +17,7 @@
 from mangowell_node.backend.dialect import RefusalIds
 from mangowell_node.exchange import (
     DROPPED_ANSWER_HEADERS,
+    FINAL_STATUSES,
     MAX_STATED_LENGTH,
     AnswerHead,
     AttemptError,
@@ -39,6 +40,7 @@
 MAX_FRAMING_RATIO = 16
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
 _BODILESS_STATUSES = frozenset({204, 304})
+_HEAD_START = b"HTTP/"
 _HEAD_END = b"\r\n\r\n"
 # A backend server may reject a longer request body before it has read all of it.
 LONG_BODY_BYTES = 16_384
@@ -391,6 +393,11 @@
         head = self._head_bytes
         start = max(0, len(head) - len(_HEAD_END) + 1)
         head += data
+        # Bytes that begin no answer, such as the body of an interim one, must not keep
+        # the request waiting for the end of a head until its time limit.
+        prefix = bytes(head[:16]).lstrip(b"\r\n")[: len(_HEAD_START)]
+        if not _HEAD_START.startswith(prefix):
+            raise ValueError("bytes that begin no answer")
         end = head.find(_HEAD_END, start)
         size = len(head) if end < 0 else end + len(_HEAD_END)
         if self._heads_bytes + size > MAX_HEAD_BYTES:
@@ -431,7 +438,13 @@
 
     def _handle_head(self, message, payload: StreamReader) -> None:
         if 100 <= message.code < 200:
+            if not payload.is_eof():
+                # An interim answer has no body, but the parser expects one because of
+                # its fields. Only a new parser reads the next answer.
+                self._create_parser(self._expects_body)
             return
+        if message.code not in FINAL_STATUSES:
+            raise ValueError(f"status {message.code:03}")
         try:
             head = _make_head(message, self._expects_body)
         except MessageFormatError as exc:
@@ -453,6 +466,9 @@
             raise ValueError("answer without Content-Length or chunked encoding")
         if message.should_close or self._reads_until_eof:
             self._is_reusable = False
+        if not has_body and (message.chunked or head.length > 0):
+            # The backend server may still send the body that its fields announce.
+            self._is_reusable = False
         if dialect.echoes_request_id:
             found = dialect.read_request_id(headers)
             head.is_not_run = dialect.is_not_run(message.code, headers)
