Take a link that is busy with a large body for no silent one

Cause: a body of hundreds of kilobytes fills a link of a few megabits for seconds. The peer answers a ping only once it has read what was sent before, so the link was closed as silent after 1.5 s although it made progress.

A link now counts as heard of while the peer's TCP goes on acknowledging bytes of a backlog. A ping alone does not count: the system of a process that hangs acknowledges it too.

Measured: the test of a slow peer failed before (connection silent) and passes now; a peer that takes no more bytes is still found silent.

--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -8,6 +8,7 @@
 from time import monotonic
 
 from mangowell_core import formats
+from mangowell_node.delivery import count_undelivered
 from mangowell_node.exchange import (
     AttemptError,
     Body,
@@ -185,6 +186,10 @@
         self._silent_since = 0.0
         self._last_check_at = 0.0
         self._last_ping_at = 0.0
+        # Bytes written, and those that the peer's TCP had acknowledged at the last
+        # check.
+        self._sent_bytes = 0
+        self._acked_bytes = 0
         # Time of the ping that has no answer yet; 0 if there is none.
         self._ping_sent_at = 0.0
         self.last_received_at = 0.0
@@ -259,6 +264,7 @@
         if self.closed:
             return
         header = FRAME_HEADER.pack(len(payload), frame_type, stream_id)
+        self._sent_bytes += len(header) + len(payload)
         self.transport.write(b"%b%b" % (header, payload))
 
     def pause_writing(self) -> None:
@@ -315,6 +321,8 @@
 
     def _check_silence(self) -> None:
         self._check_timer = None
+        if self._is_draining():
+            self._silent_since = monotonic()
         # On a silent link, all streams may have ended at short deadlines. The
         # check therefore continues until the peer has answered a ping.
         self.is_suspect = self._silent_since < self._last_ping_at
@@ -338,6 +346,19 @@
         if now - self._silent_since >= PING_INTERVAL_S and not self.is_suspect:
             self._ping(now)
 
+    def _is_draining(self) -> bool:
+        """Return whether the peer takes bytes that wait before a ping.
+
+        A slow link is full for seconds behind a large body. The peer answers a ping
+        only once it has read what was sent before, while its TCP goes on taking bytes.
+        A ping alone is acknowledged by the system of a peer that hangs, so it counts
+        only while other bytes are left.
+        """
+        undelivered = count_undelivered(self.transport)
+        acked_before = self._acked_bytes
+        self._acked_bytes = self._sent_bytes - undelivered
+        return undelivered > FRAME_HEADER.size and self._acked_bytes > acked_before
+
     def _ping(self, now: float) -> None:
         self.send(FrameType.PING)
         self._last_ping_at = self._ping_sent_at = now
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -24,7 +24,13 @@
     LinkServer,
     derive_link_key,
 )
-from mangowell_node.link.frames import PING_INTERVAL_S, REPEATABLE_SILENT_AFTER_S
+from mangowell_node.link.frames import (
+    MAGIC,
+    NONCE_BYTES,
+    PING_INTERVAL_S,
+    REPEATABLE_SILENT_AFTER_S,
+    compute_proof,
+)
 from node.support_calls import CutReach, find_port, until
 
 KEY = derive_link_key("secret")
@@ -479,6 +485,58 @@
         assert (await pair.call(make_head("/slow"))).head.body == b"/slow"
 
 
+@contextlib.asynccontextmanager
+async def run_slow_peer(part_bytes, pause_s):
+    """Run a peer that answers a request of 300 kB, which it reads in small parts."""
+
+    async def serve(reader, writer):
+        writer.write(frame(FrameType.HELLO, 0, MAGIC + b"s" * NONCE_BYTES))
+        _, _, payload = await read_frame(reader)
+        proof = compute_proof(
+            KEY, b"server", payload[:NONCE_BYTES], b"s" * NONCE_BYTES, b""
+        )
+        writer.write(frame(FrameType.WELCOME, 0, proof))
+        taken = 0
+        while taken < 300_000:
+            await asyncio.sleep(pause_s)
+            taken += len(await reader.read(part_bytes))
+        answer = msgspec.msgpack.encode(AnswerHead(200, "OK"))
+        writer.write(frame(FrameType.ANSWER, 1, answer))
+
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    sock.bind(("127.0.0.1", 0))
+    server = await asyncio.start_server(serve, sock=sock, limit=4096)
+    try:
+        yield sock.getsockname()[1]
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+async def test_link_that_is_busy_with_a_large_body_is_not_taken_for_silent(idempotent):
+    """Guards against an upload that is given up while a slow link carries it."""
+    head = make_head(method="POST", body=b"x" * 300_000, idempotent=idempotent)
+    async with run_slow_peer(4096, 0.03) as port:
+        pool = LinkPool("n1", KEY, CutReach(), lambda event: None)
+        try:
+            answer = await pool.call("127.0.0.1", port, head, None, monotonic() + 20)
+        finally:
+            pool.close()
+    assert answer.head.status == 200
+
+
+async def test_peer_that_takes_no_more_bytes_is_found_silent():
+    """Guards against a full link that hides the silence of its peer."""
+    head = make_head(method="POST", body=b"x" * 300_000, idempotent=False)
+    async with run_slow_peer(4096, 3600) as port:
+        pool = LinkPool("n1", KEY, CutReach(), lambda event: None)
+        with pytest.raises(AttemptError) as caught:
+            await pool.call("127.0.0.1", port, head, None, monotonic() + 20)
+        pool.close()
+    assert caught.value.refusal.cause is Cause.CONNECTION_SILENT
+
+
 async def test_cut_link_fails_its_requests_as_unknown():
     entered = asyncio.Event()
 
