Take contradictory answers of other nodes for no answer

Callers got status 0, 100, 204, 600 or 999, a body behind 204, 304 or HEAD that they took for their next answer, or 503 for a request that may have run, if the node beside the worker sent such a head.

Cause: the range of a status on a link was 0 to 999, and the status, outcome and cause of a refusal were taken over as they came, also from a frame that stands for an error and carried an answer.

An answer of another node now has a status from 200 to 599, and a body only where there may be one. A refusal has a status, outcome and cause that a node sends together. All else is a bad answer of that request; the link stays open. On the platform, a request whose outcome is unknown is never answered 503.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -16,6 +16,7 @@
 from mangowell_core.policy.types import Cause
 from mangowell_node.backend.dialect import RefusalIds
 from mangowell_node.exchange import (
+    BODILESS_STATUSES,
     DROPPED_ANSWER_HEADERS,
     FINAL_STATUSES,
     MAX_STATED_LENGTH,
@@ -39,7 +40,6 @@
 MAX_FRAMING_BYTES = 65_536
 MAX_FRAMING_RATIO = 16
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
-_BODILESS_STATUSES = frozenset({204, 304})
 _HEAD_START = b"HTTP/"
 _HEAD_END = b"\r\n\r\n"
 # A backend server may reject a longer request body before it has read all of it.
@@ -451,7 +451,7 @@
             raise ValueError(str(exc)) from exc
         dialect = self._pool.dialect
         headers = message.headers
-        has_body = self._expects_body and message.code not in _BODILESS_STATUSES
+        has_body = self._expects_body and message.code not in BODILESS_STATUSES
         is_framed = message.chunked or "Content-Length" in headers
         self._reads_until_eof = has_body and not is_framed
         if not has_body or head.length == 0:
--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -11,7 +11,7 @@
 from msgspec import Meta
 
 from mangowell_core import formats
-from mangowell_core.policy.outcome import Stage, refuse
+from mangowell_core.policy.outcome import OUTCOMES, Stage, refuse
 from mangowell_core.policy.request_digest import make_fingerprint
 from mangowell_core.policy.types import Cause, Outcome, Refusal
 
@@ -22,6 +22,17 @@
 # Status codes of a final answer. A parser also accepts others of three digits, such
 # as 000, which no caller can interpret.
 FINAL_STATUSES = range(200, 600)
+# Statuses of answers that have no body, whatever their fields announce.
+BODILESS_STATUSES = frozenset({204, 304})
+# Status, outcome and cause of each refusal that a node sends to another one.
+_SENT_REFUSALS = frozenset(
+    (status, outcome, cause)
+    for (cause, _), (row_outcome, status, _) in OUTCOMES.items()
+    for outcome in (row_outcome, Outcome.UNKNOWN)
+    if status >= 400
+)
+# The key of a request that has run, but whose answer was not stored.
+_KEY_HAS_RUN = (409, Outcome.DONE, Cause.NONE)
 
 # Bounds of the numbers in a head that another node has sent: numbers with which a
 # timer or a sum can be calculated, so neither infinity nor NaN.
@@ -283,15 +294,50 @@
 
 
 def parse_failed_head(head: AnswerHead) -> AttemptError:
-    """Rebuild the error from a head that `make_failed_head` built."""
-    refusal = Refusal(
-        Outcome(head.outcome),
-        Cause(head.cause),
-        head.proposed_status,
-        head.retry_after_s,
-        head.reason,
+    """Rebuild the error from a head that `make_failed_head` built.
+
+    A refusal that no node sends, such as one with status 200, is no statement about
+    the request, which may have run.
+    """
+    outcome, cause, status = Outcome(head.outcome), Cause(head.cause), head.status
+    refusal = (head.proposed_status, outcome, cause)
+    is_unknown = refusal[:2] == (502, Outcome.UNKNOWN)
+    if status or not (
+        is_unknown or refusal in _SENT_REFUSALS or refusal == _KEY_HAS_RUN
+    ):
+        reason = f"refusal with status {status or head.proposed_status}"
+        return AttemptError.at(Cause.BAD_ANSWER, Stage.ANSWERED, reason)
+    return AttemptError(
+        Refusal(outcome, cause, head.proposed_status, head.retry_after_s, head.reason),
+        head.backend_load,
+        head.slots,
     )
-    return AttemptError(refusal, head.backend_load, head.slots)
+
+
+def find_failure(head: AnswerHead, method: str) -> AttemptError | None:
+    """Return the error of a head that is no answer to a request, or None.
+
+    Parameters
+    ----------
+    head : AnswerHead
+        Head that another node has sent.
+    method : str
+        Method of the request.
+    """
+    if head.status == 0:
+        return parse_failed_head(head)
+    # A caller would take the bytes of a body that must not be there for the start of
+    # its next answer.
+    is_bodiless = head.status in BODILESS_STATUSES
+    if head.status not in FINAL_STATUSES:
+        reason = f"answer with status {head.status}"
+    elif head.streaming and (head.body or is_bodiless or method == "HEAD"):
+        reason = f"answer with status {head.status} and a streamed body"
+    elif head.body and is_bodiless:
+        reason = f"answer with status {head.status} and a body"
+    else:
+        return None
+    return AttemptError.at(Cause.BAD_ANSWER, Stage.ANSWERED, reason)
 
 
 def check_text(*texts: str) -> None:
--- a/packages/node/src/mangowell_node/link/client.py
+++ b/packages/node/src/mangowell_node/link/client.py
@@ -16,6 +16,7 @@
     AttemptError,
     Body,
     RequestHead,
+    find_failure,
     parse_failed_head,
 )
 from mangowell_node.link.connection import BodyReceiver, BodySender, Link
@@ -229,8 +230,9 @@
             upload = asyncio.ensure_future(self._upload(stream, body))
         try:
             answer: AnswerHead = await stream.answer
-            if answer.status == 0:
-                raise parse_failed_head(answer)
+            error = find_failure(answer, head.method)
+            if error is not None:
+                raise error
             return Answer(answer, stream.receiver)
         except BaseException:
             stream.cancel()
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -1,6 +1,7 @@
 """State of one request on the platform's request path."""
 
 from enum import Enum
+from http import HTTPStatus
 
 from mangowell_core.mesh import Endpoint, MeshRoute
 from mangowell_core.policy.outcome import Stage, refuse
@@ -85,7 +86,10 @@
         if self.error is None:
             return refuse(Cause.CONNECTION_LOST, "outcome unknown", stage=Stage.SENT)
         refusal = self.error.refusal
-        if self.may_have_run and refusal.outcome is Outcome.NOT_RUN:
-            # An earlier attempt may have run, so the outcome is unknown.
+        is_not_run = refusal.outcome is Outcome.NOT_RUN
+        is_promise = refusal.status == HTTPStatus.SERVICE_UNAVAILABLE
+        if self.may_have_run if is_not_run else is_promise:
+            # This or an earlier attempt may have run, so the outcome is unknown, and
+            # 503 would promise the caller that it has not.
             return refuse(Cause.CONNECTION_LOST, refusal.reason, stage=Stage.SENT)
         return refusal
