Read items and era only from answers that the store gives

A node followed a redirection of the store and took the items of any server that it named, and recorded the era of an answer with status 000, 101, 503 or 600 as that of the store. No entry was lost by the latter: the era is a metric.

Cause: the HTTP client follows redirections unless told otherwise, and the fields were read before the status.

Only 200, 404 and 410 are answers of the store. All else is a failed call, as before, and states nothing. Redirections are not followed.

--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import socket
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Annotated, Any
 from urllib.parse import quote
 
@@ -30,6 +31,8 @@
     ignore_warning,
 )
 
+# Statuses with which the store answers a call; all others mean that it has failed.
+_STATUSES = frozenset({HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.GONE})
 # Counts how often the store has been restored from an older copy.
 _ERA_FIELD = "Store-Era"
 # Time that the store may hold a watch open. A connection may be silent from the pause
@@ -331,21 +334,20 @@
         try:
             async with (
                 asyncio.timeout(timeout_s) as limit,
-                self._session.get(self._base_url + path, timeout=timeout) as resp,
+                self._session.get(
+                    self._base_url + path, timeout=timeout, allow_redirects=False
+                ) as resp,
             ):
                 body = await self._read_body(resp, limit)
-                era = self.era = _read_era(resp.headers)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise ConnectionLostError(f"{type(exc).__name__}: {exc}") from exc
-        match resp.status:
-            case 200:
-                return era, body
-            case 404:
-                return era, None
-            case 410:
-                raise HistoryGoneError("status 410: history is gone")
-            case status:
-                raise StoreError(f"status {status}")
+        if resp.status not in _STATUSES:
+            # Not an answer of the store, so its fields are no statements either.
+            raise StoreError(f"status {resp.status:03}")
+        era = self.era = _read_era(resp.headers)
+        if resp.status == HTTPStatus.GONE:
+            raise HistoryGoneError("status 410: history is gone")
+        return era, body if resp.status == HTTPStatus.OK else None
 
     async def _read_body(
         self, resp: aiohttp.ClientResponse, limit: asyncio.Timeout
--- a/tests/mesh/test_store.py
+++ b/tests/mesh/test_store.py
@@ -16,6 +16,7 @@
     StoreError,
 )
 from mangowell_standins.platform_store import PlatformStore
+from mangowell_standins.scripted_http import make_answer
 from mesh.support_mesh import make_document, make_entry
 
 
@@ -286,3 +287,55 @@
     async with open_client(store) as client:
         with pytest.raises(StoreError, match="unreadable"):
             await client.watch(4)
+
+
+@contextlib.asynccontextmanager
+async def run_scripted_store(status, fields=""):
+    """Run a store that gives the same answer to all calls, and a client of it."""
+    body = b'{"items": [], "events": [], "has-more": false, "as-of": 12}'
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(make_answer(body, status, f"Store-Era: 3\r\n{fields}"))
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    client = StoreClient(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+    await client.start()
+    try:
+        yield client
+    finally:
+        await client.close()
+        server.close()
+
+
+@pytest.mark.parametrize(
+    "status",
+    ("000 X", "099 X", "99 X", "0200 X", "600 X", "101 X", "204 N", "304 N", "503 X"),
+)
+async def test_status_that_the_store_does_not_use_states_nothing(status):
+    """Its era was recorded like that of an answer."""
+    async with run_scripted_store(status) as client:
+        for call in (client.read_document, client.list_endpoints):
+            with pytest.raises(StoreError):
+                await call()
+        with pytest.raises(StoreError):
+            await client.watch(11)
+        assert client.era == 0
+
+
+async def test_interim_answer_of_the_store_is_skipped():
+    interim = "103 Early\r\n\r\nHTTP/1.1 200 OK"
+    async with run_scripted_store(interim) as client:
+        assert (await client.list_endpoints()).items == []
+
+
+async def test_redirection_is_not_followed_to_another_store(store):
+    """Items of any server that a redirection named were taken for the store's."""
+    store.put("servers/i-1", make_entry("10.0.0.1", 1))
+    target = f"http://127.0.0.1:{store.port}/api/kv-range?prefix=servers/"
+    async with run_scripted_store("302 Found", f"Location: {target}\r\n") as client:
+        with pytest.raises(StoreError):
+            await client.list_endpoints()
+    assert store.calls == 0
