--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -188,7 +188,7 @@
         self._last_ping_at = 0.0
         # Bytes written, and those that the peer's TCP had acknowledged at the last
         # check.
-        self._sent_bytes = 0
+        self._written_bytes = 0
         self._acked_bytes = 0
         # Time of the ping that has no answer yet; 0 if there is none.
         self._ping_sent_at = 0.0
@@ -264,7 +264,7 @@
         if self.closed:
             return
         header = FRAME_HEADER.pack(len(payload), frame_type, stream_id)
-        self._sent_bytes += len(header) + len(payload)
+        self._written_bytes += len(header) + len(payload)
         self.transport.write(b"%b%b" % (header, payload))
 
     def pause_writing(self) -> None:
@@ -356,7 +356,7 @@
         """
         undelivered = count_undelivered(self.transport)
         acked_before = self._acked_bytes
-        self._acked_bytes = self._sent_bytes - undelivered
+        self._acked_bytes = self._written_bytes - undelivered
         return undelivered > FRAME_HEADER.size and self._acked_bytes > acked_before
 
     def _ping(self, now: float) -> None:
