Keep cold workers within their bound at the node beside them

Workers of one deployment tolerate 6 requests a second for 3 s after a start and crash well above that.

Cause: the node beside a worker read neither the cold time in its entry nor its health answer, and did not notice that a worker had restarted.

The node treats a worker as cold while its entry or its health answer says so, and by assumption after a restart: another start is listed, it answers 421, or a connection opens while no other one is open. The assumption ends with the health answer, which is asked for at once; also after the node's own start and after an evacuation. The bound is checked when a request starts and again when it is sent, as only its connection may have shown the restart. Health requests carry no Expected-Instance. Services without warmup-per-s are served as before.

Measured: a worker that restarts with a cold time of 1.5 s while 20 callers repeat their requests at once gets at most 17 in any second, also from two processes of the node in turn; a worker that only closed its connections is not slowed down. The tests fail without the check of connections, the log of sent requests and the use of the health answer.

--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -6,6 +6,8 @@
 from http import HTTPStatus
 from time import monotonic
 
+from multidict import CIMultiDict, CIMultiDictProxy
+
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import (
     Admission,
@@ -17,7 +19,7 @@
 )
 from mangowell_core.mesh.admission import Ticket
 from mangowell_core.mesh.failure_rate import FailureRate
-from mangowell_core.mesh.model import Endpoint, ProbeNotice, ProbeReply
+from mangowell_core.mesh.model import Endpoint, MeshService, ProbeNotice, ProbeReply
 from mangowell_core.mesh.placement import LoadReport
 from mangowell_core.mesh.worker_states import (
     NO_RATE_LIMIT,
@@ -57,6 +59,12 @@
 NO_INSTANCE_RETRY_AFTER_S = 0.2
 # A change of a worker's rate limit by this factor is logged.
 LOGGED_LIMIT_RATIO = 1.25
+# Time that the worker has to answer a health request, and until the next one if it has
+# not answered, in seconds. Health answers come at once, also from a cold worker.
+HEALTH_TIMEOUT_S = 1.0
+HEALTH_RETRY_S = 0.25
+# Shortest time between two events that tell that the worker is cold, in seconds.
+COLD_EVENT_INTERVAL_S = 5.0
 # Calls of running requests precede new requests of any priority.
 CALL_RANK = -1
 
@@ -122,7 +130,18 @@
         self._waiters: dict[Ticket, _Waiter] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
-        self.admission = Admission(DEFAULT_SLOTS)
+        self.admission = Admission(DEFAULT_SLOTS, keeps_late=True)
+        self._warmup = self.admission.warmup
+        self._service: MeshService | None = None
+        # Last known entry of the worker, also after it is no longer listed.
+        self._last_entry: Endpoint | None = None
+        self._was_evacuated = False
+        self._health_task: asyncio.Task | None = None
+        # Counts the reasons to ask, so that an earlier answer does not count.
+        self._health_reasons = 0
+        self._warm_timer: asyncio.TimerHandle | None = None
+        self._is_logged_cold = False
+        self._cold_logged_at = -math.inf
         self._failure_rate = FailureRate()
         self.pool = BackendPool(
             settings.worker.host,
@@ -150,6 +169,8 @@
             if service.name == local_worker.service:
                 limit = service.max_connections - RESERVED_CONNECTIONS
                 self.pool.limit = max(local_worker.slots, limit)
+                self._service = service
+        self._sync_warmup(local_worker)
         if self._is_leaving(local_worker):
             self._clear_queue(_make_leaving_refusal())
         elif self._is_evacuated:
@@ -289,6 +310,146 @@
                 refuse(Cause.QUARANTINED, "the same request has crashed workers")
             )
 
+    # Slow start
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the worker has a bound on its requests now."""
+        return self._warmup.is_cold(monotonic())
+
+    @property
+    def cold_rate(self) -> float:
+        """Requests per second that a cold worker of the service gets; 0 if any."""
+        return self._warmup.per_s
+
+    def _sync_warmup(self, worker: Endpoint) -> None:
+        """Apply the listed cold time; ask the worker after a start or evacuation."""
+        service, settings, warmup = self._service, self._settings, self._warmup
+        if service is None or service.name != worker.service:
+            return
+        now = monotonic()
+        warmup.set_bound(
+            service.warmup_per_s, settings.warmup_overage, settings.warmup_slack
+        )
+        previous, self._last_entry = self._last_entry, worker
+        was_evacuated, self._was_evacuated = self._was_evacuated, self._is_evacuated
+        if previous != worker:
+            warmup.record_entry(worker.warmup_s, now)
+        has_returned = was_evacuated and not self._was_evacuated
+        if previous is not None and not _is_same_start(previous, worker):
+            self._suspect_restart()
+        elif service.health_path and (previous is None or has_returned):
+            # The node has just started, or has not used the worker for a while. Only
+            # the worker itself knows better than its entry, so it is asked.
+            self._suspect_restart()
+        self._follow_warmup()
+
+    def _suspect_restart(self) -> None:
+        """Treat the worker as cold until it has answered a health request."""
+        service = self._service
+        if service is None or not self._warmup.is_bounded:
+            return
+        self._warmup.assume_cold(service.warmup_s, monotonic())
+        self._health_reasons += 1
+        if service.health_path and self._health_task is None:
+            self._health_task = start_loop(self._check_health(service.health_path))
+
+    def _note_connection(self, conn: BackendConnection) -> None:
+        """Suspect a restart if no other connection to the worker has stayed open.
+
+        A restart closes all of them; while one of them is open, the worker is the
+        same.
+        """
+        if not self._warmup.is_bounded:
+            return
+        others = self.pool.open_connections
+        if not any(c.is_open for c in others if c is not conn):
+            self._suspect_restart()
+
+    async def _check_health(self, path: str) -> None:
+        """Ask the worker for its cold time until it has answered."""
+        try:
+            while self._warmup.is_assumed(monotonic()):
+                reasons = self._health_reasons
+                is_answered, warmup_s = await self._ask_health(path)
+                if not is_answered:
+                    await asyncio.sleep(HEALTH_RETRY_S)
+                elif reasons == self._health_reasons:
+                    self._warmup.record_health(warmup_s, monotonic())
+        finally:
+            self._health_task = None
+            self._follow_warmup()
+
+    async def _ask_health(self, path: str) -> tuple[bool, float | None]:
+        """Send a health request.
+
+        Returns
+        -------
+        bool, float or None
+            Whether the worker has answered, and the cold time that it states, in
+            seconds.
+        """
+        deadline = monotonic() + HEALTH_TIMEOUT_S
+        head = RequestHead(
+            "", "", "GET", path, b"Host: health\r\n", "", "", 0, False, 0, True
+        )
+        try:
+            conn = await self.pool.open(deadline)
+        except AttemptError:
+            return False, None
+        conn.is_pooled = False
+        try:
+            if not conn.is_open:
+                return False, None
+            self._warmup.record_sent(monotonic())
+            await conn.start(head, deadline)
+            answer, _ = conn.get_answer()
+        except AttemptError:
+            return False, None
+        finally:
+            conn.abort()
+        headers = _parse_fields(answer.headers)
+        warmup_s = self.pool.dialect.read_warmup(headers)
+        if warmup_s is not None:
+            return True, warmup_s
+        # Without the field, only the answer of the listed worker tells that its entry
+        # holds.
+        worker = self._local_worker
+        instance = self.pool.dialect.read_instance(headers)
+        is_listed = worker is not None and instance in ("", worker.id)
+        return answer.status < HTTPStatus.BAD_REQUEST and is_listed, None
+
+    def _follow_warmup(self) -> None:
+        """Let waiting requests go on, and log the state of the worker."""
+        now = monotonic()
+        self._resume(self.admission.start_waiting(now))
+        if self._warm_timer is not None:
+            self._warm_timer.cancel()
+            self._warm_timer = None
+        is_cold = self._warmup.is_cold(now)
+        if is_cold:
+            delay_s = self._warmup.cold_until - now
+            self._warm_timer = self._loop.call_later(delay_s, self._follow_warmup)
+        worker = self._last_entry
+        if worker is None or self._health_task is not None:
+            # The health answer tells whether the worker is cold.
+            return
+        if is_cold and not self._is_logged_cold:
+            if now < self._cold_logged_at + COLD_EVENT_INTERVAL_S:
+                return
+            self._cold_logged_at = now
+            is_assumed = self._warmup.is_assumed(now)
+            fields = {
+                "backend": worker.id,
+                "for_s": round(self._warmup.cold_until - now, 1),
+                "per_s": self._warmup.per_s,
+                "reason": "restarted" if is_assumed else "stated by the worker",
+            }
+            self._emit(Event(EventCode.BACKEND_COLD, fields))
+        elif not is_cold and self._is_logged_cold:
+            self._emit(Event(EventCode.BACKEND_WARM, {"backend": worker.id}))
+        self._is_logged_cold = is_cold
+
     # Admission
 
     def predict(self, probe: ProbeNotice) -> ProbeReply:
@@ -381,7 +542,7 @@
 
     def _schedule_sweep(self) -> None:
         if self._sweep_timer is None:
-            delay_s = self.admission.rate_limit.estimate_delay(0, monotonic())
+            delay_s = self.admission.estimate_rate_delay(monotonic())
             interval_s = min(SWEEP_INTERVAL_S, delay_s or SWEEP_INTERVAL_S)
             self._sweep_timer = self._loop.call_later(interval_s, self._sweep)
 
@@ -400,7 +561,8 @@
     def _record_statements(self, worker: Endpoint, head: AnswerHead) -> None:
         """Record what the worker states about itself in an answer."""
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-            # Another worker has answered.
+            # Another worker has answered, so one has started.
+            self._suspect_restart()
             return
         # The entry may have changed since the request was sent.
         is_local = _is_same_start(worker, self._local_worker)
@@ -459,8 +621,13 @@
         conn = self._take_idle_connection(head)
         if conn is None:
             conn = await self.pool.open(deadline)
+            self._note_connection(conn)
         if not conn.is_open:
             raise AttemptError.at(Cause.CONNECT_FAILED, Stage.UNSENT, "worker closed")
+        if not self._warmup.may_send(monotonic()):
+            # Only the connection has shown that the worker has restarted.
+            conn.release()
+            raise self._make_overload_error(1.0 / self._warmup.per_s)
         return await self._send(conn, head, deadline)
 
     def _take_idle_connection(self, head: RequestHead) -> BackendConnection | None:
@@ -482,6 +649,7 @@
         self, conn: BackendConnection, head: RequestHead, deadline: float
     ) -> Answer:
         self.arrivals.record(monotonic())
+        self._warmup.record_sent(monotonic())
         try:
             await conn.start(head, deadline)
             answer = await self.pool.read_answer(conn, head, _ignore_end)
@@ -518,6 +686,7 @@
         try:
             await asyncio.sleep(CRASH_WINDOW_S)
             conn = await self.pool.open(monotonic() + CRASH_WINDOW_S * 4)
+            self._note_connection(conn)
             conn.release()
         except AttemptError as exc:
             # All connections may be in use, which shows nothing about the worker.
@@ -540,6 +709,10 @@
         """Close the connections to the worker."""
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
+        if self._warm_timer is not None:
+            self._warm_timer.cancel()
+        if self._health_task is not None:
+            self._health_task.cancel()
         self.pool.close()
 
 
@@ -561,6 +734,16 @@
     )
 
 
+def _parse_fields(block: bytes) -> CIMultiDictProxy[str]:
+    """Return the header fields of an answer, which are lines that end in CRLF."""
+    fields: CIMultiDict[str] = CIMultiDict()
+    for line in block.decode("latin-1").split("\r\n"):
+        name, colon, value = line.partition(":")
+        if colon:
+            fields.add(name, value.strip())
+    return CIMultiDictProxy(fields)
+
+
 def _make_unlisted_refusal() -> Refusal:
     return refuse(
         Cause.NO_INSTANCE,
--- a/packages/node/src/mangowell_node/platform/headers.py
+++ b/packages/node/src/mangowell_node/platform/headers.py
@@ -89,7 +89,12 @@
     dropped_fields = HOP_BY_HOP | _NODE_FIELDS | {b"expect"}
 
     def write_fields(self, head: RequestHead, remaining_ms: int) -> bytes:
-        """Return the header lines that are added to a request."""
+        """Return the header lines that are added to a request.
+
+        A health request is for whichever worker has started at the address.
+        """
+        if not head.instance:
+            return f"Timeout-Ms: {remaining_ms}\r\n".encode()
         return (
             f"Timeout-Ms: {remaining_ms}\r\n"
             f"Expected-Instance: {head.instance}\r\n"
