Do not suspect popular requests when cold workers crash under load

Cause: each request that runs at two crashes is refused everywhere. When several cold workers crash because of their load, the popular request runs on all of them, and none has completed it since its start.

The notice of a crash tells whether the worker was cold and ran several requests (is_cold, appended to CrashNotice). A request that ran at two such crashes is refused by cold workers only, as overloaded. A warm worker shows whether it crashes workers: a completion clears it, and two crashes of warm workers refuse it everywhere as before. A cold worker that ran nothing else counts like a warm one.

Resets by a worker that accepts connections again were no crash before and are none now.

--- a/packages/core/src/mangowell_core/mesh/crashes.py
+++ b/packages/core/src/mangowell_core/mesh/crashes.py
@@ -6,6 +6,11 @@
 
 A popular request also runs at most crashes. One that a worker completes does not crash
 workers, so its earlier crashes no longer count, at any node.
+
+A cold worker may crash because of its load, whatever it runs. When several cold workers
+do, each popular request has run at most of the crashes, and none has been completed
+since. Such a crash counts less: cold workers do not run its requests any more, and a
+warm worker shows whether one of them crashes workers.
 """
 
 import math
@@ -58,17 +63,21 @@
     notice of the same crash is not counted again.
     """
 
-    __slots__ = ("_completed_at", "_crashes")
+    __slots__ = ("_cold_crashes", "_completed_at", "_crashes")
 
     def __init__(self):
         self._crashes: dict[str, dict[str, float]] = {}
+        # Crashes of cold workers that ran several requests, each with its time.
+        self._cold_crashes: dict[str, float] = {}
         # Latest completion of each request that was running at a crash.
         self._completed_at: dict[str, float] = {}
 
     def __bool__(self) -> bool:
         return bool(self._crashes)
 
-    def record_crash(self, fingerprint: str, crash_id: str, now: float) -> bool:
+    def record_crash(
+        self, fingerprint: str, crash_id: str, now: float, is_cold: bool = False
+    ) -> bool:
         """Record a crash during a request.
 
         Parameters
@@ -79,6 +88,8 @@
             Id and start time of the worker.
         now : float
             Monotonic time, in seconds.
+        is_cold : bool, optional
+            Whether the worker was cold and ran several requests.
 
         Returns
         -------
@@ -95,13 +106,28 @@
         if crash_id in crash_times:
             return False
         crash_times[crash_id] = now
+        if is_cold:
+            self._cold_crashes[crash_id] = now
         return True
 
     def is_refused(self, fingerprint: str, now: float) -> bool:
         """Return whether a request is refused because of its crashes."""
         self._expire(now)
+        crash_ids = self._crashes.get(fingerprint, {})
+        if len(crash_ids) < CRASHES_UNTIL_REFUSAL:
+            return False
+        warm_count = sum(not self.is_cold_crash(crash_id) for crash_id in crash_ids)
+        return warm_count >= CRASHES_UNTIL_REFUSAL
+
+    def is_refused_by_cold(self, fingerprint: str, now: float) -> bool:
+        """Return whether cold workers refuse a request because of its crashes."""
+        self._expire(now)
         return len(self._crashes.get(fingerprint, ())) >= CRASHES_UNTIL_REFUSAL
 
+    def is_cold_crash(self, crash_id: str) -> bool:
+        """Return whether a crash was that of a cold worker with several requests."""
+        return crash_id in self._cold_crashes
+
     def export(self, now: float) -> list[tuple[str, float, tuple[str, ...]]]:
         """Return all crashes, for a node that has not heard of them.
 
@@ -186,6 +212,9 @@
             completed_at[fingerprint] = max(now, completed_at.get(fingerprint, now))
 
     def _expire(self, now: float) -> None:
+        for crash_id, crashed_at in list(self._cold_crashes.items()):
+            if crashed_at + 2 * CRASH_TTL_S <= now:
+                del self._cold_crashes[crash_id]
         for fingerprint, completed_at in list(self._completed_at.items()):
             if completed_at + CRASH_TTL_S <= now:
                 del self._completed_at[fingerprint]
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -376,11 +376,15 @@
         Fingerprints of the requests.
     age_s : float
         Time since the crash, in seconds, if the notice is sent later.
+    is_cold : bool
+        Whether the worker was cold and ran several requests, so that its load may
+        have crashed it.
     """
 
     crash: str
     fingerprints: tuple[str, ...]
     age_s: float = 0.0
+    is_cold: bool = False
 
 
 class CompletionNotice(msgspec.Struct, frozen=True, tag=True):
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -257,7 +257,9 @@
         if completions:
             link.send_notice(encode_notice(CompletionNotice(completions)))
         for crash, age_s, fingerprints in self._crash_counter.export(monotonic()):
-            link.send_notice(encode_notice(CrashNotice(crash, fingerprints, age_s)))
+            is_cold = self._crash_counter.is_cold_crash(crash)
+            notice = CrashNotice(crash, fingerprints, age_s, is_cold)
+            link.send_notice(encode_notice(notice))
         leaving = tuple(
             (worker.id, worker.born_ms)
             for worker in self._directory.get_workers()
@@ -273,9 +275,11 @@
             self._domains[host] = endpoint.failure_domain
         return self._domains.get(host) == self._settings.failure_domain
 
-    def report_crash(self, crash: str, fingerprints: tuple[str, ...]) -> None:
+    def report_crash(
+        self, crash: str, fingerprints: tuple[str, ...], is_cold: bool = False
+    ) -> None:
         """Record a crash of the local worker and tell the other nodes."""
-        notice = CrashNotice(crash, fingerprints)
+        notice = CrashNotice(crash, fingerprints, is_cold=is_cold)
         self._record_crash(notice)
         self._crashes.append((monotonic(), notice))
         self._send_all(encode_notice(notice))
@@ -300,7 +304,9 @@
         new_fingerprints = [
             fingerprint
             for fingerprint in notice.fingerprints
-            if self._crash_counter.record_crash(fingerprint, notice.crash, crashed_at)
+            if self._crash_counter.record_crash(
+                fingerprint, notice.crash, crashed_at, notice.is_cold
+            )
         ]
         if new_fingerprints and not notice.age_s:
             fields = {
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -113,9 +113,13 @@
         self._crash_counter = crash_counter
         self._completed = CompletedRequests()
         self._lost_fingerprints: list[str] = []
+        # Number of requests lost together, and whether the worker was cold then.
+        self._lost_count = 0
+        self._was_cold_at_loss = False
         self._crash_check_task: asyncio.Task | None = None
-        # Takes the id of a crash and the fingerprints of the requests that ran.
-        self.on_crash: Callable[[str, tuple[str, ...]], None] = _ignore_crash
+        # Takes the id of a crash, the fingerprints of the requests that ran, and
+        # whether the load of a cold worker may have caused it.
+        self.on_crash: Callable[[str, tuple[str, ...], bool], None] = _ignore_crash
         # Takes the fingerprint of a request that has run at a crash and was completed.
         self.on_completion: Callable[[str], None] = _ignore_completion
         # Called once the local worker has stated that it leaves.
@@ -303,12 +307,25 @@
         The node at which it entered may have started since the crashes.
         """
         crash_counter = self._crash_counter
-        if crash_counter and crash_counter.is_refused(
-            compute_fingerprint(head), monotonic()
-        ):
+        if not crash_counter:
+            return
+        now = monotonic()
+        fingerprint = compute_fingerprint(head)
+        if crash_counter.is_refused(fingerprint, now):
             raise AttemptError(
                 refuse(Cause.QUARANTINED, "the same request has crashed workers")
             )
+        if self._warmup.is_cold(now) and crash_counter.is_refused_by_cold(
+            fingerprint, now
+        ):
+            reason = "the same request has run at crashes, and the worker is cold"
+            raise AttemptError(
+                refuse(
+                    Cause.OVERLOADED,
+                    reason,
+                    retry_after_s=self._warmup.cold_until - now,
+                )
+            )
 
     # Slow start
 
@@ -673,6 +690,9 @@
     def _record_lost_connection(self, head: RequestHead, exc: AttemptError) -> None:
         if exc.refusal.cause is not Cause.CONNECTION_LOST:
             return
+        if not self._lost_count:
+            self._was_cold_at_loss = self._warmup.is_cold(monotonic())
+        self._lost_count += 1
         if not self._completed.has(head.method, head.target, head.body):
             self._lost_fingerprints.append(compute_fingerprint(head))
         if self._crash_check_task is None:
@@ -700,9 +720,11 @@
                 self.on_crash(
                     f"{local_worker.id}/{local_worker.born_ms}",
                     tuple(self._lost_fingerprints),
+                    self._was_cold_at_loss and self._lost_count > 1,
                 )
         finally:
             self._lost_fingerprints.clear()
+            self._lost_count = 0
             self._crash_check_task = None
 
     def stop(self) -> None:
@@ -764,7 +786,7 @@
     return refuse(Cause.LEAVING, "node is stopping")
 
 
-def _ignore_crash(crash: str, fingerprints: tuple[str, ...]) -> None:
+def _ignore_crash(crash: str, fingerprints: tuple[str, ...], is_cold: bool) -> None:
     """Ignore a crash; replaced by `Gossip`."""
 
 
