Keep the connection of the last health answer, and limit its repetition

A worker that closes each connection after its answer would look restarted at each request: it would be asked each time, and counted as cold until it has answered. Suspicions during a health request repeated it without a pause.

The connection of the last health answer stays open outside of the pool, so that its loss shows a restart. The share of the best served class is computed ten times a second at most, as a document may have more than a thousand routes, and classes without requests are forgotten.

The test of crashing cold workers sends to each worker by the node beside it.

--- a/packages/core/src/mangowell_core/mesh/late_queue.py
+++ b/packages/core/src/mangowell_core/mesh/late_queue.py
@@ -35,6 +35,11 @@
 SHARES_AVERAGE_S = 5.0
 # Number of requests of a class from which its share is known.
 MIN_OFFERED = 3.0
+# Decayed number of requests below which a class is forgotten.
+FORGOTTEN_OFFERED = 0.01
+# Interval at which the best served class is looked for, in seconds: a document may have
+# more than a thousand routes.
+BEST_INTERVAL_S = 0.1
 # Share of a class, relative to the best served one, below which its requests are
 # treated as urgent. The platform's bound is a quarter of the requests. Refused ones
 # come back and are offered again, so that bound is met at a lower share of the offers;
@@ -123,10 +128,13 @@
 class ClassShares:
     """Share of the offered requests that have started lately, by rank and route."""
 
-    __slots__ = ("_classes",)
+    __slots__ = ("_best", "_best_at", "_classes")
 
     def __init__(self):
         self._classes: dict[tuple[int, str], _Class] = {}
+        # Share of the best served class, and the time of its computation.
+        self._best = 0.0
+        self._best_at = -math.inf
 
     def record_offer(self, rank: int, route: str, amount: float, now: float) -> None:
         """Record an offered request, or a part of one."""
@@ -144,16 +152,23 @@
     def is_starving(self, rank: int, route: str, now: float) -> bool:
         """Return whether a class is served far less often than the best served one."""
         share = self.get_share(rank, route, now)
-        # Calls do not count: they are few, and go first in any case.
-        others = (
-            _get_share(known, now)
-            for (other_rank, _), known in self._classes.items()
-            if other_rank >= 0
-        )
-        if share is None:
+        if share is None or share >= STARVING_SHARE:
             return False
-        best = max((other for other in others if other is not None), default=0.0)
-        return share < STARVING_SHARE * best
+        if now >= self._best_at + BEST_INTERVAL_S:
+            self._update_best(now)
+        return share < STARVING_SHARE * self._best
+
+    def _update_best(self, now: float) -> None:
+        """Compute the share of the best served class, and forget those long unused."""
+        self._best, self._best_at = 0.0, now
+        for (rank, route), known in list(self._classes.items()):
+            if known.offered.get(now) < FORGOTTEN_OFFERED:
+                del self._classes[rank, route]
+                continue
+            share = _get_share(known, now)
+            # Calls do not count: they are few, and go first in any case.
+            if rank >= 0 and share is not None:
+                self._best = max(self._best, share)
 
     def _get_class(self, rank: int, route: str) -> _Class:
         return self._classes.setdefault((rank, route), _Class())
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -141,6 +141,9 @@
         self._last_entry: Endpoint | None = None
         self._was_evacuated = False
         self._health_task: asyncio.Task | None = None
+        # Connection of the last health answer. It is kept, as its loss shows a restart
+        # also if no request runs, and other connections come and go.
+        self._health_conn: BackendConnection | None = None
         # Counts the reasons to ask, so that an earlier answer does not count.
         self._health_reasons = 0
         self._warm_timer: asyncio.TimerHandle | None = None
@@ -389,10 +392,10 @@
             while self._warmup.is_assumed(monotonic()):
                 reasons = self._health_reasons
                 is_answered, warmup_s = await self._ask_health(path)
-                if not is_answered:
-                    await asyncio.sleep(HEALTH_RETRY_S)
-                elif reasons == self._health_reasons:
+                if is_answered and reasons == self._health_reasons:
                     self._warmup.record_health(warmup_s, monotonic())
+                else:
+                    await asyncio.sleep(HEALTH_RETRY_S)
         finally:
             self._health_task = None
             self._follow_warmup()
@@ -420,12 +423,19 @@
                 return False, None
             self._warmup.record_sent(monotonic())
             await conn.start(head, deadline)
-            answer, _ = conn.get_answer()
+            answer = await self.pool.read_answer(conn, head, _ignore_end)
         except AttemptError:
+            conn.abort()
             return False, None
-        finally:
+        except BaseException:
             conn.abort()
-        headers = _parse_fields(answer.headers)
+            raise
+        if answer.stream is not None:
+            answer.stream.close()
+        previous, self._health_conn = self._health_conn, conn
+        if previous is not None:
+            previous.abort()
+        headers = _parse_fields(answer.head.headers)
         warmup_s = self.pool.dialect.read_warmup(headers)
         if warmup_s is not None:
             return True, warmup_s
@@ -434,7 +444,7 @@
         worker = self._local_worker
         instance = self.pool.dialect.read_instance(headers)
         is_listed = worker is not None and instance in ("", worker.id)
-        return answer.status < HTTPStatus.BAD_REQUEST and is_listed, None
+        return answer.head.status < HTTPStatus.BAD_REQUEST and is_listed, None
 
     def _follow_warmup(self) -> None:
         """Let waiting requests go on, and log the state of the worker."""
@@ -731,6 +741,8 @@
         """Close the connections to the worker."""
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
+        # Nothing is timed or asked any more.
+        self._warmup.set_bound(0.0, 1.0, 0.0)
         if self._warm_timer is not None:
             self._warm_timer.cancel()
         if self._health_task is not None:
--- a/tests/mesh/test_cold_crashes.py
+++ b/tests/mesh/test_cold_crashes.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 from mangowell_core.mesh import CrashCounter
+from mangowell_node.exchange import RequestHead
 from mesh.support_cold import ColdWorker, run_cold_mesh
 from mesh.support_mesh import until
 
@@ -44,19 +45,44 @@
         await crash_cold_workers(machines)
 
 
+def make_head(machine, path):
+    return RequestHead(
+        f"{path}-{machine.id}",
+        "orders",
+        "GET",
+        path,
+        b"Host: x\r\n",
+        "",
+        "",
+        1,
+        False,
+        0,
+        True,
+        instance=machine.id,
+        route="r1",
+    )
+
+
 async def crash_cold_workers(machines):
     """Crash two cold workers that run the same requests, and check what is told."""
     for machine in machines:
         cold = ColdWorker(machine)
         cold.work_s = 5.0
         machine.node.runner._warmup.record_entry(5.0, monotonic())
+    # Sent to each worker by the node beside it, as others would place them unevenly.
     calls = [
-        asyncio.create_task(machine.call(path, request=f"{path}-{n}", timeout_ms=3000))
-        for n, machine in enumerate(machines)
+        asyncio.create_task(
+            machine.node.runner.run(make_head(machine, path), None, monotonic() + 4)
+        )
+        for machine in machines
         for path in ("/x/popular", "/x/other")
     ]
-    await until(lambda: all(m.node.runner.admission.running == 2 for m in machines))
-    await until(lambda: all(m.worker.executions >= 2 for m in machines))
+    await until(
+        lambda: all(
+            sum(r.target.startswith("/x/") for r in m.worker.received) == 2
+            for m in machines
+        )
+    )
     for machine in machines:
         machine.worker.crash()
     await asyncio.gather(*calls, return_exceptions=True)
