--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -127,9 +127,13 @@
         self._crash_counter = crash_counter
         self._completed = CompletedRequests()
         self._lost_fingerprints: list[str] = []
+        # Number of requests lost together, and whether the worker was cold then.
+        self._lost_count = 0
+        self._was_cold_at_loss = False
         self._crash_check_task: asyncio.Task | None = None
-        # Takes the id of a crash and the fingerprints of the requests that ran.
-        self.on_crash: Callable[[str, tuple[str, ...]], None] = _ignore_crash
+        # Takes the id of a crash, the fingerprints of the requests that ran, and
+        # whether the load of a cold worker may have caused it.
+        self.on_crash: Callable[[str, tuple[str, ...], bool], None] = _ignore_crash
         # Takes the fingerprint of a request that has run at a crash and was completed.
         self.on_completion: Callable[[str], None] = _ignore_completion
         # Called once the local worker has stated that it leaves.
@@ -153,6 +157,9 @@
         self._last_entry: Endpoint | None = None
         self._was_evacuated = False
         self._health_task: asyncio.Task | None = None
+        # Connection of the last health answer. It is kept, as its loss shows a restart
+        # also if no request runs, and other connections come and go.
+        self._health_conn: BackendConnection | None = None
         # Counts the reasons to ask, so that an earlier answer does not count.
         self._health_reasons = 0
         self._warm_timer: asyncio.TimerHandle | None = None
@@ -335,12 +342,25 @@
         The node at which it entered may have started since the crashes.
         """
         crash_counter = self._crash_counter
-        if crash_counter and crash_counter.is_refused(
-            compute_fingerprint(head), monotonic()
-        ):
+        if not crash_counter:
+            return
+        now = monotonic()
+        fingerprint = compute_fingerprint(head)
+        if crash_counter.is_refused(fingerprint, now):
             raise AttemptError(
                 refuse(Cause.QUARANTINED, "the same request has crashed workers")
             )
+        if self._warmup.is_cold(now) and crash_counter.is_refused_by_cold(
+            fingerprint, now
+        ):
+            reason = "the same request has run at crashes, and the worker is cold"
+            raise AttemptError(
+                refuse(
+                    Cause.OVERLOADED,
+                    reason,
+                    retry_after_s=self._warmup.cold_until - now,
+                )
+            )
 
     # Slow start
 
@@ -404,10 +424,10 @@
             while self._warmup.is_assumed(monotonic()):
                 reasons = self._health_reasons
                 is_answered, warmup_s = await self._ask_health(path)
-                if not is_answered:
-                    await asyncio.sleep(HEALTH_RETRY_S)
-                elif reasons == self._health_reasons:
+                if is_answered and reasons == self._health_reasons:
                     self._warmup.record_health(warmup_s, monotonic())
+                else:
+                    await asyncio.sleep(HEALTH_RETRY_S)
         finally:
             self._health_task = None
             self._follow_warmup()
@@ -435,12 +455,19 @@
                 return False, None
             self._warmup.record_sent(monotonic())
             await conn.start(head, deadline)
-            answer, _ = conn.get_answer()
+            answer = await self.pool.read_answer(conn, head, _ignore_end)
         except AttemptError:
+            conn.abort()
             return False, None
-        finally:
+        except BaseException:
             conn.abort()
-        headers = _parse_fields(answer.headers)
+            raise
+        if answer.stream is not None:
+            answer.stream.close()
+        previous, self._health_conn = self._health_conn, conn
+        if previous is not None:
+            previous.abort()
+        headers = _parse_fields(answer.head.headers)
         warmup_s = self.pool.dialect.read_warmup(headers)
         if warmup_s is not None:
             return True, warmup_s
@@ -449,7 +476,7 @@
         worker = self._local_worker
         instance = self.pool.dialect.read_instance(headers)
         is_listed = worker is not None and instance in ("", worker.id)
-        return answer.status < HTTPStatus.BAD_REQUEST and is_listed, None
+        return answer.head.status < HTTPStatus.BAD_REQUEST and is_listed, None
 
     def _follow_warmup(self) -> None:
         """Let waiting requests go on, and log the state of the worker."""
@@ -736,6 +763,9 @@
     def _record_lost_connection(self, head: RequestHead, exc: AttemptError) -> None:
         if exc.refusal.cause is not Cause.CONNECTION_LOST:
             return
+        if not self._lost_count:
+            self._was_cold_at_loss = self._warmup.is_cold(monotonic())
+        self._lost_count += 1
         if not self._completed.has(head.method, head.target, head.body):
             self._lost_fingerprints.append(compute_fingerprint(head))
         if self._crash_check_task is None:
@@ -763,15 +793,19 @@
                 self.on_crash(
                     f"{local_worker.id}/{local_worker.born_ms}",
                     tuple(self._lost_fingerprints),
+                    self._was_cold_at_loss and self._lost_count > 1,
                 )
         finally:
             self._lost_fingerprints.clear()
+            self._lost_count = 0
             self._crash_check_task = None
 
     def stop(self) -> None:
         """Close the connections to the worker."""
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
+        # Nothing is timed or asked any more.
+        self._warmup.set_bound(0.0, 1.0, 0.0)
         if self._warm_timer is not None:
             self._warm_timer.cancel()
         if self._health_task is not None:
@@ -835,7 +869,7 @@
     return refuse(Cause.LEAVING, "node is stopping")
 
 
-def _ignore_crash(crash: str, fingerprints: tuple[str, ...]) -> None:
+def _ignore_crash(crash: str, fingerprints: tuple[str, ...], is_cold: bool) -> None:
     """Ignore a crash; replaced by `Gossip`."""
 
 
