Render missing values of the settings template as the platform does

Tests that start a node's process failed with KeyError warmup-overage since the template names bounds that not every platform has.

--- a/packages/standins/src/mangowell_standins/node_process.py
+++ b/packages/standins/src/mangowell_standins/node_process.py
@@ -67,7 +67,8 @@
     def write_settings(self) -> None:
         """Replace the settings file at once, as the platform does."""
         fields = self.fields
-        text = re.sub("{{(.*?)}}", lambda m: fields[m[1]], TEMPLATE.read_text())
+        # The platform writes nothing for a value that it does not have.
+        text = re.sub("{{(.*?)}}", lambda m: fields.get(m[1], ""), TEMPLATE.read_text())
         new = self.path.with_suffix(".new")
         new.write_text(text)
         os.replace(new, self.path)
