Refuse at once what no worker accepts, and spread the returns of callers

At 1.5 times the capacity of a service, each request that no worker accepts asked four workers before it was refused, and callers that retry at once asked again each time. All were told the shortest wait of any worker, came back together into queues that were still full, and used up their retries.

A node now remembers, by service and priority, a round in which all workers refused: for up to 250 ms it refuses three of four new requests of that class without asking, also those of less urgent classes with no longer objective. Calls, requests with a free slot beside the node, and rounds that left workers out are not affected. Retry-After grows with the refusals that return before, is spread, stays within a third of the caller's time, and leaves time for an answer in time. Event 508, two gauges and the end reason service-full show it.

--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -18,8 +18,9 @@
 )
 from mangowell_core.mesh.offers import may_offer_again
 from mangowell_core.mesh.placement import LoadReport
+from mangowell_core.mesh.service_room import ServiceRoom
 from mangowell_core.policy.outcome import refuse
-from mangowell_core.policy.types import Cause, Outcome
+from mangowell_core.policy.types import Cause, Outcome, Refusal
 from mangowell_node.exchange import (
     Answer,
     AttemptError,
@@ -114,6 +115,7 @@
             self._is_suspect,
             rng,
         )
+        self.room = ServiceRoom(rng)
         self.budget = RetryBudget(
             settings.retry_ratio, settings.retry_floor, settings.retry_window_s, rng
         )
@@ -143,11 +145,18 @@
         if state.error and state.error.refusal.cause is Cause.QUARANTINED:
             # All other nodes would refuse the request as well.
             return EndReason.QUARANTINED
+        if self._is_service_full(state):
+            reason = f"{state.service} is full"
+            state.error = AttemptError(refuse(Cause.OVERLOADED, reason))
+            return EndReason.SERVICE_FULL
         try:
             endpoint = await self._select_worker(state)
         except AttemptError as exc:
+            self._record_full(state, exc)
             state.error = _select_error(state.error, exc)
             return EndReason.ALL_REFUSE
+        if endpoint is not None and not state.head.is_call:
+            self.room.record_accepted(state.service, state.route.priority)
         if endpoint is None and self._may_reset_exclusions(state):
             # If there is only one worker, it may have lost just a connection.
             state.excluded.clear()
@@ -181,6 +190,73 @@
         is_final = await self._attempt(state, endpoint)
         return EndReason.ANSWERED if is_final else None
 
+    def _is_service_full(self, state: RequestState) -> bool:
+        """Return whether to refuse a new request without asking workers.
+
+        Calls are always offered: a refusal would waste the work of their parents.
+        """
+        if state.head.is_call or state.excluded or state.may_have_run:
+            return False
+        route = state.route
+        return not self._has_room_here(state.service) and self.room.is_full(
+            state.service, route.priority, route.objective_s, monotonic()
+        )
+
+    def _has_room_here(self, service: str) -> bool:
+        """Return whether the local worker has a free slot for a service."""
+        worker = self._runner.local_worker
+        admission = self._runner.admission
+        if worker is None or worker.service != service:
+            return False
+        return admission.running < admission.limit
+
+    def _record_full(self, state: RequestState, error: AttemptError) -> None:
+        """Record that all workers that were asked would refuse a request.
+
+        Those that an earlier attempt excluded may have room for others, and so may
+        those of other failure domains that were not asked.
+        """
+        is_partial = state.head.is_call or state.excluded or state.has_skipped_remote
+        if is_partial or error.refusal.cause is not Cause.OVERLOADED:
+            return
+        route = state.route
+        wait_s = error.refusal.retry_after_s
+        if self.room.record_full(
+            state.service, route.priority, route.objective_s, wait_s, monotonic()
+        ):
+            fields = {
+                "service": state.service,
+                "priority": route.priority,
+                "room_in_ms": round(wait_s * 1000),
+            }
+            self._emit(Event(EventCode.CLASS_FULL, fields))
+
+    def compute_retry_after(
+        self, state: RequestState, refusal: Refusal, remaining_s: float
+    ) -> float:
+        """Return when the caller of an overloaded service is to retry, in seconds.
+
+        Parameters
+        ----------
+        state : RequestState
+            Refused request, which is not a call.
+        refusal : Refusal
+            Its refusal.
+        remaining_s : float
+            Time that the caller has left, in seconds.
+        """
+        route = state.route
+        is_unasked = state.ended_by is EndReason.SERVICE_FULL
+        return self.room.schedule_retry(
+            state.service,
+            route.priority,
+            route.objective_s,
+            self.placement.estimate_work(route.name, state.service),
+            0.0 if is_unasked else refusal.retry_after_s,
+            remaining_s,
+            monotonic(),
+        )
+
     async def _select_worker(self, state: RequestState) -> Endpoint | None:
         selected, state.next_worker = state.next_worker, None
         return selected or await self.prober.select_worker(state)
@@ -329,6 +405,7 @@
             return answer.head.status == 504
         route = state.route.name
         placement.record_answer(endpoint, route, answer.head.work_s, now)
+        self.room.record_answer(state.service, now)
         placement.record_size(route, _compute_size(head, answer))
         return True
 
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -23,6 +23,7 @@
     WorkerStates,
 )
 from mangowell_core.mesh.routes import TrafficSplitter
+from mangowell_core.mesh.service_room import MAX_REMAINING_SHARE
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause, Outcome, Refusal
 from mangowell_node.exchange import (
@@ -57,6 +58,10 @@
 # Range of the random factor on the Retry-After value, so that callers that are
 # refused together do not retry together.
 RETRY_AFTER_JITTER = (0.8, 1.6)
+# Shortest Retry-After value, of a caller without time left, in seconds.
+MIN_REMAINING_RETRY_S = 0.01
+# Causes that last longer than a caller waits.
+_FIXED_RETRY_CAUSES = frozenset({Cause.QUARANTINED, Cause.LEAVING})
 # While a worker runs a request, it prefixes the id of each call that it makes with
 # the id of that request and this separator.
 CALL_SEPARATOR = "."
@@ -210,9 +215,12 @@
             refusal = refuse(Cause.NO_ROUTE, "no route matches")
             return self._make_refusal_reply(request, None, refusal, call.arrived_at)
         timeout_s = route.timeout_s or DEFAULT_TIMEOUT_S
+        caller_s = timeout_s
         if fields.remaining_ms is not None:
-            timeout_s = min(timeout_s, fields.remaining_ms / 1000)
+            caller_s = fields.remaining_ms / 1000
+            timeout_s = min(timeout_s, caller_s)
         state = RequestState(call, route, self._traffic_splitter.select_service(route))
+        state.caller_deadline = call.arrived_at + caller_s
         state.deadline = min(call.arrived_at + timeout_s, self._end_deadline)
         try:
             return await self._serve_on_route(state, request)
@@ -413,6 +421,23 @@
         }
         self._emit(Event(EventCode.CALL_LATE, fields))
 
+    def _compute_retry_after(
+        self, state: RequestState | None, refusal: Refusal
+    ) -> float:
+        """Return the Retry-After value of a refusal, in seconds."""
+        jitter = self._rng.uniform(*RETRY_AFTER_JITTER)
+        if state is None or refusal.cause in _FIXED_RETRY_CAUSES:
+            return refusal.retry_after_s * jitter
+        remaining_s = state.caller_deadline - monotonic()
+        is_call = state.head is None or state.head.is_call
+        if refusal.cause is Cause.OVERLOADED and not is_call:
+            retry_s = self.attempts.compute_retry_after(state, refusal, remaining_s)
+        else:
+            # Jitter also below the longest time, so that callers do not come together.
+            limit_s = remaining_s * MAX_REMAINING_SHARE / RETRY_AFTER_JITTER[1]
+            retry_s = min(refusal.retry_after_s, limit_s) * jitter
+        return max(MIN_REMAINING_RETRY_S, retry_s)
+
     def _make_refusal_reply(
         self,
         request: str,
@@ -422,9 +447,7 @@
     ) -> Reply:
         retry_after_s = 0.0
         if refusal.status == 503 and refusal.retry_after_s:
-            retry_after_s = refusal.retry_after_s * self._rng.uniform(
-                *RETRY_AFTER_JITTER
-            )
+            retry_after_s = self._compute_retry_after(state, refusal)
         fields = {
             "request": request,
             "cause": refusal.cause.value,
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -338,6 +338,8 @@
             "endpoints": len(directory),
             "evacuated_domains": len(directory.evacuated),
             "requests_in_flight": self.gateway.in_flight,
+            "requests_refused_at_once": self.gateway.attempts.room.refused_at_once,
+            "classes_full": self.gateway.attempts.room.count_full(monotonic()),
             "worker_running": self.runner.admission.running,
             "worker_waiting": self.runner.admission.waiting,
             "worker_requests_per_s": self.runner.arrivals.compute_rate(monotonic()),
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -167,6 +167,7 @@
         if all(cost_s >= lowest_cost_s for cost_s, _ in sample):
             return
         if results.asked and not self._remote_probing.is_due(state.service):
+            state.has_skipped_remote = True
             return
         await self._run_round(state, results, sample)
         _, selected = self._select_probed(state, results)
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -26,6 +26,7 @@
     RETRY_BUDGET = "retry-budget"
     OFFER_LIMIT = "offer-limit"
     ALL_REFUSE = "all-refuse"
+    SERVICE_FULL = "service-full"
     NO_WORKER = "no-worker"
     DEADLINE = "deadline"
 
@@ -47,11 +48,13 @@
         "answer",
         "attempts",
         "call",
+        "caller_deadline",
         "deadline",
         "ended_by",
         "error",
         "excluded",
         "has_reset_exclusions",
+        "has_skipped_remote",
         "head",
         "held_body_bytes",
         "is_passed_on",
@@ -69,6 +72,8 @@
         self.service = service
         self.head: RequestHead | None = None
         self.deadline = 0.0
+        # Time until which the caller waits or repeats, which may be after `deadline`.
+        self.caller_deadline = 0.0
         # Bytes that are reserved for the body in the budget of the node.
         self.held_body_bytes = 0
         self.excluded: set[str] = set()
@@ -81,6 +86,8 @@
         # Worker that was selected before the attempt on a silent link was given up.
         self.next_worker: Endpoint | None = None
         self.has_reset_exclusions = False
+        # Whether workers of other failure domains were left out when it was probed.
+        self.has_skipped_remote = False
         self.may_have_run = False
         # Whether the current attempt has left this node for a worker or another node.
         self.is_passed_on = False
