--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -187,6 +187,7 @@
         ):
             return
         if results.asked and not self._remote_probing.is_due(state.service):
+            state.has_skipped_remote = True
             return
         await self._run_round(state, results, sample)
         _, selected = self._select_probed(state, results, transfer)
