Explain where a request would go now, without sending it

Operators could see what happened to a request, but not where the next one would go or why a worker gets none.

`mangowell explain route` asks nodes on a platform (GET /explain at the metrics port). A node matches the route and selects the worker with the code of its request path, on a request that is not sent, and asks all candidates by probes, as it asks a few for a request. The answer has each candidate with load, speed, warm-up, evacuation, predicted wait and cost of leaving the domain, the decision that takes or leaves it, and the refusal with its Retry-After if none has room.

--- a/packages/cli/src/mangowell_cli/app.py
+++ b/packages/cli/src/mangowell_cli/app.py
@@ -22,6 +22,7 @@
 from mangowell_cli.internal.nodes import Timeouts, select_nodes
 from mangowell_cli.internal.output import escape_control_chars
 from mangowell_cli.internal.promotion import promote
+from mangowell_cli.internal.route_explanation import show_route
 from mangowell_cli.internal.timeline import show_timeline
 
 Json = Annotated[bool, Arg(long="--json", help="Print JSON for scripts.")]
@@ -155,11 +156,58 @@
         return compute_exit_code(reports)
 
 
+@cappa.command(
+    name="route",
+    help="Show where a request would go now and why, without sending it. Asks the "
+    "metrics ports of nodes on a platform.",
+)
+@dataclass
+class ExplainRoute:
+    """Arguments of ``mangowell explain route``."""
+
+    host: Annotated[
+        str, Arg(long="--host", value_name="NAME", help="Host of the request.")
+    ] = ""
+    path: Annotated[
+        str, Arg(long="--path", value_name="PATH", help="Path of the request.")
+    ] = ""
+    method: Annotated[
+        str, Arg(long="--method", value_name="METHOD", help="Method of the request.")
+    ] = "GET"
+    failure_domain: Annotated[
+        str,
+        Arg(
+            long="--failure-domain",
+            value_name="NAME",
+            help="Failure domain of the caller; only its nodes explain.",
+        ),
+    ] = ""
+    nodes: Annotated[
+        str,
+        Arg(long="--nodes", value_name="HOST:METRICS_PORT,...", help="Nodes to ask."),
+    ] = ""
+    timeout_s: TimeoutS = 2.0
+    deadline_s: DeadlineS = 30.0
+    json: Json = False
+
+    def run(self) -> int:
+        """Run the command and return the exit code."""
+        request = {"host": self.host, "path": self.path, "method": self.method}
+        return show_route(
+            select_nodes(self.nodes, ""),
+            request,
+            self.failure_domain,
+            Timeouts(self.timeout_s, self.deadline_s),
+            self.json,
+        )
+
+
 @cappa.command(name="explain", help="Show what nodes did and why, as a timeline.")
 @dataclass
 class Explain:
     """Arguments of ``mangowell explain``."""
 
+    subject: cappa.Subcommands[ExplainRoute | None] = None
     nodes: Nodes = ""
     instances: Instances = ""
     version: Annotated[
@@ -182,6 +230,8 @@
 
     def run(self) -> int:
         """Run the command and return the exit code."""
+        if self.subject is not None:
+            return self.subject.run()
         options = {
             "version": self.version,
             "request": self.request,
--- a/packages/core/src/mangowell_core/mesh/placement.py
+++ b/packages/core/src/mangowell_core/mesh/placement.py
@@ -478,6 +478,21 @@
             route, self._service_work_s.get(service, INITIAL_WORK_S)
         )
 
+    def explain(self, endpoint: Endpoint, now: float) -> dict[str, float]:
+        """Return what is known of a worker; see `CandidateView` for the names."""
+        stats = self._stats_by_id.get(endpoint.id)
+        if stats is None:
+            stats = _WorkerStats(
+                endpoint.born_ms, now + endpoint.warmup_s, endpoint.slots
+            )
+        return {
+            "running": stats.estimate_pending(now),
+            "slots": stats.limit,
+            "speed": 1 / stats.slowness,
+            "warmup_left_s": max(0.0, stats.warmup_ends_at - now),
+            "failure_rate": stats.failure_rate.estimate(now),
+        }
+
     def _add_stats(self, endpoint: Endpoint, now: float) -> _WorkerStats:
         stats = _WorkerStats(endpoint.born_ms, now + endpoint.warmup_s, endpoint.slots)
         self._stats_by_id[endpoint.id] = stats
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -181,6 +181,11 @@
             self._traffic_splitter.keep({route.name for route in document.routes})
         self.attempts.sync(monotonic())
 
+    @property
+    def route_table(self) -> RouteTable | None:
+        """Routes that requests are matched to; None before the first document."""
+        return self._route_table
+
     async def serve(self, call: IncomingCall) -> Reply:
         """Answer one request."""
         self.in_flight += 1
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -16,6 +16,7 @@
 from mangowell_node.ingress import IncomingCall, IngressServer, Reply
 from mangowell_node.link import LinkPool, LinkServer, derive_link_key
 from mangowell_node.mesh.call_group import CallGroup
+from mangowell_node.mesh.explanation import EXPLAIN_PATH, RouteExplainer
 from mangowell_node.mesh.feed import StateFeed
 from mangowell_node.mesh.gateway import Gateway
 from mangowell_node.mesh.gossip import Gossip
@@ -108,6 +109,13 @@
             self._observe,
             rng,
         )
+        self._explainer = RouteExplainer(
+            settings,
+            directory,
+            self.gateway,
+            worker_states,
+            lambda: self._unready_reasons,
+        )
         self._gossip = Gossip(
             settings,
             directory,
@@ -311,7 +319,10 @@
         return Reply(status.value, status.phrase, headers, body)
 
     async def _handle_metrics(self, call: IncomingCall) -> Reply:
-        if call.target.partition("?")[0] != METRICS_PATH:
+        path = call.target.partition("?")[0]
+        if path == EXPLAIN_PATH:
+            return await self._explainer.serve(call)
+        if path != METRICS_PATH:
             return Reply(HTTPStatus.NOT_FOUND.value, HTTPStatus.NOT_FOUND.phrase, b"")
         self._set_gauges()
         body = self._telemetry.render()
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -299,6 +299,28 @@
         in_flight = self._placement.count_in_flight(endpoint)
         pending.results.record_reply(endpoint, reply, in_flight)
 
+    async def explain(
+        self, state: RequestState, results: ProbeResults
+    ) -> tuple[list[tuple[float, Endpoint]], Callable[[str], bool | None]]:
+        """Ask all candidates of a request that is not sent.
+
+        Parameters
+        ----------
+        state : RequestState
+            Request.
+        results : ProbeResults
+            Receives the replies.
+
+        Returns
+        -------
+        list of (float, Endpoint), callable
+            Costs of the candidates as `select_worker` uses them, and the
+            `get_suspicion` that it uses; see `Placement.select_worker`.
+        """
+        costs = self._estimate_costs(state, state.excluded)
+        await self._run_round(state, results, costs)
+        return costs, self._make_suspicion(state)
+
     def answer_probe(self, link: Link, probe: ProbeNotice) -> None:
         """Answer the probe of another node."""
         link.send_notice(encode_notice(self._runner.predict(probe)))
--- a/tests/cli/conftest.py
+++ b/tests/cli/conftest.py
@@ -12,10 +12,13 @@
 class FakeAdminPort:
     """Serves prepared answers as the admin port of a node does.
 
-    Answers wait for the event `release` if one is given.
+    Answers wait for the event `release` if one is given. `path_answers` has the
+    answers of further paths.
     """
 
-    def __init__(self, status, events=(), http_status=200, release=None):
+    def __init__(
+        self, status, events=(), http_status=200, release=None, path_answers=None
+    ):
         node = self
         self.queries = []
 
@@ -25,7 +28,8 @@
                     release.wait(10)
                 url = urlsplit(self.path)
                 node.queries.append(dict(parse_qsl(url.query)))
-                body = {"/status": status, "/events": list(events)}[url.path]
+                answers = {"/status": status, "/events": list(events)}
+                body = (answers | (path_answers or {}))[url.path]
                 if not isinstance(body, bytes):
                     body = json.dumps(body).encode()
                 self.send_response(http_status)
--- /dev/null
+++ b/tests/mesh/test_explanation.py
@@ -0,0 +1,106 @@
+"""Guards against an explanation that tells another story than the request path."""
+
+import asyncio
+import json
+from time import monotonic
+from urllib.parse import urlencode
+
+from mangowell_core.mesh.model import ProbeNotice
+from mangowell_standins.scripted_http import read_response
+from mesh.support_mesh import HOST, fill_slots, make_entry, run_mesh, until
+
+
+def make_probe(machine):
+    return ProbeNotice(1, machine.id, "r1", 1, 0.5, 2.0, False, -1.0)
+
+
+def fill_one(machine):
+    """Let one more request wait for a worker."""
+    admission, now = machine.node.runner.admission, monotonic()
+    admission.offer("more", "r1", 1, 0.5, now + 2.0, now)
+
+
+async def explain(machine, path="/x", method="GET", host=HOST, verb="GET"):
+    """Ask a node; return status and the decoded answer."""
+    settings = machine.settings
+    address = settings.ready.host, settings.metrics_port
+    reader, writer = await asyncio.open_connection(*address)
+    query = urlencode({"host": host, "path": path, "method": method})
+    writer.write(f"{verb} /explain?{query} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    answer = await read_response(reader)
+    writer.close()
+    return answer.status, json.loads(answer.body)
+
+
+async def explain_service(machine, path="/x"):
+    """Return the part of the only service, and its candidates by worker."""
+    status, answer = await explain(machine, path)
+    assert status == 200
+    (part,) = answer["services"]
+    return part, {view["worker"]: view for view in part["candidates"]}
+
+
+async def test_explained_worker_is_that_of_the_request_and_nothing_is_sent():
+    async with run_mesh(2) as (_, machines):
+        status, answer = await explain(machines[0], "/pay/1?a=b", "POST")
+        assert status == 200
+        assert answer["route"]["name"] == "r2"
+        assert answer["route"]["idempotent"] is False
+        (part,) = answer["services"]
+        assert part["selected"] == machines[0].id
+        assert sum(machine.worker.executions for machine in machines) == 0
+        await machines[0].call("/pay/1?a=b", "POST", b"x")
+        assert machines[0].worker.executions == 1
+
+
+async def test_full_workers_are_explained_by_the_answer_that_callers_get():
+    async with run_mesh(2) as (_, machines):
+        for machine in machines:
+            fill_slots(machine)
+            while machine.node.runner.predict(make_probe(machine)).accepted:
+                fill_one(machine)
+        get_link = machines[0].node._links.get_link
+        await until(lambda: get_link(machines[1].host, machines[1].link_port))
+        part, views = await explain_service(machines[0])
+        assert part["selected"] is None
+        assert [view["accepts"] for view in views.values()] == [False, False]
+        assert all("admission" in view["decision"] for view in views.values())
+        answer = await machines[0].call("/x")
+        shortest, longest = part["answer"]["retry_after_s"]
+        assert answer.status == part["answer"]["status"] == 503
+        # Both refusals are of slightly different moments.
+        assert shortest * 0.5 <= float(answer.headers["retry-after"]) <= longest * 2
+
+
+async def test_excluded_workers_are_explained_by_the_filter_that_excludes_them():
+    zones = ("a", "b", "c")
+    async with run_mesh(3, zones=zones) as (store, machines):
+        store.put("op/evacuate/b", b"{}")
+        third = machines[2]
+        entry = make_entry(third.host, third.worker.port, state="draining", zone="c")
+        store.put(f"servers/{third.id}", entry)
+        directory = machines[0].node.directory
+        await until(lambda: directory.evacuated == frozenset("b"))
+        await until(lambda: directory.endpoints[third.id].draining)
+        part, views = await explain_service(machines[0])
+        assert part["selected"] == machines[0].id
+        assert views[machines[1].id]["excluded_by"] == "failure domain is evacuated"
+        assert views[third.id]["excluded_by"] == "entry is draining"
+        assert views[third.id]["leaving_cost_s"] > 0
+        assert views[machines[0].id]["leaving_cost_s"] == 0
+
+
+async def test_request_without_a_route_or_a_node_without_workers_is_a_refusal():
+    async with run_mesh() as (store, (machine,)):
+        _, answer = await explain(machine, host="other.example")
+        assert (answer["route"], answer["answer"]["status"]) == (None, 404)
+        store.delete(f"servers/{machine.id}")
+        await until(lambda: not len(machine.node.directory))
+        part, views = await explain_service(machine)
+        assert (part["answer"]["cause"], views) == ("no-instance", {})
+
+
+async def test_explanation_that_cannot_be_given_is_an_error():
+    async with run_mesh() as (_, (machine,)):
+        assert (await explain(machine, path="x"))[0] == 400
+        assert (await explain(machine, verb="POST"))[0] == 405
