--- a/packages/core/src/mangowell_core/mesh/explanation.py
+++ b/packages/core/src/mangowell_core/mesh/explanation.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mangowell_core.mesh.crossing import Transfer
 from mangowell_core.mesh.model import Endpoint, ProbeReply
 from mangowell_core.mesh.placement import Placement
 from mangowell_core.mesh.probing import ProbeResults
@@ -132,7 +133,7 @@
     probes: RecordedProbes,
     route: str,
     objective_s: float,
-    failure_domain: str,
+    transfer: Transfer,
     now: float,
 ) -> list[CandidateView]:
     """Return a view of each worker, candidates of low cost first.
@@ -151,8 +152,8 @@
         Name of the route.
     objective_s : float
         Time within which an answer has its full value, in seconds.
-    failure_domain : str
-        Failure domain of the node.
+    transfer : Transfer
+        Properties of the request that determine the cost of moving it.
     now : float
         Monotonic time, in seconds.
     """
@@ -160,11 +161,9 @@
     views = []
     for endpoint in endpoints:
         cost_s = cost_by_id.get(endpoint.id)
-        # The same estimate for a worker that is as near as the others of the domain.
-        domestic = msgspec.structs.replace(endpoint, failure_domain=failure_domain)
-        leaving_cost_s = placement.estimate_cost(
-            endpoint, route, objective_s, now
-        ) - placement.estimate_cost(domestic, route, objective_s, now)
+        leaving_cost = placement.estimate_transfer_cost(
+            endpoint.failure_domain, route, transfer
+        )
         knowledge = placement.explain(endpoint, now)
         reply = probes.replies.get(endpoint.id)
         view = CandidateView(
@@ -174,7 +173,7 @@
             is_local=False,
             is_evacuated=False,
             cost_s=cost_s,
-            leaving_cost_s=leaving_cost_s,
+            leaving_cost_s=leaving_cost * objective_s,
             **knowledge,
         )
         if reply is not None:
--- a/packages/node/src/mangowell_node/mesh/explanation.py
+++ b/packages/node/src/mangowell_node/mesh/explanation.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mangowell_core.mesh import Directory, MeshRoute, MeshSettings, WorkerStates
+from mangowell_core.mesh.crossing import Transfer
 from mangowell_core.mesh.explanation import (
     CandidateView,
     RecordedProbes,
@@ -175,7 +176,7 @@
             probes,
             route.name,
             route.objective_s,
-            self._settings.failure_domain,
+            Transfer(route.priority, state.head.is_call),
             now,
         )
         by_id = {worker.id: worker for worker in workers}
