--- a/packages/core/src/mangowell_core/mesh/crossing.py
+++ b/packages/core/src/mangowell_core/mesh/crossing.py
@@ -210,6 +210,12 @@
         mean = self._refused_shares.get(key, 0.0)
         self._refused_shares[key] = mean + REFUSAL_GAIN * (is_refused - mean)
 
+    def record_free(self, service: str, urgency: int) -> None:
+        """Record that a worker of this domain would start a request at once."""
+        self.record_home(service, urgency, False)
+        key = service, urgency
+        self._needs[key] = self._needs.get(key, 0.0) * (1.0 - NEED_GAIN)
+
     def estimate_relief(self, service: str, urgency: int) -> float:
         """Return the loss that other requests avoid if one leaves, in objectives.
 
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -153,7 +153,9 @@
         kept = self._placement.spare_cold_workers(costs, rate_per_s, monotonic())
         local, remote = self._split_by_domain(kept)
         await self._run_round(state, results, self._sample(state, local, LOCAL_PROBES))
-        if not results.has_free_worker:
+        if results.has_free_worker:
+            self._spillover.record_free(state.service, transfer.urgency)
+        else:
             sample = self._sample(state, remote, REMOTE_PROBES)
             await self._probe_remote(state, results, sample, transfer)
         _, selected = self._select_probed(state, results, transfer)
--- a/tests/mesh/support_domains.py
+++ b/tests/mesh/support_domains.py
@@ -130,9 +130,9 @@
             for is_local, count in ((True, LOCAL_PROBES), (False, REMOTE_PROBES))
         )
         self._probe(results, placement, local, route, now)
-        if not results.has_free_worker and self.may_leave(
-            self, node, results, remote, route, transfer, now
-        ):
+        if results.has_free_worker:
+            node[2].record_free("s", transfer.urgency)
+        elif self.may_leave(self, node, results, remote, route, transfer, now):
             self.remote_probes += len(remote)
             self._probe(results, placement, remote, route, now)
         selected = results.select(placement, route.name, objective_s, now, transfer)[1]
--- a/tests/mesh/test_crossing.py
+++ b/tests/mesh/test_crossing.py
@@ -111,6 +111,9 @@
     assert relief[2] == spillover.estimate_relief("other", 1) == 0.0
     assert estimate_transfer_cost(2.0, FAR_S, 1, relief[1]) < 0.0
     assert estimate_transfer_cost(6.2, FAR_S, 0, relief[0]) > 0.0
+    for _ in range(40):
+        spillover.record_free("s", 2)
+    assert spillover.estimate_relief("s", 1) < 0.1
     # Between close domains the cost stays as it was.
     assert estimate_transfer_cost(2.0, 0.001, 1, relief[1]) == pytest.approx(0.1)
 
