Send other domains the status in turn, and only changes they need at once

A status told other domains the revision, so that they notice changes if the store is silent to their readers, and load and demand, which are older than the second or two for which they count at this size. Each time ten nodes of other domains get it now, in turn; up to ten others nothing changes, and silence is judged by the longer interval. Changes of entries are told other domains at once only if a worker drains or is gone. Crashes and completions go over one of the two links between two nodes.

--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -78,6 +78,9 @@
 # The status goes to other failure domains once in this many intervals: traffic
 # between domains is expensive, and answers report the load as well.
 OTHER_DOMAIN_INTERVALS = 4
+# Number of nodes of other domains that get the status each time. More take turns: with
+# 71 nodes in three domains, statuses were 8 of the 24 MB between domains in 37 s.
+OTHER_DOMAIN_PEERS = 10
 # Rates are sent as integers, in tenths of a request per second.
 DEMAND_SCALE = 10
 # A node counts as isolated if it has heard from no other node for this time, in
@@ -198,6 +201,7 @@
         self._announced_reads = False
         # Steps of both tasks. Each is called even if one before it fails.
         self._ticks = itertools.count()
+        self._turns = itertools.count()
         self._status_steps = CallGroup(
             emit,
             {
@@ -257,22 +261,36 @@
         to_all_domains : bool
             Whether to send it to other failure domains as well.
         """
+        local, others = self._split_links()
         payload = encode_notice(self._make_status())
-        for link in list(self._server.links):
-            if not link.is_authenticated or link.closed:
-                continue
-            if to_all_domains or self._is_same_domain(link):
-                _send(link, payload, "status")
+        for link in (*local, *others) if to_all_domains else local:
+            _send(link, payload, "status")
+
+    def _announce_in_turn(self) -> None:
+        """Send the current status to the own domain and to a part of the others."""
+        local, others = self._split_links()
+        others.sort(key=lambda link: link.address)
+        turn, turns = next(self._turns), _count_turns(len(others))
+        payload = encode_notice(self._make_status())
+        for link in (*local, *others[turn % turns :: turns]):
+            _send(link, payload, "status")
+
+    def _split_links(self) -> tuple[list[Link], list[Link]]:
+        """Return the open links of nodes of the own domain, and of the others."""
+        local, others = [], []
+        for link in self._server.links:
+            if link.is_authenticated and not link.closed:
+                (local if self._is_same_domain(link) else others).append(link)
+        return local, others
 
     def _announce_to_other_domains(self, now: float) -> None:
         """Send the status to other domains after changes, if it is due."""
         if not self._owes_status or now < self._other_domains_due_at:
             return
         payload = encode_notice(self._make_status())
-        for link in list(self._server.links):
-            is_open = link.is_authenticated and not link.closed
-            if is_open and not self._is_same_domain(link):
-                _send(link, payload, "status")
+        _, others = self._split_links()
+        for link in others:
+            _send(link, payload, "status")
         self._owes_status = False
         self._other_domains_due_at = now + OTHER_DOMAIN_CHANGE_INTERVAL_S
 
@@ -323,9 +341,13 @@
         self._send_all(encode_notice(notice))
 
     def _send_all(self, payload: bytes) -> None:
+        # Between two nodes there is a link in each direction; one is enough.
+        links = {}
         for link in (*self._links.links, *self._server.links):
             if link.is_authenticated and not link.closed:
-                _send(link, payload)
+                links[link.address[0]] = link
+        for link in links.values():
+            _send(link, payload)
 
     def _resend_crashes(self) -> None:
         now = monotonic()
@@ -370,8 +392,12 @@
             await self._wait_for_next_status()
 
     def _announce_status(self) -> None:
-        is_for_all = not next(self._ticks) % OTHER_DOMAIN_INTERVALS
-        self.announce(to_all_domains=is_for_all or not self._has_state)
+        if not self._has_state:
+            self.announce()
+        elif next(self._ticks) % OTHER_DOMAIN_INTERVALS:
+            self.announce(to_all_domains=False)
+        else:
+            self._announce_in_turn()
 
     def _expire_stopping_peers(self) -> None:
         self._prober.stopping_peers.expire(monotonic())
@@ -429,8 +455,12 @@
         # Other domains get only the revision, by which they notice changes even if the
         # store is silent to both of their readers.
         now = monotonic()
-        self._owes_status = True
+        # Other domains notice workers that are added or become warm themselves.
+        self._owes_status |= bool(changes.removed) or any(
+            endpoint.draining for endpoint in changes.endpoints
+        )
         if changes.delta is not None or directory.evacuated != self._told_evacuated:
+            self._owes_status = True
             self._told_evacuated = directory.evacuated
             self._other_domains_due_at = now
         self._announce_to_other_domains(now)
@@ -494,11 +524,12 @@
         last_received_at = self._started_at
         for link in (*self._links.links, *self._server.links):
             last_received_at = max(last_received_at, link.last_received_at)
+        others = sum(not self._is_same_domain(link) for link in self._links.links)
         for link in self._links.links:
             max_silence_s = (
                 SAME_DOMAIN_SILENCE_S
                 if self._is_same_domain(link)
-                else OTHER_DOMAIN_SILENCE_S
+                else OTHER_DOMAIN_SILENCE_S * _count_turns(others)
             )
             if 0 < link.last_received_at < now - max_silence_s * intervals:
                 for endpoint in directory.look_up_host(link.address[0]):
@@ -775,6 +806,11 @@
         link.close(f"send failed: {exc!r}")
 
 
+def _count_turns(others: int) -> int:
+    """Return in how many turns the nodes of other domains get the status."""
+    return max(1, math.ceil(others / OTHER_DOMAIN_PEERS))
+
+
 def _report_sound() -> bool:
     """Return that nothing fails; replaced by `MeshNode`."""
     return False
