Limit the large bodies that a machine's link takes at once

An upload sent at 8.3 s reached its worker at 10.2 s, over a link of 5 Mbit/s, and was cut at its route's limit. Calls of pass grants go to the same workers and waited behind the bodies.

The node beside a worker refuses a large body, as not run and before it is sent, if its link would be busy for more than 0.25 s with what arrives already. The sender tries another worker. Probes name the size of large bodies; fields of a probe that have their default are no longer sent.

--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -411,7 +411,7 @@
     workers: tuple[tuple[WorkerId, Count], ...]
 
 
-class ProbeNotice(msgspec.Struct, frozen=True, tag=True):
+class ProbeNotice(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """Question to the node beside a worker when a request would start there.
 
     Parameters
@@ -433,6 +433,8 @@
     rate_limit : float
         Rate limit of the worker as the sender knows it, in requests per second;
         infinity for no limit, negative if unknown.
+    body_bytes : int
+        Bytes of the request body if it is large, else 0.
     """
 
     probe: Count
@@ -443,6 +445,7 @@
     remaining_s: RemainingTime
     is_call: bool
     rate_limit: RateLimit = -1.0
+    body_bytes: Count = 0
 
 
 class ProbeReply(msgspec.Struct, frozen=True, tag=True):
--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -277,6 +277,11 @@
         if offset < size:
             self._buffer += data[offset:] if offset else data
 
+    @property
+    def incoming_bytes(self) -> int:
+        """Bytes of the frame that has begun to arrive and is not complete."""
+        return max(0, self._needed_bytes - len(self._buffer)) if self._buffer else 0
+
     def send(
         self, frame_type: int, stream_id: int = 0, payload=NO_PAYLOAD, kind: str = ""
     ) -> None:
--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -284,6 +284,10 @@
         """Instance names of the nodes that are linked to this one."""
         return {link.peer for link in self.links if link.peer}
 
+    def count_incoming_bytes(self) -> int:
+        """Return the bytes that the peers are still to send of incomplete frames."""
+        return sum(link.incoming_bytes for link in self.links)
+
     def forget(self, link: ServerLink) -> None:
         """Remove a closed link and emit an event if the peer caused the close."""
         self.links.discard(link)
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -106,6 +106,7 @@
         self._link_server = LinkServer(
             key, self.runner.run, lambda: -1.0, emit, self._traffic
         )
+        self.runner.count_incoming_bytes = self._link_server.count_incoming_bytes
         self.gateway = Gateway(
             settings,
             directory,
@@ -361,6 +362,7 @@
             "classes_full": self.gateway.attempts.room.count_full(monotonic()),
             "worker_running": self.runner.admission.running,
             "worker_waiting": self.runner.admission.waiting,
+            "bodies_refused": self.runner.bodies_refused,
             "worker_late_waiting": self.runner.admission.waiting_late,
             "worker_cold": self.runner.is_cold,
             "worker_cold_rate": self.runner.cold_rate,
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -14,6 +14,7 @@
     StoppingPeers,
     WorkerStates,
 )
+from mangowell_core.mesh.body_flow import LARGE_BODY_BYTES
 from mangowell_core.mesh.crossing import Spillover, Transfer
 from mangowell_core.mesh.model import MeshDocument, ProbeNotice, ProbeReply
 from mangowell_core.mesh.probing import (
@@ -302,6 +303,7 @@
             state.deadline - monotonic(),
             state.head.is_call,
             self._worker_states.get(endpoint).rate_limit,
+            len(state.head.body) if len(state.head.body) >= LARGE_BODY_BYTES else 0,
         )
 
     async def _run_round(
@@ -375,7 +377,8 @@
 
     def answer_probe(self, link: Link, probe: ProbeNotice) -> None:
         """Answer the probe of another node."""
-        link.send_notice(encode_notice(self._runner.predict(probe)), "probes")
+        reply = self._runner.predict_remote(probe)
+        link.send_notice(encode_notice(reply), "probes")
 
     def record_reply(self, reply: ProbeReply) -> None:
         """Record the reply to a probe; one that comes too late is ignored."""
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from time import monotonic
 
+import msgspec
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from mangowell_core.events import Event, EventCode
@@ -18,6 +19,7 @@
     MeshSettings,
 )
 from mangowell_core.mesh.admission import Ticket
+from mangowell_core.mesh.body_flow import BodyFlow
 from mangowell_core.mesh.failure_rate import FailureRate
 from mangowell_core.mesh.model import Endpoint, MeshService, ProbeNotice, ProbeReply
 from mangowell_core.mesh.placement import LoadReport
@@ -150,6 +152,11 @@
         self._waiters: dict[Ticket, _Waiter] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
+        self._body_flow = BodyFlow(settings.link_mbps)
+        # Returns the bytes that other nodes are about to send; replaced by `MeshNode`.
+        self.count_incoming_bytes: Callable[[], int] = _count_no_bytes
+        # Large bodies refused because the link was full.
+        self.bodies_refused = 0
         self.admission = Admission(DEFAULT_SLOTS, keeps_late=True)
         self._warmup = self.admission.warmup
         self._service: MeshService | None = None
@@ -511,6 +518,19 @@
 
     # Admission
 
+    def predict_remote(self, probe: ProbeNotice) -> ProbeReply:
+        """Predict for a request of another node, whose body has to arrive first."""
+        reply = self.predict(probe)
+        if not (probe.body_bytes and reply.accepted):
+            return reply
+        is_admitted, delay_s = self._body_flow.admit(
+            probe.body_bytes, self.count_incoming_bytes(), monotonic()
+        )
+        if not is_admitted:
+            self.bodies_refused += 1
+            return msgspec.structs.replace(reply, accepted=False, delay_s=delay_s)
+        return msgspec.structs.replace(reply, delay_s=max(reply.delay_s, delay_s))
+
     def predict(self, probe: ProbeNotice) -> ProbeReply:
         """Predict what the admission of a request would decide."""
         now = monotonic()
@@ -877,6 +897,11 @@
     """Ignore a completed request; replaced by `Gossip`."""
 
 
+def _count_no_bytes() -> int:
+    """Return that nothing arrives; replaced by `MeshNode`."""
+    return 0
+
+
 def _ignore_leaving() -> None:
     """Ignore a leaving worker; replaced by `Gossip`."""
 
