--- a/packages/standins/src/mangowell_standins/node_process.py
+++ b/packages/standins/src/mangowell_standins/node_process.py
@@ -64,6 +64,11 @@
         is_running = self._process is not None and self._process.returncode is None
         return is_running and self.logs[-1].stat().st_size > 0
 
+    @property
+    def pid(self) -> int:
+        """Id of the process that was started last."""
+        return self._process.pid
+
     def write_settings(self) -> None:
         """Replace the settings file at once, as the platform does."""
         fields = self.fields
