Bound what a node holds for callers

200 callers that pipeline without reading took a node from 43 to 87 MB, and heads of many large fields to 659 MB; the memory stayed when they had left. 200 heads held open took 200 descriptors until their callers closed them.

Causes: a head has no bound as a whole; what a read gives beyond 16 waiting requests is kept by the parser; a connection whose reading is paused does not notice that its caller has left; cancelled requests, their connection and its parser refer to each other, so they stay until a full collection; the allocator keeps what is free.

The ingress now counts heads, waiting requests, bodies and unread replies of each connection in the node's account. Over its steps, reading stops, new requests get a 503 that is true, and connections that hold most end; calls of requests that the local worker runs are not refused. Heads have a bound as a whole and a time from their first byte, empty lines included (431, 408). Framing of a body has a bound (400). A caller that reads nothing for the idle timeout is closed. Connections have a bound from `max_fds`; the one that has been idle longest ends first. A caller that leaves is noticed within 0.2 s, and what is held for it is released. Freed memory is returned to the system where the settings name `memory_mb`.

--- a/packages/core/src/mangowell_core/mesh/caller_memory.py
+++ b/packages/core/src/mangowell_core/mesh/caller_memory.py
@@ -11,7 +11,7 @@
 _MEGABYTE = 1_048_576
 # Shares of the memory of the process. A counted byte takes up to three bytes, and the
 # interpreter with the node's code takes about 42 MB of at least 200.
-CONNECTION_MEMORY_SHARE = 0.1
+CONNECTION_MEMORY_SHARE = 1 / 12
 BODY_MEMORY_SHARE = 1 / 6
 # Bounds if the memory of the process is unknown, in bytes.
 DEFAULT_CONNECTION_BYTES = 67_108_864
--- a/packages/node/src/mangowell_node/ingress/__init__.py
+++ b/packages/node/src/mangowell_node/ingress/__init__.py
@@ -5,6 +5,7 @@
 time per call, against 113 to 141 us for the parser with one task.
 """
 
+from mangowell_node.ingress.caller_report import CallerReport
 from mangowell_node.ingress.connection import CallerConnection
 from mangowell_node.ingress.messages import (
     REASON_PHRASES,
@@ -18,6 +19,7 @@
     "REASON_PHRASES",
     "CallerBody",
     "CallerConnection",
+    "CallerReport",
     "IncomingCall",
     "IngressServer",
     "Reply",
--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -8,10 +8,11 @@
 
 import logbook
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from mangowell_core.mesh.caller_memory import compute_request_bytes
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause, Outcome
 from mangowell_node.delivery import count_undelivered
@@ -28,6 +29,12 @@
 
 READ_BUFFER_BYTES = 65_536  # reading from a caller pauses at twice this size
 MAX_LINE_BYTES = 16_384
+# Bytes that are parsed at once. The rest of what was read stays unparsed while requests
+# wait, so that a pipelining caller costs few parsed heads.
+PARSED_PIECE_BYTES = 16_384
+# Bytes of one body in the account of its connection: as many as it keeps unread. What
+# the gateway has read of a larger body is in its budget of bodies.
+MAX_COUNTED_BODY_BYTES = 2 * READ_BUFFER_BYTES
 MAX_PIPELINED_REQUESTS = 16  # parsed but not started, on one connection
 MAX_CONCURRENT_REQUESTS = 16  # served at once, on one connection
 # Time after which a caller counts as gone that takes no more bytes of its last reply,
@@ -39,6 +46,13 @@
 # everything, so that the caller itself can read it.
 DELIVERED_LINGER_S = 0.5
 LINGER_CHECK_INTERVAL_S = 0.02
+# Bytes of a request line beside the method and the target, and of a field beside its
+# name and value: at least a colon and CRLF.
+_LINE_OVERHEAD_BYTES = 12
+_FIELD_OVERHEAD_BYTES = 3
+_HEAD_END = b"\r\n\r\n"
+# Status by the class of an error of the parser, and by others.
+_MALFORMED_STATUSES = {LineTooLong: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE}
 _BODILESS_STATUSES = frozenset({204, 304})
 
 _log = logbook.Logger(__name__)
@@ -47,12 +61,23 @@
 class _Exchange:
     """One request of a connection and the task that produces its reply."""
 
-    __slots__ = ("call", "content", "task")
+    __slots__ = ("call", "content", "held_bytes", "task")
 
-    def __init__(self, call: IncomingCall, content: StreamReader, task: asyncio.Task):
+    def __init__(self, call: IncomingCall, content: StreamReader, held_bytes: int):
         self.call = call
         self.content = content
-        self.task = task
+        # Memory of the request and, once there is one, of its reply.
+        self.held_bytes = held_bytes
+        self.task: asyncio.Future[Reply] | None = None
+
+    def cancel(self) -> None:
+        """Cancel the task, and release what refers to this request.
+
+        The traceback of the cancelled task refers to it, so that all the memory of the
+        request would stay until a full collection.
+        """
+        self.task.cancel()
+        self.task = None
 
 
 class CallerConnection(BaseProtocol):
@@ -64,17 +89,28 @@
 
     __slots__ = (
         "_accepts_requests",
+        "_backlog",
         "_caller_closes",
+        "_content",
         "_exchanges",
+        "_framing_bytes",
         "_has_unread_upload",
+        "_head_bytes",
+        "_head_timer",
         "_is_closing",
+        "_is_dropped",
+        "_is_held_back",
         "_linger_deadline",
         "_linger_timer",
         "_messages",
         "_parse_error",
+        "_parse_status",
         "_parsed_count",
+        "_request_bytes",
         "_server",
         "_undelivered",
+        "_unread_bytes",
+        "_unread_since",
         "_upload_deadline",
         "_writer",
         "idle_since",
@@ -94,11 +130,31 @@
         )
         super().__init__(loop, parser)
         self._server = server
-        self._messages: deque[tuple[RawRequestMessage, StreamReader]] = deque()
+        # Parsed requests that are not started, with their bytes in the account.
+        self._messages: deque[tuple[RawRequestMessage, StreamReader, int]] = deque()
         self._exchanges: deque[_Exchange] = deque()
         self._writer: asyncio.Task | None = None
         self._parsed_count = 0
         self._parse_error = ""
+        self._parse_status = HTTPStatus.BAD_REQUEST
+        # What was read while the parser was paused.
+        self._backlog = b""
+        # Bytes of an incomplete head, and of framing since the last byte of a body.
+        self._head_bytes = 0
+        self._framing_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+        # Body of the request that was parsed last.
+        self._content: StreamReader | None = None
+        # Bytes of the requests that are parsed and not answered.
+        self._request_bytes = 0
+        # Whether reading is paused as the node holds too much for this connection.
+        self._is_held_back = False
+        # Whether the connection was closed for a limit, and holds nothing any more.
+        self._is_dropped = False
+        # Bytes that the caller had not acknowledged at the last check while a reply
+        # waits for it to read, and since when that number is the same.
+        self._unread_bytes = 0
+        self._unread_since = 0.0
         self._is_closing = False
         # Set while the connection waits for the caller to read its last reply.
         self._linger_timer: asyncio.TimerHandle | None = None
@@ -127,72 +183,284 @@
         self._server.connections.add(self)
         if self._server.is_stopping:
             self.close_if_idle()
+        self._server.limit_connections(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests in progress."""
         super().connection_lost(exc)
-        self._server.connections.discard(self)
+        self._server.forget(self)
+        self._is_dropped = True
         if self._linger_timer is not None:
             self._linger_timer.cancel()
         for exchange in self._exchanges:
             _fail_content(exchange.content, "caller disconnected")
-            exchange.task.cancel()
+            exchange.cancel()
         if self._writer is not None:
             self._writer.cancel()
+        # The connection, its parser and its tasks refer to each other, so what they
+        # hold would otherwise stay until a full collection.
+        self._exchanges.clear()
+        self._discard_input()
+
+    def _discard_input(self) -> None:
+        """Release what was read and belongs to no started request; parse no more.
+
+        The parser keeps the body and the bytes that it has not parsed.
+        """
+        self._parser = None
+        self._cancel_head_timer()
+        self._messages.clear()
+        self._backlog = b""
+        self._content = None
+        self._head_bytes = 0
+        self._request_bytes = sum(exchange.held_bytes for exchange in self._exchanges)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
         if self._linger_timer and self._has_unread_upload:
             linger_deadline = min(monotonic() + LINGER_S, self._upload_deadline)
             self._linger_deadline = max(self._linger_deadline, linger_deadline)
-        if self._linger_timer or (self._is_closing and not self._exchanges):
+        if (
+            self._parser is None
+            or self._linger_timer
+            or (self._is_closing and not self._exchanges)
+        ):
             return
+        if not self._backlog and len(data) <= PARSED_PIECE_BYTES:
+            self._parse(data)
+        else:
+            self._parse_pieces(data)
+        self._update_account()
+
+    def _parse_pieces(self, data: bytes) -> None:
+        """Parse bytes until requests wait or a body has to be read."""
+        if not data:
+            # The parser may hold unparsed bytes, which come before the backlog.
+            self._parse(b"")
+        data = self._backlog + data
+        position = 0
+        while position < len(data) and self._may_parse:
+            end = position + PARSED_PIECE_BYTES
+            self._parse(data[position:end])
+            position = end
+        self._backlog = b"" if self._is_closing else data[position:]
+
+    @property
+    def _may_parse(self) -> bool:
+        return not (
+            self._reading_paused
+            or self._is_held_back
+            or self._is_closing
+            or len(self._messages) >= MAX_PIPELINED_REQUESTS
+        )
+
+    def _parse(self, data: bytes) -> None:
+        content = self._content
+        is_in_body = content is not None and not content.is_eof()
+        body_bytes = content.total_bytes if is_in_body else 0
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except HttpProcessingError as exc:
-            self._handle_malformed(exc.message)
+            status = _MALFORMED_STATUSES.get(type(exc), HTTPStatus.BAD_REQUEST)
+            self._handle_malformed(exc.message, status)
+            return
+        if not messages:
+            if is_in_body:
+                self._count_body(content, body_bytes)
+                self._count_framing(content, body_bytes, len(data))
+            elif data:
+                self._count_head(len(data))
+            return
+        self._content = messages[-1][1]
+        self._framing_bytes = 0
+        # A request without a body ends with an empty line; a head that follows it has
+        # been read in part.
+        rest = data[data.rfind(_HEAD_END) + len(_HEAD_END) :]
+        has_partial_head = self._content.is_eof() and _HEAD_END in data and rest
+        self._parsed_count += len(messages)
+        for message, content in messages:
+            head_bytes = _measure_head(message)
+            if head_bytes > self._server.max_header_bytes:
+                self._refuse_large_head()
+                break
+            held = compute_request_bytes(head_bytes) + content.total_bytes
+            self._request_bytes += held
+            self._messages.append((message, content, held))
+        if upgraded:
+            # The bytes that follow are not HTTP/1.1, but the request is answered.
+            self._is_closing = True
+        self._head_bytes = 0
+        self._cancel_head_timer()
+        # The parser buffers unparsed bytes once it has reached this number.
+        if len(self._messages) >= MAX_PIPELINED_REQUESTS and not self._buffer_paused:
+            self._pause_reading_for_buffer()
+        elif has_partial_head and not self._is_closing:
+            self._count_head(len(rest))
+        self._start_requests()
+
+    def _count_head(self, size: int) -> None:
+        """Count bytes of a head that is incomplete, or of empty lines before it."""
+        self._head_bytes += size
+        if self._head_bytes > self._server.max_header_bytes:
+            self._refuse_large_head()
+        elif self._head_timer is None and self._server.header_timeout_s:
+            self._head_timer = self._loop.call_later(
+                self._server.header_timeout_s, self._end_slow_head
+            )
+
+    def _count_body(self, content: StreamReader, before: int) -> None:
+        """Count bytes of a body, unless it is large and has a budget of its own."""
+        size = min(content.total_bytes, MAX_COUNTED_BODY_BYTES) - before
+        if size <= 0:
+            return
+        if self._messages:
+            message, _, held = self._messages[-1]
+            self._messages[-1] = (message, content, held + size)
+        elif self._exchanges:
+            self._exchanges[-1].held_bytes += size
+        else:
             return
-        if messages:
-            self._messages.extend(messages)
-            self._parsed_count += len(messages)
-            if upgraded:
-                # The bytes that follow are not HTTP/1.1, but the request is answered.
-                self._is_closing = True
-            # The parser buffers unparsed bytes once it has reached this number.
-            if (
-                len(self._messages) >= MAX_PIPELINED_REQUESTS
-                and not self._buffer_paused
-            ):
-                self._pause_reading_for_buffer()
-            self._start_requests()
+        self._request_bytes += size
+
+    def _count_framing(self, content: StreamReader, before: int, size: int) -> None:
+        """Count bytes of chunk sizes, extensions and trailers within a body."""
+        if content.is_eof() or content.total_bytes > before:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += size
+        if self._framing_bytes > self._server.max_header_bytes:
+            self._server.count_closing("framing")
+            self._handle_malformed("chunk framing too long")
+
+    def _refuse_large_head(self) -> None:
+        limit = self._server.max_header_bytes
+        self._server.count_closing("head-size")
+        self._handle_malformed(
+            f"head of more than {limit} bytes",
+            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        )
+
+    def _end_slow_head(self) -> None:
+        """Refuse a head that is incomplete after the time for it."""
+        self._head_timer = None
+        if self._buffer_paused or self._reading_paused:
+            # The node has stopped reading, so the caller may have sent the rest.
+            self._count_head(0)
+            return
+        self._server.count_closing("head-timeout")
+        self._handle_malformed("head arrives too slowly", HTTPStatus.REQUEST_TIMEOUT)
+
+    def _cancel_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    # Memory
+
+    def _update_account(self) -> None:
+        """Record what the node holds for this connection, and act on the bound."""
+        if self._is_dropped or self.transport is None:
+            return
+        held = self._request_bytes + self._head_bytes + len(self._backlog)
+        if self._buffer_paused or self._reading_paused:
+            held += PARSED_PIECE_BYTES
+        self._server.update_account(self, held + self.transport.get_write_buffer_size())
+
+    def hold_back(self) -> None:
+        """Stop reading until `release_reading`."""
+        if not self._is_held_back and self.transport is not None:
+            self._is_held_back = True
+            self._pause_reading_for_buffer()
+
+    def release_reading(self) -> None:
+        """Resume reading after `hold_back`."""
+        if self._is_held_back:
+            self._is_held_back = False
+            self._resume_parsing()
+
+    def drop(self) -> None:
+        """Close the connection at once and release all that is held for it."""
+        self._is_dropped = self._is_closing = True
+        self._server.memory.release(self)
+        self._discard_input()
+        self.abort()
+
+    @property
+    def is_reading_paused(self) -> bool:
+        """Whether the end of the connection would not be noticed by reading."""
+        return self._buffer_paused or self._reading_paused
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection, or -1 if it is closed."""
+        sock = None
+        if self.transport is not None and not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+        return -1 if sock is None else sock.fileno()
+
+    def check_progress(self, now: float) -> bool:
+        """Return whether the caller reads its replies; update the account.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        self._update_account()
+        if not self._paused or self.transport is None:
+            self._unread_since = now
+            return True
+        unread_bytes = count_undelivered(self.transport)
+        if unread_bytes != self._unread_bytes:
+            self._unread_bytes, self._unread_since = unread_bytes, now
+        return now - self._unread_since < self._server.unread_timeout_s
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume reading if it is paused; the parser calls this after each request."""
         if self._reading_paused:
             super().resume_reading(resume_parser)
 
-    def _handle_malformed(self, message: str) -> None:
+    def _handle_malformed(
+        self, message: str, status: HTTPStatus = HTTPStatus.BAD_REQUEST
+    ) -> None:
         """Reply to malformed bytes after the replies to earlier requests."""
         self._is_closing = self._has_unread_upload = True
         self._parse_error = message
+        self._parse_status = status
+        self._cancel_head_timer()
+        self._backlog = b""
+        self._head_bytes = 0
         for exchange in self._exchanges:
             _fail_content(exchange.content, message)
-        if self._writer is None:
-            self._write_error(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, message)
+        for _, content, _ in self._messages:
+            _fail_content(content, message)
+        if self._writer is None and not self._messages:
+            self._write_error(status, Outcome.NOT_RUN, message)
             self._close()
 
     def _start_requests(self) -> None:
         if not self._accepts_requests:
             return
         while self._messages and len(self._exchanges) < MAX_CONCURRENT_REQUESTS:
-            message, content = self._messages.popleft()
+            message, content, held = self._messages.popleft()
             self._parser.message_consumed()
-            call = IncomingCall(self, message, content)
-            task = self._loop.create_task(self._server.serve(call))
-            self._exchanges.append(_Exchange(call, content, task))
+            exchange = _Exchange(IncomingCall(self, message, content), content, held)
+            self._exchanges.append(exchange)
+            refusal = self._server.refuse(self, exchange.call)
+            if refusal is None:
+                exchange.task = self._loop.create_task(self._serve(exchange))
+            else:
+                exchange.task = self._loop.create_future()
+                exchange.task.set_result(refusal)
         if self._writer is None and self._exchanges:
             self._writer = self._loop.create_task(self._write_replies())
 
+    async def _serve(self, exchange: _Exchange) -> Reply:
+        reply = await self._server.serve(exchange.call)
+        size = len(reply.headers) + len(reply.body)
+        exchange.held_bytes += size
+        self._request_bytes += size
+        return reply
+
     async def _write_replies(self) -> None:
         keep_alive = True
         while self._exchanges and keep_alive:
@@ -200,19 +468,21 @@
             keep_alive = await self._complete_exchange(exchange)
             if self._exchanges:
                 self._exchanges.popleft()
+                self._request_bytes -= exchange.held_bytes
             if keep_alive:
                 self._start_requests()
                 self._resume_parsing()
+            self._update_account()
         self._writer = None
         for exchange in self._exchanges:
             # Requests after a reply that closes the connection count as unread.
-            exchange.task.cancel()
+            exchange.cancel()
         self._exchanges.clear()
         if self.transport is None:
             return
         if self._parse_error and keep_alive:
             message = self._parse_error
-            self._write_error(HTTPStatus.BAD_REQUEST, Outcome.NOT_RUN, message)
+            self._write_error(self._parse_status, Outcome.NOT_RUN, message)
             self._close()
         elif self._is_closing or not keep_alive:
             self._close()
@@ -220,10 +490,12 @@
             self.idle_since = monotonic()
 
     def _resume_parsing(self) -> None:
-        if self._buffer_paused and len(self._messages) <= MAX_PIPELINED_REQUESTS // 2:
+        if self._is_held_back or not self._buffer_paused:
+            return
+        if len(self._messages) <= MAX_PIPELINED_REQUESTS // 2:
             parsed_count = self._parsed_count
             self.data_received(b"")
-            if self._parsed_count == parsed_count:
+            if self._parsed_count == parsed_count and not self._is_held_back:
                 # The parser has no buffered request left.
                 self._resume_reading_for_buffer()
 
@@ -261,7 +533,8 @@
         if is_delivered and not self._has_unread_upload:
             transport.close()
             return
-        self._messages.clear()
+        self._discard_input()
+        self._server.memory.release(self)
         transport.write_eof()
         self._resume_transport_reading()
         now = monotonic()
@@ -384,6 +657,7 @@
         )
         if stream is None:
             if self._paused:
+                self._update_account()
                 await self._drain_helper()
             return keep_alive
         try:
@@ -408,6 +682,7 @@
             else:
                 transport.write(chunk)
             if self._paused:
+                self._update_account()
                 await self._drain_helper()
         if chunked:
             transport.write(b"0\r\n\r\n")
@@ -415,6 +690,14 @@
             raise ConnectionResetError("answer body shorter than announced")
 
 
+def _measure_head(message: RawRequestMessage) -> int:
+    """Return the least bytes that the head of a request can have had."""
+    size = len(message.method) + len(message.path) + _LINE_OVERHEAD_BYTES
+    for name, value in message.raw_headers:
+        size += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+    return size
+
+
 def _fail_content(content: StreamReader, reason: str) -> None:
     if not content.is_eof():
         content.set_exception(MessageFormatError(reason))
--- a/packages/node/src/mangowell_node/mesh/body_budget.py
+++ b/packages/node/src/mangowell_node/mesh/body_budget.py
@@ -1,24 +1,43 @@
 """Bound on the memory that request bodies take at a node."""
 
-# Bytes that the bodies of all requests may take together. A body is copied up to
-# three times on its way to the worker, and the platform ends a node at 300 MB.
-MAX_HELD_BYTES = 33_554_432
+from mangowell_core.mesh.caller_memory import DEFAULT_BODY_BYTES, CallerMemory
+
+# Bytes that the bodies of all requests may take together if the memory of the node is
+# unknown. A body is copied up to three times on its way to the worker.
+MAX_HELD_BYTES = DEFAULT_BODY_BYTES
 # Bodies up to this size are always accepted: their sum is bounded by the number of
 # requests, and most requests have one.
 UNCOUNTED_BYTES = 65_536
 
 
+def make_caller_memory(memory_mb: float) -> CallerMemory:
+    """Return the account of a node with this memory; 0 if it is unknown."""
+    if memory_mb:
+        return CallerMemory.from_memory_mb(memory_mb)
+    return CallerMemory(body_limit=MAX_HELD_BYTES)
+
+
 class BodyBudgetError(Exception):
     """Raised if a body does not fit beside those of other requests."""
 
 
 class BodyBudget:
-    """Counts the bytes that the bodies of open requests take."""
+    """Counts the bytes that the bodies of open requests take.
+
+    Parameters
+    ----------
+    memory : CallerMemory, optional
+        Account of the node, with the bound of bodies.
+    """
+
+    __slots__ = ("_memory",)
 
-    __slots__ = ("_held",)
+    def __init__(self, memory: CallerMemory | None = None):
+        self._memory = memory or CallerMemory(body_limit=MAX_HELD_BYTES)
 
-    def __init__(self):
-        self._held = 0
+    @property
+    def _held(self) -> int:
+        return self._memory.body_bytes
 
     def hold(self, held: int, size: int) -> int:
         """Reserve memory for a body, of which a part may have been reserved before.
@@ -45,11 +64,11 @@
         if size <= max(held, UNCOUNTED_BYTES):
             return held
         others = self._held - held
-        if others and others + size > MAX_HELD_BYTES:
+        if others and others + size > self._memory.body_limit:
             raise BodyBudgetError(f"request bodies take {self._held} bytes")
-        self._held = others + size
+        self._memory.body_bytes = others + size
         return size
 
     def release(self, held: int) -> None:
         """Release what has been reserved for a body."""
-        self._held -= held
+        self._memory.body_bytes -= held
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -22,6 +22,7 @@
     RouteTable,
     WorkerStates,
 )
+from mangowell_core.mesh.caller_memory import CallerMemory
 from mangowell_core.mesh.routes import TrafficSplitter
 from mangowell_core.policy.outcome import Stage, refuse
 from mangowell_core.policy.types import Cause, Outcome, Refusal
@@ -98,6 +99,8 @@
         each request.
     rng : random.Random
         Source of random numbers for retry times, placement and the retry budget.
+    caller_memory : CallerMemory, optional
+        Account of what the node holds for callers.
     """
 
     def __init__(
@@ -111,6 +114,7 @@
         emit: Callable[[Event], None],
         observe: Callable[[str, str, str, float], None],
         rng: random.Random,
+        caller_memory: CallerMemory | None = None,
     ):
         self._settings = settings
         self._directory = directory
@@ -135,7 +139,7 @@
             rng,
         )
         self.in_flight = 0
-        self._body_budget = BodyBudget()
+        self._body_budget = BodyBudget(caller_memory)
         # Latest deadline of a request, in monotonic seconds.
         self._end_deadline = math.inf
         self._refuses_callers = False
@@ -192,7 +196,7 @@
     async def _serve(self, call: IncomingCall) -> Reply:
         fields = read_caller_fields(call.headers)
         request = fields.request
-        if self._refuses_callers and not self._is_call(request):
+        if self._refuses_callers and not self.is_call(request):
             refusal = _make_stopping_refusal()
             return self._make_refusal_reply(request, None, refusal, call.arrived_at)
         if self._route_table is None:
@@ -265,7 +269,7 @@
         finally:
             self._open.pop(state, None)
 
-    def _is_call(self, request: str) -> bool:
+    def is_call(self, request: str) -> bool:
         """Return whether the local worker made a request while running another.
 
         The other may be a call itself, whose id contains the separator.
@@ -330,7 +334,7 @@
             caller_service=self._settings.service,
             route=route.name,
             objective_s=objective_s,
-            is_call=self._is_call(request),
+            is_call=self.is_call(request),
         )
         return None
 
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -11,17 +11,25 @@
 
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import CrashCounter, Directory, MeshSettings, StopSchedule
+from mangowell_core.mesh.caller_memory import compute_max_connections
 from mangowell_core.mesh.revisions import get_number
 from mangowell_core.mesh.worker_states import WorkerStates
-from mangowell_node.ingress import IncomingCall, IngressServer, Reply
+from mangowell_node.ingress import CallerReport, IncomingCall, IngressServer, Reply
 from mangowell_node.link import LinkPool, LinkServer, derive_link_key
+from mangowell_node.mesh.body_budget import make_caller_memory
 from mangowell_node.mesh.call_group import CallGroup
 from mangowell_node.mesh.feed import StateFeed
+from mangowell_node.mesh.free_memory import FreeMemory
 from mangowell_node.mesh.gateway import Gateway
 from mangowell_node.mesh.gossip import Gossip
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.mesh.tasks import TaskSupervisor, describe_fault
-from mangowell_node.platform import READY_PATH, StoreClient
+from mangowell_node.platform import (
+    READY_PATH,
+    StoreClient,
+    read_caller_fields,
+    write_refusal_fields,
+)
 from mangowell_node.reach import AddressFilter
 from mangowell_node.telemetry import Telemetry
 
@@ -31,6 +39,8 @@
 METRICS_PATH = "/metrics"
 EXPIRY_TASK = "expiry"
 EXPIRE_INTERVAL_S = 0.25
+# Retry-After value for a connection for which the node holds too much, in seconds.
+MEMORY_RETRY_AFTER_S = 1.0
 LINGER_POLL_S = 0.02
 # Tasks and steps without which this node serves callers worse than others do. The
 # reader of the store is not among them: other nodes of the domain read for this one.
@@ -77,6 +87,7 @@
         self._telemetry = telemetry
         emit = telemetry.emit
         self.supervisor = self.supervisor_type(emit, rng)
+        self.caller_memory = make_caller_memory(settings.memory_mb)
         self.directory = directory = Directory(settings.heartbeat_s)
         self._store = StoreClient(settings.store)
         self._feed = StateFeed(
@@ -107,6 +118,7 @@
             emit,
             self._observe,
             rng,
+            self.caller_memory,
         )
         self._gossip = Gossip(
             settings,
@@ -136,7 +148,14 @@
             },
         )
         self._gossip.is_failing = lambda: not NECESSARY_TASKS.isdisjoint(self.failing)
-        self._ingress = IngressServer(self.gateway.serve)
+        self._ingress = IngressServer(
+            self.gateway.serve,
+            self._refuse_for_memory,
+            self.caller_memory,
+            compute_max_connections(settings.max_fds),
+        )
+        self._free_memory = FreeMemory()
+        self._caller_report = CallerReport(self._ingress, emit)
         self._ready_server = IngressServer(self._handle_ready)
         self._metrics_server = IngressServer(self._handle_metrics)
         self._draining = False
@@ -342,9 +361,14 @@
             "worker_waiting": self.runner.admission.waiting,
             "worker_requests_per_s": self.runner.arrivals.compute_rate(monotonic()),
             "worker_rate_limit": self.runner.rate_limit,
+            "caller_held_bytes": self.caller_memory.total,
+            "caller_connections": len(self._ingress.connections),
+            "callers_refused_for_memory": self._ingress.refused,
             "worker_connections": len(self.runner.pool.open_connections),
             "worker_connections_opened": self.runner.pool.opened,
         }
+        for reason, count in self._ingress.closed.items():
+            gauges[f"connections_closed_{reason.replace('-', '_')}"] = count
         for name, value in gauges.items():
             self._telemetry.set_gauge(name, float(value))
 
@@ -352,6 +376,9 @@
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
             self._consumers.repeat_failed()
+            self._caller_report.emit_changes(monotonic())
+            if self._settings.memory_mb:
+                self._free_memory.update(self._ingress.limited, monotonic())
             epoch = self.directory.epoch
             self.directory.expire(monotonic())
             if self.directory.epoch != epoch:
@@ -363,7 +390,28 @@
     def _sync_ingress(self) -> None:
         document = self.directory.document
         if document is not None:
-            self._ingress.idle_timeout_s = document.limits.idle_timeout_s
+            limits = document.limits
+            self._ingress.idle_timeout_s = limits.idle_timeout_s
+            self._ingress.unread_timeout_s = limits.idle_timeout_s
+            self._ingress.header_timeout_s = limits.header_timeout_s
+            self._ingress.max_header_bytes = limits.max_header_bytes
+
+    def _refuse_for_memory(self, call: IncomingCall) -> Reply | None:
+        """Return the reply to a request that was passed on to no worker.
+
+        Calls of requests that the local worker runs are served all the same: their
+        number is bounded by its slots, and the work of those requests would be lost.
+        """
+        request = read_caller_fields(call.headers).request
+        if self.gateway.is_call(request):
+            return None
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        return Reply(
+            status.value,
+            status.phrase,
+            write_refusal_fields(request, MEMORY_RETRY_AFTER_S),
+            b"node holds too much for this connection\n",
+        )
 
     def _observe(self, route: str, service: str, outcome: str, seconds: float) -> None:
         self._telemetry.record_call("", service, route, outcome, seconds)
