Refuse requests of other versions than HTTP/1.0 and 1.1

The parser accepts HTTP/0.9 and 2.0 in the form of 1.1. The ingress answers 400 to both and closes the connection.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -53,6 +53,9 @@
 _HEAD_END = b"\r\n\r\n"
 # Status by the class of an error of the parser, and by others.
 _MALFORMED_STATUSES = {LineTooLong: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE}
+# The parser also accepts requests of HTTP/0.9, which have neither version nor fields,
+# so that the rest of a malformed head would be read as another request.
+_VERSIONS = frozenset({(1, 0), (1, 1)})
 _BODILESS_STATUSES = frozenset({204, 304})
 
 _log = logbook.Logger(__name__)
@@ -279,6 +282,9 @@
         has_partial_head = self._content.is_eof() and _HEAD_END in data and rest
         self._parsed_count += len(messages)
         for message, content in messages:
+            if message.version not in _VERSIONS:
+                self._handle_malformed("unknown version of HTTP")
+                break
             head_bytes = _measure_head(message)
             if head_bytes > self._server.max_header_bytes:
                 self._refuse_large_head()
--- a/tests/node/test_ingress_fuzz.py
+++ b/tests/node/test_ingress_fuzz.py
@@ -243,6 +243,8 @@
 @given(st.lists(make_request_bytes(), max_size=30), CHANGES, CUTS)
 @example([b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"] * 60, [], [])
 @example([b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"] * 5000, [], [0.5])
+@example([b"GET /a\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n"], [], [])
+@example([b"GET /a HTTP/2.0\r\nHost: x\r\n\r\n"], [], [])
 @example([b"\r\n" * 40_000 + b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"], [], [])
 def test_no_request_is_smuggled_through_random_framing(requests, changes, cuts):
     data = change(b"".join(requests), changes)
