--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -22,6 +22,7 @@
     RouteTable,
     WorkerStates,
 )
+from mangowell_core.mesh.caller_memory import CallerMemory
 from mangowell_core.mesh.routes import TrafficSplitter
 from mangowell_core.mesh.service_room import MAX_REMAINING_SHARE
 from mangowell_core.policy.outcome import Stage, refuse
@@ -107,6 +108,8 @@
         each request.
     rng : random.Random
         Source of random numbers for retry times, placement and the retry budget.
+    caller_memory : CallerMemory, optional
+        Account of what the node holds for callers.
     """
 
     def __init__(
@@ -120,6 +123,7 @@
         emit: Callable[[Event], None],
         observe: Callable[[str, str, str, float], None],
         rng: random.Random,
+        caller_memory: CallerMemory | None = None,
     ):
         self._settings = settings
         self._directory = directory
@@ -144,7 +148,7 @@
             rng,
         )
         self.in_flight = 0
-        self._body_budget = BodyBudget()
+        self._body_budget = BodyBudget(caller_memory)
         # Latest deadline of a request, in monotonic seconds.
         self._end_deadline = math.inf
         self._refuses_callers = False
@@ -206,7 +210,7 @@
     async def _serve(self, call: IncomingCall) -> Reply:
         fields = read_caller_fields(call.headers)
         request = fields.request
-        if self._refuses_callers and self._find_parent_priority(request) is None:
+        if self._refuses_callers and not self.is_call(request):
             refusal = _make_stopping_refusal()
             return self._make_refusal_reply(request, None, refusal, call.arrived_at)
         if self._route_table is None:
@@ -282,6 +286,10 @@
         finally:
             self._open.pop(state, None)
 
+    def is_call(self, request: str) -> bool:
+        """Return whether the local worker made a request while running another."""
+        return self._find_parent_priority(request) is not None
+
     def _find_parent_priority(self, request: str) -> int | None:
         """Return the priority of the running request whose worker made this call.
 
