Charge the retry budget for attempts that another worker turns away

The platform counts arrivals that a worker turns away as retries, also those that are answered 421.

A node beside a worker reports a request that has arrived at another worker with status 421. The attempt counts as none of max-attempts, as it was not run, but the next one needs the budget; callers get 503 as before.

Measured: with four workers of which three answer 421, three grants lead to an answer, two and none to 503. The test that asserted no charge is replaced by one that counts the charges.

--- a/packages/node/src/mangowell_node/exchange.py
+++ b/packages/node/src/mangowell_node/exchange.py
@@ -33,6 +33,8 @@
 )
 # The key of a request that has run, but whose answer was not stored.
 _KEY_HAS_RUN = (409, Outcome.DONE, Cause.NONE)
+# A request that has arrived at another worker than the one that was meant.
+_MISDIRECTED = (421, Outcome.NOT_RUN, Cause.NO_INSTANCE)
 
 # Bounds of the numbers in a head that another node has sent: numbers with which a
 # timer or a sum can be calculated, so neither infinity nor NaN.
@@ -306,9 +308,8 @@
     outcome, cause, status = Outcome(head.outcome), Cause(head.cause), head.status
     refusal = (head.proposed_status, outcome, cause)
     is_unknown = refusal[:2] == (502, Outcome.UNKNOWN)
-    if status or not (
-        is_unknown or refusal in _SENT_REFUSALS or refusal == _KEY_HAS_RUN
-    ):
+    is_sent = refusal in _SENT_REFUSALS or refusal in (_KEY_HAS_RUN, _MISDIRECTED)
+    if status or not (is_unknown or is_sent):
         reason = f"refusal with status {status or head.proposed_status}"
         return AttemptError.at(Cause.BAD_ANSWER, Stage.ANSWERED, reason)
     return AttemptError(
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -29,7 +29,11 @@
 )
 from mangowell_node.link import Contact, LinkPool
 from mangowell_node.mesh.prober import Prober
-from mangowell_node.mesh.request_state import EndReason, RequestState
+from mangowell_node.mesh.request_state import (
+    EndReason,
+    RequestState,
+    make_misdirected_refusal,
+)
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.mesh.tasks import start_loop
 
@@ -171,7 +175,7 @@
                     )
                 )
             return EndReason.NO_WORKER
-        if state.may_have_run or state.attempts:
+        if state.may_have_run or state.attempts or state.is_misdirected:
             obstacle = self._find_retry_obstacle(state, monotonic())
             if obstacle is not None:
                 return obstacle
@@ -355,15 +359,13 @@
         state.attempts += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
         was_granted, state.retry_granted = state.retry_granted, None
-        state.is_passed_on = False
+        state.is_passed_on = state.is_misdirected = False
         try:
             answer = await self._send(state, endpoint)
             if answer.head.status == HTTPStatus.MISDIRECTED_REQUEST:
                 # From a node of an earlier version; others report it as a refusal.
                 _close(answer)
-                raise AttemptError(
-                    refuse(Cause.NO_INSTANCE, "another worker has answered")
-                )
+                raise AttemptError(make_misdirected_refusal())
         except AttemptError as exc:
             self._record_error(endpoint, exc)
             is_unsent = exc.refusal.outcome is Outcome.NOT_RUN
@@ -371,8 +373,11 @@
             if is_unsent:
                 state.attempts -= 1
                 state.may_have_run = may_have_run_before
-                # The platform counts arrivals at workers, and this was none.
-                state.retry_granted = was_granted or state.retry_granted
+                status = exc.refusal.status
+                state.is_misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
+                if not state.is_misdirected:
+                    # The platform counts arrivals at workers, and this was none.
+                    state.retry_granted = was_granted or state.retry_granted
             if not (is_unsent and state.error is not None and state.may_have_run):
                 state.error = _select_error(state.error, exc)
             return False
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -57,6 +57,7 @@
         "has_skipped_remote",
         "head",
         "held_body_bytes",
+        "is_misdirected",
         "is_passed_on",
         "may_have_run",
         "next_worker",
@@ -91,6 +92,9 @@
         self.may_have_run = False
         # Whether the current attempt has left this node for a worker or another node.
         self.is_passed_on = False
+        # Whether the last attempt has reached another worker than the one meant, which
+        # the retry budget counts although the request was not run.
+        self.is_misdirected = False
         self.ended_by = EndReason.NOT_STARTED
         self.answer: Answer | None = None
         self.error: AttemptError | None = None
@@ -127,6 +131,11 @@
         if self.error is None:
             return refuse(Cause.CONNECTION_LOST, "outcome unknown", stage=Stage.SENT)
         refusal = self.error.refusal
+        if refusal.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # The caller has not chosen the worker.
+            refusal = refuse(
+                Cause.NO_INSTANCE, refusal.reason, retry_after_s=refusal.retry_after_s
+            )
         is_not_run = refusal.outcome is Outcome.NOT_RUN
         is_promise = refusal.status == HTTPStatus.SERVICE_UNAVAILABLE
         if self.may_have_run if is_not_run else is_promise:
@@ -150,3 +159,18 @@
         REFUSED_RETRY_AFTER_S,
         reason,
     )
+
+
+def make_misdirected_refusal(retry_after_s: float = REFUSED_RETRY_AFTER_S) -> Refusal:
+    """Return the refusal of a request that has arrived at another worker.
+
+    The status tells the node at which the request entered that it has arrived; callers
+    get 503.
+    """
+    return Refusal(
+        Outcome.NOT_RUN,
+        Cause.NO_INSTANCE,
+        HTTPStatus.MISDIRECTED_REQUEST.value,
+        retry_after_s,
+        "another worker has answered here",
+    )
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -40,6 +40,7 @@
     RequestHead,
     compute_fingerprint,
 )
+from mangowell_node.mesh.request_state import make_misdirected_refusal
 from mangowell_node.mesh.tasks import start_loop
 from mangowell_node.platform import PlatformDialect
 from mangowell_node.reach import AddressFilter
@@ -676,7 +677,7 @@
                 self._emit(Event(EventCode.CALL_MISDIRECTED, fields))
             self._misplaced_until = monotonic() + MISPLACED_RECHECK_S
             self._clear_queue(_make_misplaced_refusal())
-        return AttemptError(_make_misplaced_refusal())
+        return AttemptError(make_misdirected_refusal(NO_INSTANCE_RETRY_AFTER_S))
 
     def _record_statements(self, worker: Endpoint, head: AnswerHead) -> None:
         """Record what the worker states about itself in an answer."""
--- a/tests/mesh/test_misdirected.py
+++ b/tests/mesh/test_misdirected.py
@@ -22,11 +22,18 @@
         assert 0 < float(answer.headers["retry-after"]) <= 0.5
 
 
-async def test_attempt_answered_421_costs_neither_budget_nor_attempts():
-    """Guards against a request that is given up after two addresses in new hands."""
+@pytest.mark.parametrize(("granted", "status"), [(3, 200), (2, 503), (0, 503)])
+async def test_attempt_answered_421_costs_budget_but_none_of_the_attempts(
+    granted, status
+):
+    """Guards against a request that is given up after two addresses in new hands.
+
+    The platform counts the arrivals that a worker turns away, so each further one
+    needs the budget.
+    """
     async with run_mesh(4) as (_, machines):
         first = machines[0]
-        decisions = grant(first, 0)
+        decisions = grant(first, granted)
         seen = []
 
         async def handle(request):
@@ -37,8 +44,8 @@
         for machine in machines:
             machine.worker.handler = handle
         answer = await first.call("/pay/1", "POST", b"x")
-        assert (answer.status, len(seen)) == (200, 4)
-        assert not decisions
+        assert (answer.status, len(seen)) == (status, granted + 1)
+        assert sum(decisions) == granted
 
 
 async def test_requests_for_a_replaced_worker_are_refused_until_its_entry_changes():
