Send no large body to a machine that does not reply

A request with a large body waits up to 0.25 s for replies and is refused, as not run, if none accepts it. Such a refusal does not mark its class as full.

Measured: the new test fails before (the body is sent) and passes now.

--- a/packages/core/src/mangowell_core/mesh/body_flow.py
+++ b/packages/core/src/mangowell_core/mesh/body_flow.py
@@ -14,6 +14,9 @@
 # Time for which large bodies may occupy a link, in seconds. The calls that share it
 # have objectives of about 0.3 s.
 MAX_OCCUPIED_S = 0.25
+# Longest time that a request with a large body waits for replies, in seconds. It is not
+# sent without one: a reply that is late shows that the link is full.
+MAX_LARGE_REPLY_WAIT_S = 0.25
 # Time for which an accepted body counts until it begins to arrive, in seconds.
 RESERVATION_S = 0.1
 # Share of the accepted bodies that come: a request asks several workers.
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -16,6 +16,7 @@
     RetryBudget,
     WorkerStates,
 )
+from mangowell_core.mesh.body_flow import LARGE_BODY_BYTES
 from mangowell_core.mesh.offers import may_offer_again
 from mangowell_core.mesh.placement import LoadReport
 from mangowell_core.mesh.service_room import ServiceRoom
@@ -220,7 +221,10 @@
         Those that an earlier attempt excluded may have room for others, and so may
         those of other failure domains that were not asked.
         """
-        is_partial = state.head.is_call or state.excluded or state.has_skipped_remote
+        # A large body may be refused for the links of the workers.
+        is_large = len(state.head.body) >= LARGE_BODY_BYTES
+        is_own = state.head.is_call or is_large
+        is_partial = is_own or state.excluded or state.has_skipped_remote
         if is_partial or error.refusal.cause is not Cause.OVERLOADED:
             return
         route = state.route
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -14,7 +14,10 @@
     StoppingPeers,
     WorkerStates,
 )
-from mangowell_core.mesh.body_flow import LARGE_BODY_BYTES
+from mangowell_core.mesh.body_flow import (
+    LARGE_BODY_BYTES,
+    MAX_LARGE_REPLY_WAIT_S,
+)
 from mangowell_core.mesh.crossing import Spillover, Transfer
 from mangowell_core.mesh.model import MeshDocument, ProbeNotice, ProbeReply
 from mangowell_core.mesh.probing import (
@@ -45,14 +48,16 @@
         Receives the replies.
     route : str
         Name of the request's route.
+    max_wait_s : float
+        Longest time to wait for replies, in seconds.
     """
 
     __slots__ = ("_end", "_loop", "_timer", "results", "route", "unanswered")
 
-    def __init__(self, results: ProbeResults, route: str):
+    def __init__(self, results: ProbeResults, route: str, max_wait_s: float):
         self._loop = asyncio.get_running_loop()
         self._end = self._loop.create_future()
-        self._timer = self._loop.call_later(MAX_REPLY_WAIT_S, self._finish)
+        self._timer = self._loop.call_later(max_wait_s, self._finish)
         self.results = results
         self.route = route
         # Probed workers, their links and the times of the probes.
@@ -168,6 +173,13 @@
                 Cause.OVERLOADED, reason, retry_after_s=results.shortest_retry_s
             )
             raise AttemptError(refusal)
+        if results.asked and _has_large_body(state):
+            # A link that is too full to answer in time takes no large body either.
+            reason = f"no room for the body at {len(results.asked)} workers"
+            refusal = refuse(
+                Cause.OVERLOADED, reason, retry_after_s=MAX_LARGE_REPLY_WAIT_S
+            )
+            raise AttemptError(refusal)
         get_suspicion = self._make_suspicion(state)
         unasked = [
             pair
@@ -303,7 +315,7 @@
             state.deadline - monotonic(),
             state.head.is_call,
             self._worker_states.get(endpoint).rate_limit,
-            len(state.head.body) if len(state.head.body) >= LARGE_BODY_BYTES else 0,
+            len(state.head.body) if _has_large_body(state) else 0,
         )
 
     async def _run_round(
@@ -313,7 +325,9 @@
         sample: list[tuple[float, Endpoint]],
     ) -> None:
         """Ask the workers of a sample and wait for their replies."""
-        pending = _Round(results, state.route.name)
+        is_large = _has_large_body(state)
+        max_wait_s = MAX_LARGE_REPLY_WAIT_S if is_large else MAX_REPLY_WAIT_S
+        pending = _Round(results, state.route.name, max_wait_s)
         for _, endpoint in sample:
             self._send_probe(state, endpoint, pending)
         pending.update()
@@ -391,3 +405,8 @@
         self._record_reply(pending, endpoint, reply)
         self._placement.record_reply(endpoint, pending.route, reply, now)
         pending.update()
+
+
+def _has_large_body(state: RequestState) -> bool:
+    """Return whether the body occupies the link of a machine for long."""
+    return len(state.head.body) >= LARGE_BODY_BYTES
--- a/tests/mesh/test_body_flow.py
+++ b/tests/mesh/test_body_flow.py
@@ -85,3 +85,17 @@
         # The same worker takes small requests.
         probe = ProbeNotice(1, "i-2", "r1", 1, 0.5, 1.0, False)
         assert full.predict_remote(probe).accepted
+
+
+async def test_large_upload_is_not_sent_to_a_machine_that_does_not_reply(monkeypatch):
+    """Guards against bodies that are sent blindly because the link is full."""
+    async with run_mesh(2) as (_, machines):
+        first, second = machines
+        await until(lambda: all(len(m.node._links.links) == 1 for m in machines))
+        fill_slots(first, waiting=100)
+        prober = second.node.gateway.attempts.prober
+        monkeypatch.setattr(prober, "answer_probe", lambda link, probe: None)
+        reply = await first.call(method="POST", body=b"x" * 50_000, request="large")
+        assert (reply.status, "retry-after" in reply.headers) == (503, True)
+        assert second.worker.executions == 0
+        assert (await first.call(request="small")).status == 200
