Take the body of a request for no open head

Callers that keep a connection after a request with a body got 408 and lost the connection once `header-timeout` had passed, also while a long request was running: its answer was followed by a 408 for a request that nobody had sent.

Bytes after the empty line of a head count as the start of the next head if the body of the request is complete. That also held for the bytes of the body itself. They now count only after a request that has no body. A partial head that arrives in the same segment as a body is counted with the next bytes.

The new test failed before the change (408 in place of the second 200) and passes.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -10,7 +10,7 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
-from aiohttp.streams import StreamReader
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from mangowell_core.mesh.caller_memory import compute_request_bytes
 from mangowell_core.policy.outcome import Stage
@@ -277,9 +277,9 @@
         self._content = messages[-1][1]
         self._framing_bytes = 0
         # A request without a body ends with an empty line; a head that follows it has
-        # been read in part.
+        # been read in part. What follows the empty line of others is their body.
         rest = data[data.rfind(_HEAD_END) + len(_HEAD_END) :]
-        has_partial_head = self._content.is_eof() and _HEAD_END in data and rest
+        has_partial_head = self._content is EMPTY_PAYLOAD and _HEAD_END in data and rest
         self._parsed_count += len(messages)
         for message, content in messages:
             if message.version not in _VERSIONS:
--- a/tests/mesh/test_caller_memory.py
+++ b/tests/mesh/test_caller_memory.py
@@ -97,6 +97,19 @@
         writer.close()
 
 
+async def test_body_of_a_request_is_no_open_head():
+    """Kept connections got 408 once the time for a head had passed after a body."""
+    document = make_document(limits=SLOW_LIMITS | {"idle-timeout": "15000ms"})
+    async with run_mesh(document=document) as (_, (machine,)):
+        reader, writer = await machine.connect()
+        for number in range(2):
+            writer.write(make_request("/x", "POST", b"body", f"id-{number}"))
+            assert (await read_response(reader)).status == 200
+            await asyncio.sleep(0.5)
+        assert machine.node._ingress.closed["head-timeout"] == 0
+        writer.close()
+
+
 @pytest.mark.parametrize("framing", (b"0" * 40_000, b"5;" + b"a" * 40_000))
 async def test_endless_chunk_framing_is_refused_and_not_run(framing):
     async with run_mesh() as (_, (machine,)):
