Name the running parent of a call as the runner does in a test

The test of calls that are not refused for memory replaced `WorkerRunner.is_running`, which `get_running_priority` has replaced, so that the call had no running parent and the test failed with 503. It checks the same as before: the call of a running parent gets 200, that of another request 503.

--- a/tests/mesh/test_caller_memory.py
+++ b/tests/mesh/test_caller_memory.py
@@ -168,7 +168,8 @@
     monkeypatch.setattr(CallerMemory, "may_start", lambda *_: False)
     async with run_mesh() as (_, (machine,)):
         ingress = machine.node._ingress
-        machine.node.runner.is_running = lambda request: request == "parent"
+        priorities = {"parent": 1}
+        machine.node.runner.get_running_priority = priorities.get
         assert (await machine.call(request="parent.1")).status == 200
         assert (await machine.call(request="other.1")).status == 503
         assert ingress.refused == 1
