Parse nothing behind a request that is refused for a limit

While earlier requests of a connection ran, a head over its limit, or one that was too slow, got its 431 or 408 only after their answers. What the caller sent meanwhile was parsed: the rest of the slow head, so that a request ran that was then answered 408, and further requests, whose answers came in the place of the 431.

Bytes are now dropped once a request of the connection is refused as malformed or for a limit. Earlier requests are answered as before.

Both cases of the new test failed before (200 in place of 431 and of 408) and pass.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -223,9 +223,12 @@
         if self._linger_timer and self._has_unread_upload:
             linger_deadline = min(monotonic() + LINGER_S, self._upload_deadline)
             self._linger_deadline = max(self._linger_deadline, linger_deadline)
+        # What follows a refused head or body has no reply of its own: it would be taken
+        # for that of the refused request.
         if (
             self._parser is None
             or self._linger_timer
+            or self._parse_error
             or (self._is_closing and not self._exchanges)
         ):
             return
@@ -430,7 +433,7 @@
     ) -> None:
         """Reply to malformed bytes after the replies to earlier requests."""
         self._is_closing = self._has_unread_upload = True
-        self._parse_error = message
+        self._parse_error = message or "malformed request"
         self._parse_status = status
         self._cancel_head_timer()
         self._backlog = b""
--- a/tests/mesh/test_caller_memory.py
+++ b/tests/mesh/test_caller_memory.py
@@ -54,6 +54,41 @@
         await until(lambda: memory.total == 0)
 
 
+@pytest.mark.parametrize("is_slow", (False, True))
+async def test_nothing_behind_a_refused_head_runs(is_slow):
+    """Its answer came in the place of the refusal, and the refused request ran."""
+    limits = {"header-timeout": "300ms" if is_slow else "3000ms"}
+    async with run_mesh(document=make_document(limits=limits)) as (_, (machine,)):
+        running, seen = asyncio.Event(), []
+        answer = machine.worker.handler
+
+        async def wait(request):
+            seen.append(request.headers["request-id"])
+            await running.wait()
+            return await answer(request)
+
+        machine.worker.handler = wait
+        ingress = machine.node._ingress
+        reader, writer = await machine.connect()
+        writer.write(make_request(request="first"))
+        await until(lambda: seen)
+        if is_slow:
+            writer.write(make_request(request="refused")[:-2])
+            await until(lambda: ingress.closed["head-timeout"])
+            writer.write(b"\r\n")
+        else:
+            fields = (b"A: %b\r\n" % (b"v" * 9000)) * 2
+            writer.write(make_request(request="refused")[:-2] + fields + b"\r\n")
+            await until(lambda: ingress.closed["head-size"])
+        writer.write(make_request(request="behind"))
+        await asyncio.sleep(0.1)
+        running.set()
+        assert (await read_response(reader)).status == 200
+        assert (await read_response(reader)).status == (408 if is_slow else 431)
+        assert seen == ["first"]
+        writer.close()
+
+
 async def test_line_over_its_limit_is_a_head_over_its_limit():
     """It was refused with 400, like a malformed head."""
     async with run_mesh() as (_, (machine,)):
