Ignore orders to evacuate a failure domain of an impossible name

An order whose key names no failure domain, such as `op/evacuate/` without a name, went into the state of each node that read it. Each message with the evacuated domains names all of them, and the name was invalid there, so peers dropped every change and every state: nodes that do not read the store kept an old list of workers, and heard of no further evacuation, until the key was removed.

Such orders are left out. No worker can be in a domain of that name.

Both cases of the new test failed before (no change within 5 s) and pass.

--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -300,7 +300,8 @@
         evacuated = None
         if self._reads_evacuations:
             orders = await self._store.list_evacuations()
-            evacuated = [item.evacuated_domain for item in orders.items]
+            domains = {item.evacuated_domain for item in orders.items}
+            evacuated = domains - {""}
         now = asyncio.get_running_loop().time()
         self._record_era(listing.revision, now)
         self._record_up(now, sent_at)
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -13,7 +13,7 @@
 from msgspec import Meta
 
 from mangowell_core import formats
-from mangowell_core.mesh.model import Endpoint, MeshDocument
+from mangowell_core.mesh.model import Endpoint, MeshDocument, Name
 from mangowell_core.mesh.revisions import (
     MAX_ERA,
     MAX_NUMBER,
@@ -116,10 +116,17 @@
 
     @property
     def evacuated_domain(self) -> str:
-        """Failure domain that the item orders to evacuate, or an empty string."""
+        """Failure domain that the item orders to evacuate, or an empty string.
+
+        Also empty if no failure domain can have that name: other nodes would drop
+        each message that contains it.
+        """
         if not self.key.startswith(EVACUATION_PREFIX):
             return ""
-        return self.key.removeprefix(EVACUATION_PREFIX)
+        try:
+            return msgspec.convert(self.key.removeprefix(EVACUATION_PREFIX), Name)
+        except msgspec.ValidationError:
+            return ""
 
     def read_document(
         self, warn: Callable[[str], None] = ignore_warning
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -93,3 +93,19 @@
         await until(lambda: are_told(machines, "a"))
         answer = await machines[0].call()
         assert (answer.status, "retry-after" in answer.headers) == (503, True)
+
+
+@pytest.mark.parametrize("name", ["", "a\x01"])
+async def test_an_order_with_an_impossible_name_stops_no_other_change(name):
+    """Peers dropped every message that named it, until the key was removed."""
+    async with run_mesh(3, zones=("a", "b", "b")) as (store, machines):
+        reader, told = machines[0], machines[2]
+        await told.node._feed.stop()
+        store.put("op/evacuate/" + name, b"{}")
+        # A node that has just started reads the whole list.
+        await restart(reader)
+        await until(lambda: len(reader.node.directory) == 3)
+        store.put(ORDER, b"{}")
+        await until(lambda: are_told(machines, "a"))
+        for machine in machines:
+            assert not machine.get_events("peer_message_dropped")
