Read the id that a worker states only if a worker can have it

A worker that refused with `Not-Executed` and an `Instance-Id` of bytes that are no text kept callers at other nodes waiting until their time limit: they got 504 in place of 503. The id became a field of the answer, which could then be encoded for no link.

An id that no entry can have is now read as none.

The new test failed before for the bytes 0xff (504 in place of 503) and passes.

--- a/packages/node/src/mangowell_node/platform/headers.py
+++ b/packages/node/src/mangowell_node/platform/headers.py
@@ -2,9 +2,10 @@
 
 import re
 
+import msgspec
 from multidict import CIMultiDictProxy, istr
 
-from mangowell_core.mesh.model import MAX_DURATION_S
+from mangowell_core.mesh.model import MAX_DURATION_S, WorkerId
 from mangowell_core.mesh.worker_states import NO_RATE_LIMIT, UNKNOWN_RATE_LIMIT
 from mangowell_node.exchange import HOP_BY_HOP, RequestHead
 
@@ -134,8 +135,11 @@
         return min(float(text) / 1000, MAX_DURATION_S)
 
     def read_instance(self, headers: CIMultiDictProxy[str]) -> str:
-        """Return the id that the worker states; empty if it states none."""
-        return headers.get(_INSTANCE_ID, "").strip()
+        """Return the id that the worker states; empty if it states no valid one."""
+        try:
+            return msgspec.convert(headers.get(_INSTANCE_ID, "").strip(), WorkerId)
+        except msgspec.ValidationError:
+            return ""
 
     def read_rate_limit(self, headers: CIMultiDictProxy[str]) -> float:
         """Return the requests per second that the worker takes from all nodes.
--- a/tests/mesh/test_misdirected.py
+++ b/tests/mesh/test_misdirected.py
@@ -85,3 +85,22 @@
         answer = await machine.call()
         assert answer.status == 503
         assert float(answer.headers["retry-after"]) > 0
+
+
+@pytest.mark.parametrize("instance", [b"\xff", b"i-7 7", b"i" * 300])
+async def test_malformed_id_of_a_worker_is_no_statement(instance):
+    """A refusal with bytes that are no text was held until the time limit, then 504."""
+    status = "503 Unavailable"
+    answer = answer_with_id(b"", status, "Not-Executed: 1\r\nInstance-Id: ID\r\n")
+
+    async def handle(request):
+        return (await answer(request)).replace(b"ID\r\n", instance + b"\r\n")
+
+    async with run_mesh(2) as (_, machines):
+        machines[0].worker.handler = machines[1].worker.handler = handle
+        for number in range(6):
+            reply = await machines[0].call("/pay/1", "POST", b"x", f"r-{number}")
+            assert reply.status == 503
+        assert machines[1].worker.received
+        for machine in machines:
+            assert not machine.get_events("internal_fault")
