Let an older list of the store end no evacuation

A reader of the store that got a list older than what other nodes had told it took an evacuated failure domain for usable, and sent requests there until the watch had repeated the order. Entries of workers were compared by revision, the orders were not.

Orders that are known stay if the list is older; the changes after the list, which are read next, tell which have ended.

The new test failed before ({'b'} in place of {'a', 'b'}) and passes.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -215,6 +215,10 @@
             All evacuated failure domains; None keeps those that are known.
         """
         self._follow_restore(revision, now)
+        if evacuated is not None and revision < self.revision:
+            # The list may be older than an order that is known from other nodes. The
+            # changes after it, which are read next, tell which orders have ended.
+            evacuated = {*evacuated, *self.evacuated}
         self._set_evacuated(evacuated)
         listed_by_id = {endpoint.id: endpoint for endpoint in endpoints}
         for endpoint in listed_by_id.values():
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -315,9 +315,9 @@
                 endpoints.append(self._read_endpoint(item))
             except PlatformFormatError:
                 unreadable.append(item)
-        if evacuated is not None:
-            self._emit_evacuations(frozenset(evacuated), listing.revision)
+        known = self._directory.evacuated
         self._directory.load(endpoints, listing.revision, now, evacuated)
+        self._emit_evacuations(known, listing.revision)
         for item in unreadable:
             self._directory.discard(item.endpoint_id, item.revision, now)
         self._advance_revision(listing.revision)
@@ -357,16 +357,15 @@
         """Apply an order, whatever its value is, or the end of one."""
         domain = item.evacuated_domain
         known = self._directory.evacuated
-        evacuated = known - {domain} if item.value is None else known | {domain}
-        self._emit_evacuations(evacuated, item.revision)
         if item.value is None:
             self._directory.end_evacuation(domain)
         else:
             self._directory.evacuate(domain)
+        self._emit_evacuations(known, item.revision)
 
-    def _emit_evacuations(self, evacuated: frozenset[str], revision: int) -> None:
-        """Emit an event for each failure domain whose evacuation begins or ends."""
-        known = self._directory.evacuated
+    def _emit_evacuations(self, known: frozenset[str], revision: int) -> None:
+        """Emit an event for each failure domain whose evacuation began or ended."""
+        evacuated = self._directory.evacuated
         codes = {
             EventCode.EVACUATION_STARTED: evacuated - known,
             EventCode.EVACUATION_ENDED: known - evacuated,
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mangowell_core.mesh import Directory
 from mesh.support_mesh import restart, run_mesh, until
 
 ORDER = "op/evacuate/a"
@@ -109,3 +110,13 @@
         await until(lambda: are_told(machines, "a"))
         for machine in machines:
             assert not machine.get_events("peer_message_dropped")
+
+
+def test_an_older_list_of_the_store_ends_no_evacuation():
+    """Guards against requests to the domain until the watch repeats the order."""
+    directory = Directory()
+    directory.load([], 100, 1.0, ["a"])
+    directory.load([], 90, 2.0, ["b"])
+    assert directory.evacuated == {"a", "b"}
+    directory.load([], 100, 3.0, ["a"])
+    assert directory.evacuated == {"a"}
