Forget the shares of classes that have had no requests for a while

The queue beside a worker kept a class for each route and priority that it had ever seen, also those that other nodes name, and forgot them only while some class was starving. A node whose routes change grew without bound, and so did the work of each comparison.

The new test of 2,000 routes in turn failed before (no such bound) and passes; tests/mesh/test_queueing.py passes.

--- a/packages/core/src/mangowell_core/mesh/late_queue.py
+++ b/packages/core/src/mangowell_core/mesh/late_queue.py
@@ -128,21 +128,25 @@
 class ClassShares:
     """Share of the offered requests that have started lately, by rank and route."""
 
-    __slots__ = ("_best", "_best_at", "_classes")
+    __slots__ = ("_best", "_best_at", "_classes", "_forgotten_at")
 
     def __init__(self):
         self._classes: dict[tuple[int, str], _Class] = {}
         # Share of the best served class, and the time of its computation.
         self._best = 0.0
-        self._best_at = -math.inf
+        self._best_at = self._forgotten_at = -math.inf
+
+    def __len__(self) -> int:
+        """Return the number of known classes."""
+        return len(self._classes)
 
     def record_offer(self, rank: int, route: str, amount: float, now: float) -> None:
         """Record an offered request, or a part of one."""
-        self._get_class(rank, route).offered.add(amount, now)
+        self._get_class(rank, route, now).offered.add(amount, now)
 
     def record_start(self, rank: int, route: str, now: float) -> None:
         """Record a request that starts."""
-        self._get_class(rank, route).started.add(1.0, now)
+        self._get_class(rank, route, now).started.add(1.0, now)
 
     def get_share(self, rank: int, route: str, now: float) -> float | None:
         """Return the share of a class, from 0 to 1; None if too few were offered."""
@@ -159,19 +163,28 @@
         return share < STARVING_SHARE * self._best
 
     def _update_best(self, now: float) -> None:
-        """Compute the share of the best served class, and forget those long unused."""
+        """Compute the share of the best served class."""
         self._best, self._best_at = 0.0, now
-        for (rank, route), known in list(self._classes.items()):
-            if known.offered.get(now) < FORGOTTEN_OFFERED:
-                del self._classes[rank, route]
-                continue
+        for (rank, _), known in self._classes.items():
             share = _get_share(known, now)
             # Calls do not count: they are few, and go first in any case.
             if rank >= 0 and share is not None:
                 self._best = max(self._best, share)
 
-    def _get_class(self, rank: int, route: str) -> _Class:
-        return self._classes.setdefault((rank, route), _Class())
+    def _get_class(self, rank: int, route: str, now: float) -> _Class:
+        known = self._classes.get((rank, route))
+        if known is None:
+            if now >= self._forgotten_at + SHARES_AVERAGE_S:
+                self._forget_unused(now)
+            known = self._classes[rank, route] = _Class()
+        return known
+
+    def _forget_unused(self, now: float) -> None:
+        """Forget classes without recent requests, as routes come and go."""
+        self._forgotten_at = now
+        for key, known in list(self._classes.items()):
+            if known.offered.get(now) < FORGOTTEN_OFFERED:
+                del self._classes[key]
 
 
 def _get_share(known: _Class, now: float) -> float | None:
--- a/tests/mesh/test_queueing.py
+++ b/tests/mesh/test_queueing.py
@@ -9,6 +9,7 @@
 import pytest
 
 from mangowell_core.mesh import Admission, AdmissionDecision
+from mangowell_core.mesh.late_queue import ClassShares
 
 WORKERS, SLOTS, PROBES = 8, 6, 4
 STEP_S = 0.02
@@ -263,3 +264,12 @@
     _, late, _ = offer_late(admission)
     admission.cancel(late)
     assert not admission.waiting
+
+
+def test_classes_of_former_routes_are_forgotten():
+    """They stayed for the life of the node unless a class was starving."""
+    shares = ClassShares()
+    for number in range(2000):
+        shares.record_offer(0, f"route-{number}", 1.0, float(number))
+        shares.record_start(0, f"route-{number}", float(number))
+    assert len(shares) < 50
