Say in comments what a constant does, not how its value was found

The comment on the ranks of calls said that no call counts as the best served class, which holds only for ranks below 0.

No behaviour changes.

--- a/packages/core/src/mangowell_core/mesh/body_flow.py
+++ b/packages/core/src/mangowell_core/mesh/body_flow.py
@@ -1,9 +1,9 @@
 """Decision whether the link of a machine takes another large request body.
 
 The load this addresses: uploads of 60 kB, in bursts of 2.5 times the usual rate, at a
-few workers behind links of 5 Mbit/s. Accepted by the workers, which had free slots,
-the bodies filled the links for seconds. Calls of a few hundred bytes to the same
-workers waited behind them until their time limit, and their parents failed.
+few workers behind links of 5 Mbit/s. Workers with free slots would accept them
+all, and the bodies would fill the links for seconds. Calls of a few hundred bytes to
+the same workers would wait behind them until their time limit, and their parents fail.
 """
 
 # Body from which a request counts as large, in bytes. Smaller ones take a link of
--- a/packages/core/src/mangowell_core/mesh/caller_memory.py
+++ b/packages/core/src/mangowell_core/mesh/caller_memory.py
@@ -25,8 +25,8 @@
 # head at its limit and the objects of a few requests.
 MIN_FAIR_BYTES = 32_768
 # Memory that a parsed request takes beside its head, until its reply is written, in
-# bytes, and the number of copies of the head. Requests with heads of 500 bytes were
-# measured at 4.8 KB while they wait, and about twice that while they are served.
+# bytes, and the number of copies of the head. A request with a head of 500 bytes
+# takes 4.8 KB while it waits, and about twice that while it is served.
 REQUEST_BYTES = 8192
 HEAD_COPIES = 3
 # Share of the descriptors for callers, the least number of callers, and the descriptors
--- a/packages/core/src/mangowell_core/mesh/crossing.py
+++ b/packages/core/src/mangowell_core/mesh/crossing.py
@@ -26,9 +26,9 @@
 # in proportion.
 BASE_ROUND_TRIP_S = 0.002
 # Weights of the cost that is due to the size above `SMALL_COST`, and of the cost that
-# is due to the distance, by priority. The weights of the distance are fitted to values
-# of 3, 2 and 1 with 6, 2 and 5 kB at a round trip of 8.8 ms, where 1 kB costs 0.2: the
-# first two are moved if they would be late, the third costs more than it is worth.
+# is due to the distance, by priority. Of requests worth 3, 2 and 1 with 6, 2 and 5 kB,
+# at a round trip of 8.8 ms where 1 kB costs 0.2, the first two are moved if they would
+# be late; moving the third costs more than it is worth.
 SIZE_WEIGHTS = (0.5, 0.75, 1.0)
 DISTANCE_WEIGHTS = (0.5, 0.75, 4.0)
 # Cost of a late answer, in objectives.
--- a/packages/core/src/mangowell_core/mesh/late_queue.py
+++ b/packages/core/src/mangowell_core/mesh/late_queue.py
@@ -4,9 +4,9 @@
 has waited is worth nothing. A request that can only be late is therefore kept only
 while the work of the others leaves enough capacity for it.
 
-The load this addresses: a burst of 1.7 on a service whose workers are half cold. The
-requests that cannot be in time any more were all refused, also when the burst ended
-and slots became free before their deadlines.
+The load this addresses: a burst of 1.7 on a service whose workers are half cold. When
+the burst ends, slots become free before the deadlines of requests that cannot be in
+time any more.
 """
 
 import math
@@ -14,9 +14,9 @@
 # Time over which offered work is averaged, in seconds: longer than one request, so
 # that a pause between two is not taken for free capacity.
 OFFERED_WORK_AVERAGE_S = 2.0
-# Share of the slots below which the capacity left over counts as none. With 0.02,
-# almost three times as many requests were refused after waiting: a burst grows faster
-# than the average.
+# Share of the slots below which the capacity left over counts as none. A
+# burst grows faster than the average, so that less would be gone before late requests
+# have started, and they would be refused after waiting.
 MIN_LEFT_SHARE = 0.4
 # Lower bound of the share that more urgent arrivals leave: an overload of them passes.
 MIN_SHARE = 0.1
@@ -42,8 +42,8 @@
 BEST_INTERVAL_S = 0.1
 # Share of a class, relative to the best served one, below which its requests are
 # treated as urgent. The platform's bound is a quarter of the requests. Refused ones
-# come back and are offered again, so that bound is met at a lower share of the offers;
-# 0.15 gave a patient class 0.6 in an overload, at the expense of more urgent ones.
+# come back and are offered again, so that bound is met at a lower share of the offers.
+# A higher one takes capacity from more urgent classes in an overload.
 STARVING_SHARE = 0.06
 
 
@@ -167,7 +167,7 @@
         self._best, self._best_at = 0.0, now
         for (rank, _), known in self._classes.items():
             share = _get_share(known, now)
-            # Calls do not count: they are few, and go first in any case.
+            # Ranks below 0 do not count: they are calls, which go first in any case.
             if rank >= 0 and share is not None:
                 self._best = max(self._best, share)
 
--- a/packages/core/src/mangowell_core/mesh/probing.py
+++ b/packages/core/src/mangowell_core/mesh/probing.py
@@ -31,8 +31,8 @@
 # The same once one worker would start the request at once.
 MAX_REPLY_WAIT_WHEN_FREE_S = 0.004
 # Cost of a worker without a free slot, in works, compared to others of its domain. A
-# request that waits at a fast worker delays those after it: with 74 workers of uneven
-# speed at 0.8 of capacity, three of four requests waited without this cost.
+# request that waits at a fast worker delays those after it: without this cost, most
+# requests wait with 74 workers of uneven speed at 0.8 of capacity.
 FULL_COST = 2.0
 # Weight of the newest observation in the share of remote probes that were useful.
 USEFUL_GAIN = 0.1
--- a/packages/core/src/mangowell_core/mesh/service_room.py
+++ b/packages/core/src/mangowell_core/mesh/service_room.py
@@ -1,10 +1,9 @@
 """What a node knows of the room at a service, and when refused callers return.
 
-Load that it addresses: a service at 1.5 times its capacity for seconds. Each request
-of a class that no worker accepts asked four workers before it was refused, and callers
-that retry at once asked again and again. All refused callers were told the shortest
-wait of any worker, so that they came back together into queues that were still full,
-used up their one or two retries and were lost.
+Load that it addresses: a service at 1.5 times its capacity for seconds, with callers
+that retry at once. Asking four workers for each request of a class that none accepts
+costs all of them time. Callers that are all told the shortest wait of any worker come
+back together into queues that are still full, and use up their one or two retries.
 
 The state of a service is forgotten within `FULL_S` or a few times `RATE_WINDOW_S`, and
 nothing of it is sent to other nodes.
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -79,7 +79,8 @@
 # between domains is expensive, and answers report the load as well.
 OTHER_DOMAIN_INTERVALS = 4
 # Number of nodes of other domains that get the status each time. More take turns: with
-# 71 nodes in three domains, statuses were 8 of the 24 MB between domains in 37 s.
+# 71 nodes in three domains, statuses to all of them are a third of the bytes between
+# domains.
 OTHER_DOMAIN_PEERS = 10
 # Rates are sent as integers, in tenths of a request per second.
 DEMAND_SCALE = 10
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -80,8 +80,8 @@
 # Rank of a new request, as a multiple of its priority, and the ranks by which a call
 # precedes new requests of its parent's priority. A refused call wastes the work of its
 # parent, so calls come first. Only new requests that are two priorities more urgent
-# than the parent precede a call: lookups of the least urgent class took a quarter of
-# the slots of a service whose own requests are the most urgent.
+# than the parent precede a call: otherwise calls of the least urgent class take slots
+# from a service whose own requests are the most urgent.
 RANKS_PER_PRIORITY = 2
 CALL_PRECEDENCE = 3
 
