--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -10,7 +10,7 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
-from aiohttp.streams import StreamReader
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from mangowell_core.mesh.caller_memory import compute_request_bytes
 from mangowell_core.policy.outcome import Stage
@@ -223,9 +223,12 @@
         if self._linger_timer and self._has_unread_upload:
             linger_deadline = min(monotonic() + LINGER_S, self._upload_deadline)
             self._linger_deadline = max(self._linger_deadline, linger_deadline)
+        # What follows a refused head or body has no reply of its own: it would be taken
+        # for that of the refused request.
         if (
             self._parser is None
             or self._linger_timer
+            or self._parse_error
             or (self._is_closing and not self._exchanges)
         ):
             return
@@ -277,9 +280,9 @@
         self._content = messages[-1][1]
         self._framing_bytes = 0
         # A request without a body ends with an empty line; a head that follows it has
-        # been read in part.
+        # been read in part. What follows the empty line of others is their body.
         rest = data[data.rfind(_HEAD_END) + len(_HEAD_END) :]
-        has_partial_head = self._content.is_eof() and _HEAD_END in data and rest
+        has_partial_head = self._content is EMPTY_PAYLOAD and _HEAD_END in data and rest
         self._parsed_count += len(messages)
         for message, content in messages:
             if message.version not in _VERSIONS:
@@ -430,7 +433,7 @@
     ) -> None:
         """Reply to malformed bytes after the replies to earlier requests."""
         self._is_closing = self._has_unread_upload = True
-        self._parse_error = message
+        self._parse_error = message or "malformed request"
         self._parse_status = status
         self._cancel_head_timer()
         self._backlog = b""
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -31,7 +31,7 @@
 )
 from mangowell_core.policy.outcome import refuse
 from mangowell_core.policy.types import Cause
-from mangowell_node.exchange import AttemptError
+from mangowell_node.exchange import AttemptError, RequestHead
 from mangowell_node.link import LinkPool
 from mangowell_node.link.connection import Link
 from mangowell_node.mesh.notices import encode_notice
@@ -224,11 +224,14 @@
             self._warmup_rates = {s.name: s.warmup_per_s for s in document.services}
         return self._warmup_rates.get(service, 0.0)
 
+    def record_request(self, state: RequestState) -> None:
+        """Record the size of a request that is to be sent."""
+        size = _compute_size(state.head)
+        self._placement.sizes.record_request(state.route.name, size)
+
     def _make_transfer(self, state: RequestState) -> Transfer:
         head = state.head
-        size = len(head.headers) + max(len(head.body), head.length)
-        self._placement.sizes.record_request(state.route.name, size)
-        return Transfer(state.route.priority, head.is_call, size)
+        return Transfer(state.route.priority, head.is_call, _compute_size(head))
 
     def _is_local(self, endpoint: Endpoint) -> bool:
         return endpoint.failure_domain == self._settings.failure_domain
@@ -410,3 +413,8 @@
 def _has_large_body(state: RequestState) -> bool:
     """Return whether the body occupies the link of a machine for long."""
     return len(state.head.body) >= LARGE_BODY_BYTES
+
+
+def _compute_size(head: RequestHead) -> int:
+    """Return the bytes of a request, as far as they are known."""
+    return len(head.headers) + max(len(head.body), head.length)
--- a/tests/mesh/test_caller_memory.py
+++ b/tests/mesh/test_caller_memory.py
@@ -54,6 +54,41 @@
         await until(lambda: memory.total == 0)
 
 
+@pytest.mark.parametrize("is_slow", (False, True))
+async def test_nothing_behind_a_refused_head_runs(is_slow):
+    """Its answer came in the place of the refusal, and the refused request ran."""
+    limits = {"header-timeout": "300ms" if is_slow else "3000ms"}
+    async with run_mesh(document=make_document(limits=limits)) as (_, (machine,)):
+        running, seen = asyncio.Event(), []
+        answer = machine.worker.handler
+
+        async def wait(request):
+            seen.append(request.headers["request-id"])
+            await running.wait()
+            return await answer(request)
+
+        machine.worker.handler = wait
+        ingress = machine.node._ingress
+        reader, writer = await machine.connect()
+        writer.write(make_request(request="first"))
+        await until(lambda: seen)
+        if is_slow:
+            writer.write(make_request(request="refused")[:-2])
+            await until(lambda: ingress.closed["head-timeout"])
+            writer.write(b"\r\n")
+        else:
+            fields = (b"A: %b\r\n" % (b"v" * 9000)) * 2
+            writer.write(make_request(request="refused")[:-2] + fields + b"\r\n")
+            await until(lambda: ingress.closed["head-size"])
+        writer.write(make_request(request="behind"))
+        await asyncio.sleep(0.1)
+        running.set()
+        assert (await read_response(reader)).status == 200
+        assert (await read_response(reader)).status == (408 if is_slow else 431)
+        assert seen == ["first"]
+        writer.close()
+
+
 async def test_line_over_its_limit_is_a_head_over_its_limit():
     """It was refused with 400, like a malformed head."""
     async with run_mesh() as (_, (machine,)):
@@ -97,6 +132,19 @@
         writer.close()
 
 
+async def test_body_of_a_request_is_no_open_head():
+    """Kept connections got 408 once the time for a head had passed after a body."""
+    document = make_document(limits=SLOW_LIMITS | {"idle-timeout": "15000ms"})
+    async with run_mesh(document=document) as (_, (machine,)):
+        reader, writer = await machine.connect()
+        for number in range(2):
+            writer.write(make_request("/x", "POST", b"body", f"id-{number}"))
+            assert (await read_response(reader)).status == 200
+            await asyncio.sleep(0.5)
+        assert machine.node._ingress.closed["head-timeout"] == 0
+        writer.close()
+
+
 @pytest.mark.parametrize("framing", (b"0" * 40_000, b"5;" + b"a" * 40_000))
 async def test_endless_chunk_framing_is_refused_and_not_run(framing):
     async with run_mesh() as (_, (machine,)):
@@ -155,7 +203,8 @@
     monkeypatch.setattr(CallerMemory, "may_start", lambda *_: False)
     async with run_mesh() as (_, (machine,)):
         ingress = machine.node._ingress
-        machine.node.runner.is_running = lambda request: request == "parent"
+        priorities = {"parent": 1}
+        machine.node.runner.get_running_priority = priorities.get
         assert (await machine.call(request="parent.1")).status == 200
         assert (await machine.call(request="other.1")).status == 503
         assert ingress.refused == 1
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mangowell_core.mesh import Directory
 from mesh.support_mesh import restart, run_mesh, until
 
 ORDER = "op/evacuate/a"
@@ -93,3 +94,29 @@
         await until(lambda: are_told(machines, "a"))
         answer = await machines[0].call()
         assert (answer.status, "retry-after" in answer.headers) == (503, True)
+
+
+@pytest.mark.parametrize("name", ["", "a\x01"])
+async def test_an_order_with_an_impossible_name_stops_no_other_change(name):
+    """Peers dropped every message that named it, until the key was removed."""
+    async with run_mesh(3, zones=("a", "b", "b")) as (store, machines):
+        reader, told = machines[0], machines[2]
+        await told.node._feed.stop()
+        store.put("op/evacuate/" + name, b"{}")
+        # A node that has just started reads the whole list.
+        await restart(reader)
+        await until(lambda: len(reader.node.directory) == 3)
+        store.put(ORDER, b"{}")
+        await until(lambda: are_told(machines, "a"))
+        for machine in machines:
+            assert not machine.get_events("peer_message_dropped")
+
+
+def test_an_older_list_of_the_store_ends_no_evacuation():
+    """Guards against requests to the domain until the watch repeats the order."""
+    directory = Directory()
+    directory.load([], 100, 1.0, ["a"])
+    directory.load([], 90, 2.0, ["b"])
+    assert directory.evacuated == {"a", "b"}
+    directory.load([], 100, 3.0, ["a"])
+    assert directory.evacuated == {"a"}
