Bound what an unread answer of the worker holds

A node with 200 callers that read a part of large answers took up to 83 MB, of a bound of 80 MB, and kept part of it after they had left.

Each of 48 connections to the worker held up to 384 KiB: a read of the event loop gives up to 256 KiB, on top of 128 KiB at which reading pauses. Once cut off, parser, body and connection referred to each other, and a body to its error and thereby to itself, until a full collection.

A separate protocol now receives into a buffer of 32 KiB, which the connections of a pool share, and reading pauses at 64 KiB. A lost connection drops its parser and, once it is handed out, its body. Errors of a body are raised without the traceback that refers to it.

In a test an unread answer held 223,177 bytes before, of a bound of 98,304 bytes now. None of it is left after a cut without a collection; all of it was before.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -31,7 +31,11 @@
 if TYPE_CHECKING:
     from mangowell_node.backend.pool import BackendPool
 
-READ_BUFFER_BYTES = 65_536  # reading pauses at twice this size
+# An answer that nobody reads holds up to twice READ_BUFFER_BYTES, at which reading
+# pauses, and one read. Both are small, as 48 such answers with reads of the event
+# loop, 256 KiB each, took 18 MB.
+READ_BUFFER_BYTES = 32_768
+RECEIVE_BYTES = 32_768
 # Limit of the heads of one exchange: status line and fields of the answer, of the
 # interim answers before it, and of late answers to earlier requests.
 MAX_HEAD_BYTES = 65_536
@@ -50,6 +54,51 @@
 _SECONDS = re.compile(r"[0-9]{1,9}")
 
 
+class BackendReceiver(asyncio.BufferedProtocol):
+    """Protocol of the transport, which bounds the bytes of one read.
+
+    Event loops offer this only to protocols that are no `asyncio.Protocol`, which
+    those of the HTTP library are.
+
+    Parameters
+    ----------
+    conn : BackendConnection
+    buffer : bytearray
+        Buffer for one read. Connections may share it, as no read outlasts the call
+        of the event loop.
+    """
+
+    __slots__ = ("_buffer", "_conn")
+
+    def __init__(self, conn: "BackendConnection", buffer: bytearray) -> None:
+        self._conn = conn
+        self._buffer = buffer
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Pass the transport on."""
+        self._conn.connection_made(transport)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass on a copy of the bytes that were read."""
+        self._conn.data_received(bytes(memoryview(self._buffer)[:nbytes]))
+
+    def pause_writing(self) -> None:
+        """Pass on that the transport's buffer is full."""
+        self._conn.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Pass on that the transport's buffer has drained."""
+        self._conn.resume_writing()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Pass on the end of the connection."""
+        self._conn.connection_lost(exc)
+
+
 class BackendConnection(BaseProtocol):
     """HTTP/1.1 connection that carries one request at a time.
 
@@ -74,6 +123,7 @@
         "_is_repeatable",
         "_is_reusable",
         "_is_skipping_body",
+        "_is_taken",
         "_pool",
         "_reads_until_eof",
         "_sent_body_bytes",
@@ -117,6 +167,8 @@
         self._has_skipped_refusal = False
         # Whether the current body belongs to an answer that is skipped.
         self._is_skipping_body = False
+        # Whether the answer of the current exchange has been handed out.
+        self._is_taken = False
         self.max_idle_s = float("inf")
         self.used = False
         self.exchanges = 0
@@ -183,7 +235,7 @@
             framing = b"Content-Length: %d\r\n\r\n" % len(head.body)
         else:
             framing = b"\r\n"
-        self.has_received = False
+        self.has_received = self._is_taken = False
         self._is_repeatable = head.idempotent
         self._expected_id = head.request
         self._head_bytes.clear()
@@ -248,7 +300,11 @@
 
     def get_answer(self) -> tuple[AnswerHead, StreamReader]:
         """Return the answer's head and its body."""
-        return self._head, self._body
+        self._is_taken = True
+        head, body = self._head, self._body
+        if self.transport is None:
+            self._release()
+        return head, body
 
     def finish(self) -> None:
         """End the exchange and return the connection to its pool if it is reusable."""
@@ -300,6 +356,20 @@
         self._is_aborted = True
         if self.transport is not None:
             self.transport.abort()
+        else:
+            self._release()
+
+    def _release(self) -> None:
+        """Drop what a lost connection holds for its answer.
+
+        Parser and body refer to the connection, so that all three, with the unread
+        bytes, would otherwise stay until a full collection. An answer that has not
+        been handed out yet may be complete, and its body is kept.
+        """
+        self._parser = None
+        self._head_bytes = bytearray()
+        if self._is_taken or self._head is None:
+            self._body = None
 
     def close_silent(self, since: float) -> None:
         """Close the connection if it is idle, or silent during a repeatable request.
@@ -342,6 +412,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the backend server."""
+        if self._parser is None:
+            # A reader drains the body of a lost connection.
+            return
         if self._waiter is None and (self._body is None or self._body.is_eof()):
             if data:
                 # No request is open, or its answer is already complete.
@@ -564,6 +637,7 @@
             self._stop_timer()
             self._is_aborted = True
             self._pool.forget(self)
+            self._release()
             return
         self._pool.forget(self)
         if not self._is_aborted:
@@ -575,6 +649,7 @@
         else:
             error = AttemptError.at(Cause.CONNECTION_LOST, Stage.SENT, "answer cut off")
         self._fail(error)
+        self._release()
 
 
 def _make_head(message, expects_body: bool) -> AnswerHead:
--- a/packages/node/src/mangowell_node/backend/pool.py
+++ b/packages/node/src/mangowell_node/backend/pool.py
@@ -10,7 +10,11 @@
 
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause
-from mangowell_node.backend.connection import BackendConnection
+from mangowell_node.backend.connection import (
+    RECEIVE_BYTES,
+    BackendConnection,
+    BackendReceiver,
+)
 from mangowell_node.backend.dialect import BackendDialect, NativeDialect, RefusalIds
 from mangowell_node.exchange import (
     MAX_INLINE_BODY,
@@ -43,7 +47,7 @@
     ) -> None:
         self._prefix = prefix or []
         self._conn: BackendConnection | None = conn
-        self._reader = reader
+        self._reader: StreamReader | None = reader
         self._on_end = on_end
         self.length = length
 
@@ -57,7 +61,8 @@
             chunk = await self._reader.readany()
         except AttemptError as exc:
             self._end(exc)
-            raise
+            # The body refers to its error, whose traceback refers to the body.
+            raise exc.with_traceback(None) from exc.__cause__
         except BaseException:
             self.close()
             raise
@@ -73,6 +78,7 @@
 
     def _end(self, error: AttemptError | None) -> None:
         conn, self._conn = self._conn, None
+        self._reader = None
         if conn is not None:
             conn.finish()
             self._on_end(error)
@@ -108,6 +114,7 @@
         self._host = host
         self._port = port
         self._reach = reach
+        self._receive_buffer = bytearray(RECEIVE_BYTES)
         self._idle: deque[BackendConnection] = deque()
         self._open: set[BackendConnection] = set()
         self._opening = 0
@@ -256,8 +263,13 @@
         try:
             timeout = min(CONNECT_TIMEOUT_S, max(0, deadline - monotonic()))
             async with asyncio.timeout(timeout):
-                await self.loop.create_connection(lambda: conn, self._host, self._port)
+                await self.loop.create_connection(
+                    lambda: BackendReceiver(conn, self._receive_buffer),
+                    self._host,
+                    self._port,
+                )
         except (OSError, TimeoutError) as exc:
+            conn.abort()
             raise AttemptError.at(
                 Cause.CONNECT_FAILED, Stage.UNSENT, f"backend server: {exc}"
             ) from exc
@@ -297,7 +309,12 @@
             0 <= answer.length <= MAX_INLINE_BODY
             or (answer.length < 0 and self.dialect.allows_close_delimited)
         ):
-            chunks, is_whole = await _read_up_to_limit(body)
+            try:
+                chunks, is_whole = await _read_up_to_limit(body)
+            except AttemptError as exc:
+                # The body refers to its error, whose traceback refers to the body.
+                del body
+                raise exc.with_traceback(None) from exc.__cause__
             if not is_whole:
                 answer.streaming = True
                 return Answer(answer, BackendBody(conn, body, -1, on_end, chunks))
