Close waiting replies of callers that have left

When a caller with pipelined requests left, the replies that waited for an earlier one stayed open: their tasks were complete, so cancelling them did nothing, and each kept its connection to the worker and what it had read until the time limit of its request.

Cancelling a complete request now closes the body of its reply. A request that failed meanwhile is logged, as it is when its reply is written.

A new test with two pipelined replies failed before, as they were not closed within 2 s, and passes now.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -74,13 +74,22 @@
         self.task: asyncio.Future[Reply] | None = None
 
     def cancel(self) -> None:
-        """Cancel the task, and release what refers to this request.
+        """Cancel the task or close its reply, and release what refers to this request.
 
         The traceback of the cancelled task refers to it, so that all the memory of the
-        request would stay until a full collection.
+        request would stay until a full collection. A reply that waits for earlier ones
+        would keep its connection to the worker until the time limit of its request.
         """
-        self.task.cancel()
-        self.task = None
+        task, self.task = self.task, None
+        if task.cancel() or task.cancelled():
+            return
+        try:
+            stream = task.result().stream
+        except Exception:
+            _log.exception("unhandled exception in a request")
+            return
+        if stream is not None:
+            stream.close()
 
 
 class CallerConnection(BaseProtocol):
--- a/tests/node/test_ingress_stop.py
+++ b/tests/node/test_ingress_stop.py
@@ -25,6 +25,7 @@
         self.started: list[str] = []
         self.cancelled: list[str] = []
         self.streams: dict[str, asyncio.Event] = {}
+        self.bodies: list[GatedBody] = []
 
     async def serve(self, call):
         self.started.append(call.target)
@@ -36,6 +37,7 @@
             raise
         if call.target in self.streams:
             body = GatedBody(self.streams[call.target])
+            self.bodies.append(body)
             return Reply(200, "OK", b"", stream=body, length=body.length)
         return Reply(200, "OK", b"", b"ok")
 
@@ -44,6 +46,7 @@
     """Body whose last chunk waits for an event."""
 
     length = 4
+    is_closed = False
 
     def __init__(self, gate):
         self._gate = gate
@@ -55,7 +58,7 @@
         return self._chunks.pop(0) if self._chunks else b""
 
     def close(self):
-        pass
+        self.is_closed = True
 
 
 @pytest.fixture
@@ -301,3 +304,13 @@
     assert answer.status == (400 if fault == "malformed" else 413)
     assert await asyncio.wait_for(reader.read(), 5) == b""
     writer.close()
+
+
+async def test_waiting_replies_are_closed_when_their_caller_leaves(service, ingress):
+    """Each kept its connection to the worker until the time limit of its request."""
+    service.streams = dict.fromkeys(("/a", "/b"), asyncio.Event())
+    _, writer = await connect(ingress)
+    writer.write(GET % b"a" + GET % b"b")
+    await until(lambda: len(service.bodies) == 2)
+    writer.transport.abort()
+    await until(lambda: all(body.is_closed for body in service.bodies), 2)
