Record the pace of a worker with the load of its answers

Callers saw requests go to workers on machines that were slow at the time: the pace that a worker states in Server-Load was read from the answer, but only its requests and slots were recorded for the placement.

The load of an answer now carries the pace. The new test reads it at the placement of the node, for a local and a remote worker, and fails for both without the change; tests/mesh/test_link_heads.py passes (36 tests).

--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -390,7 +390,7 @@
         )
         if answer.head.pending >= 0:
             slots = answer.head.slots or endpoint.slots
-            load = LoadReport(answer.head.pending, slots)
+            load = LoadReport(answer.head.pending, slots, answer.head.pace)
             placement.record_load(endpoint, load, now)
         if answer.head.is_not_run:
             placement.record_failure(endpoint, now)
--- a/tests/mesh/test_link_heads.py
+++ b/tests/mesh/test_link_heads.py
@@ -57,6 +57,26 @@
         assert (answer.status, answer.body) == (200, b"ok")
 
 
+@pytest.mark.parametrize("is_remote", [False, True], ids=["local", "remote"])
+async def test_pace_of_an_answer_reaches_the_placement(is_remote):
+    """It was read from the answer, but not recorded with its load."""
+
+    async def answer(request):
+        request_id = request.headers["request-id"]
+        fields = f"Request-Id: {request_id}\r\nServer-Load: 1,0,4,150\r\n"
+        return make_answer(b"ok", "200 OK", fields)
+
+    async with run_mesh(2) as (store, machines):
+        worker = machines[is_remote]
+        worker.worker.handler = answer
+        if is_remote:
+            assert (await call_remote(store, machines, make_request())).status == 200
+        else:
+            assert (await worker.call()).status == 200
+        placement = machines[0].node.gateway.attempts.placement
+        assert placement._stats_by_id[worker.id].pace == pytest.approx(1.5)
+
+
 async def test_reason_phrase_that_is_no_text_does_not_lose_the_answer():
     async def answer(request):
         request_id = request.headers["request-id"]
