--- a/packages/core/src/mangowell_core/mesh/admission.py
+++ b/packages/core/src/mangowell_core/mesh/admission.py
@@ -11,8 +11,8 @@
 can only be late waits behind all others, and only while the capacity that they leave
 is expected to serve it before its deadline.
 
-Within a rank, the order by time left was measured as well: it let requests of short
-objectives push others out that had waited, and lost up to a fifth of the value.
+Within a rank, the order is that of arrival: by time left, requests of short objectives
+would push out others that have waited.
 
 An overloaded worker also limits the rate of its requests, and a cold one has a bound.
 A request starts once a slot is free and both allow it.
