Check links without a connection for silence

The check of a link for silence fails with AttributeError while the link has no connection yet: since bodies on slow links count as activity, it asks the transport how many bytes are undelivered. The check ended then, so a link that stays silent would have been used until its last request gave up. A link without a connection now drains nothing. The 8 tests of the file pass.

--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -383,6 +383,8 @@
         A ping alone is acknowledged by the system of a peer that hangs, so it counts
         only while other bytes are left.
         """
+        if self.transport is None:
+            return False
         undelivered = count_undelivered(self.transport)
         acked_before = self._acked_bytes
         self._acked_bytes = self._written_bytes - undelivered
