End the requests of a connection as soon as it is closed for memory

Seen: a node with memory-mb 80 that meets 200 pipelining callers grows to 77 MB, keeps 65 MB (64 allowed) after they have left, and reads nothing for about 3.4 s.

Cause: closing a connection for memory removed it from the account, but its requests ended only when the event loop reported the end of the connection. The loop first reads from all other connections and starts the tasks that are due, so nearly every request of the crowd ran before it was cancelled.

Evidence: a trace shows 2,632 requests in the gateway while the account counts 240. Their objects raise the arenas of Python from 16 to 43. Afterwards 37 stay with 15.4 MB in use: a few lasting objects are spread over them, so they cannot be returned.

Change: a closed connection cancels its requests at once. Those that have not started never do, and release their heads immediately.

The new test sees 640 requests run at once without the change.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -81,6 +81,8 @@
         would keep its connection to the worker until the time limit of its request.
         """
         task, self.task = self.task, None
+        # A task that has not run yet keeps this object until the event loop ends it.
+        self.call = self.content = None
         if task.cancel() or task.cancelled():
             return
         try:
@@ -204,13 +206,19 @@
         self._is_dropped = True
         if self._linger_timer is not None:
             self._linger_timer.cancel()
+        self._end_requests()
+
+    def _end_requests(self) -> None:
+        """Cancel the requests in progress and release what they hold.
+
+        The connection, its parser and its tasks refer to each other, so what they hold
+        would otherwise stay until a full collection.
+        """
         for exchange in self._exchanges:
             _fail_content(exchange.content, "caller disconnected")
             exchange.cancel()
         if self._writer is not None:
             self._writer.cancel()
-        # The connection, its parser and its tasks refer to each other, so what they
-        # hold would otherwise stay until a full collection.
         self._exchanges.clear()
         self._discard_input()
 
@@ -397,10 +405,15 @@
             self._resume_parsing()
 
     def drop(self) -> None:
-        """Close the connection at once and release all that is held for it."""
+        """Close the connection at once and release all that is held for it.
+
+        The event loop reports the end of the connection only after it has read from
+        others and run the tasks that are due, so its requests end here: those that have
+        not started never do.
+        """
         self._is_dropped = self._is_closing = True
         self._server.memory.release(self)
-        self._discard_input()
+        self._end_requests()
         self.abort()
 
     @property
--- a/tests/mesh/test_caller_memory.py
+++ b/tests/mesh/test_caller_memory.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mangowell_core.mesh.caller_memory import CallerMemory
+from mangowell_core.mesh.caller_memory import REQUEST_BYTES, CallerMemory
 from mangowell_node.ingress import CallerReport, IncomingCall, IngressServer, Reply
 from mangowell_standins.platform_values import make_document, make_route
 from mesh.support_mesh import make_request, run_mesh, until
@@ -265,6 +265,41 @@
     await server.stop(0.0)
 
 
+async def test_crowd_that_is_read_at_once_starts_no_more_than_fits():
+    """2,632 requests of connections that were closed for memory ran at once.
+
+    The account no longer counted them, but they took 27 MB: the event loop reads from
+    all connections before it reports the end of one.
+    """
+    running, most = 0, 0
+
+    async def serve(call: IncomingCall) -> Reply:
+        nonlocal running, most
+        running += 1
+        most = max(most, running)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            running -= 1
+
+    memory = CallerMemory(400_000)
+    server = IngressServer(serve, memory=memory)
+    await server.start("127.0.0.1", 0)
+    port = server._server.sockets[0].getsockname()[1]
+    callers = [await asyncio.open_connection("127.0.0.1", port) for _ in range(40)]
+    await until(lambda: len(server.connections) == len(callers))
+    for _, writer in callers:
+        # Sent at once, as the buffer of the system has room.
+        writer.write(make_request() * 16)
+    await until(lambda: server.closed["memory"] > 0 and most > 0)
+    assert 0 < most * REQUEST_BYTES <= memory.connection_limit
+    for _, writer in callers:
+        writer.transport.abort()
+    await until(lambda: not server.connections and running == 0)
+    assert memory.total == 0
+    await server.stop(0.0)
+
+
 async def test_idle_connections_make_room_and_those_with_a_request_stay():
     """A crowd of open heads kept all other callers out."""
     finish = asyncio.Event()
