Count the traffic of a peer once it is authenticated

Seen: connections to the link port from 4,096 addresses that never authenticate take all places of the traffic counts. Bytes to other failure domains that are sent to hosts after that are counted nowhere.

Cause: a link took a place when its connection was made.

Change: a link counts on its own until the end of the handshake, and adds that to the counts of the host then.

Measured: the new test has three hosts in the table without the change, and only that of the authenticated peer with it, handshake bytes included.

--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -192,6 +192,7 @@
         self.address: tuple[str, int] = ("", 0)
         self._key = key
         self._traffic = traffic
+        # Bytes sent, by kind; those of the peer's host once it is authenticated.
         self._sent_bytes: Counter[str] = Counter()
         self._buffer = bytearray()
         self._needed_bytes = 0
@@ -234,8 +235,6 @@
         self.transport = transport
         # None if the peer has already gone.
         self.address = (transport.get_extra_info("peername") or ("", 0))[:2]
-        if self._traffic is not None:
-            self._sent_bytes = self._traffic.get_counts(self.address[0])
         self._handshake_timer = self.loop.call_later(
             HANDSHAKE_TIMEOUT_S, self.close, "handshake timed out"
         )
@@ -431,6 +430,11 @@
         if self._handshake_timer is not None:
             self._handshake_timer.cancel()
             self._handshake_timer = None
+        if self._traffic is not None:
+            # Only now, so that others that connect fill no table.
+            counts = self._traffic.get_counts(self.address[0])
+            counts.update(self._sent_bytes)
+            self._sent_bytes = counts
 
     def _report_silence(self) -> None:
         """Report the silence to repeatable requests; a no-op at the server side."""
--- a/packages/node/src/mangowell_node/link/traffic.py
+++ b/packages/node/src/mangowell_node/link/traffic.py
@@ -5,8 +5,8 @@
 
 from mangowell_node.link.frames import FrameType
 
-# Hosts that are counted. More than a fleet has, so that connections from many
-# addresses do not fill the memory.
+# Hosts that are counted: more than a fleet has. A peer is counted once it is
+# authenticated, so that connections from many addresses keep no host out.
 MAX_HOSTS = 4096
 KINDS = ("requests", "answers", "probes", "status", "changes", "states", "pings")
 # Kind of each frame type that does not depend on what it carries. Frames with parts of
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -22,6 +22,7 @@
     FrameType,
     LinkPool,
     LinkServer,
+    Traffic,
     derive_link_key,
 )
 from mangowell_node.link.frames import (
@@ -109,6 +110,28 @@
         await pair.server.stop(0.0)
 
 
+async def test_peers_are_counted_once_they_are_authenticated():
+    """Connections from many addresses filled the table, and kept real hosts out."""
+    async with run_link_pair() as pair:
+        traffic = pair.server.traffic = Traffic()
+        for number in range(1, 4):
+            address = (f"127.0.3.{number}", 0)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", pair.port, local_addr=address
+            )
+            await read_frame(reader)
+            writer.close()
+        await until(lambda: not pair.server.links)
+        assert traffic.sum_by_kind(lambda host: True)["pings"] == 0
+        hosts = []
+        _, writer = await pair.connect_raw()
+        sent = traffic.sum_by_kind(lambda host: hosts.append(host) or True)
+        assert hosts == ["127.0.0.1"]
+        # What was sent before counts as well: the nonce and the proof.
+        assert sent["pings"] == 2 * FRAME.size + len(MAGIC) + NONCE_BYTES + 32
+        writer.close()
+
+
 async def test_request_of_a_peer_without_the_secret_does_not_run():
     ran = []
 
