Keep the bytes of incomplete frames as a running sum

Each probe of a large body went through all links of the node to sum what was still to arrive. With 70 nodes that send uploads, that is 70 links for each probe.

Change: a link adds what has changed to the sum of its server after each read, and takes its part away when it closes. It also reports the bytes that have arrived of an incomplete frame, which the account of memory needs.

Measured: the new test asks for the sum while the set of links refuses to be gone through, and compares it after a frame is completed, a link is lost and a part more has arrived.

--- a/packages/node/src/mangowell_node/link/server.py
+++ b/packages/node/src/mangowell_node/link/server.py
@@ -67,6 +67,8 @@
         self._streams: dict[int, _ServerStream] = {}
         self._last_stream_id = 0
         self._stopping = False
+        # Parts of the sums of the server that belong to this link.
+        self._counted_incoming = self._counted_buffered = 0
         self.opened_at = monotonic()
         self._handlers = {FrameType.AUTHENTICATE: self._on_authenticate}
 
@@ -79,6 +81,20 @@
         self._server.links.add(self)
         self.send(FrameType.HELLO, 0, MAGIC + self._nonce)
 
+    def data_received(self, data: bytes) -> None:
+        """Handle frames, and update the sums of the server."""
+        super().data_received(data)
+        if not self.closed:
+            self._count_incomplete(self.incoming_bytes, len(self._buffer))
+
+    def _count_incomplete(self, incoming: int, buffered: int) -> None:
+        server = self._server
+        server.incoming_bytes += incoming - self._counted_incoming
+        self._counted_incoming = incoming
+        if buffered != self._counted_buffered:
+            server.on_buffered(buffered - self._counted_buffered)
+            self._counted_buffered = buffered
+
     def _on_authenticate(self, stream_id: int, payload: bytes) -> None:
         nonce = payload[:NONCE_BYTES]
         proof = payload[NONCE_BYTES : NONCE_BYTES + 32]
@@ -226,6 +242,8 @@
 
     def _fail_streams(self) -> None:
         self._server.forget(self)
+        self._buffer.clear()
+        self._count_incomplete(0, 0)
         for stream in list(self._streams.values()):
             self._cancel(stream)
 
@@ -234,6 +252,10 @@
     """Ignore a new link; replaced by `Gossip`."""
 
 
+def _ignore_bytes(change: int) -> None:
+    """Ignore a change of the buffered bytes; replaced by `MeshNode`."""
+
+
 class LinkServer:
     """Listener that accepts links from other nodes.
 
@@ -250,6 +272,14 @@
         Takes an `Event`.
     traffic : Traffic or None
         Counts the bytes that are sent.
+
+    Attributes
+    ----------
+    incoming_bytes : int
+        Bytes that the peers are still to send of incomplete frames. It is a running
+        sum, as it is asked for at each probe of a large body.
+    on_buffered : callable
+        Takes each change of the bytes that have arrived of incomplete frames.
     """
 
     def __init__(
@@ -266,6 +296,8 @@
         self.on_notice: Callable[[Link, bytes], None] | None = None
         self.on_authenticated: Callable[[Link], None] = _ignore_link
         self.links: set[ServerLink] = set()
+        self.incoming_bytes = 0
+        self.on_buffered: Callable[[int], None] = _ignore_bytes
         # A property of the server, so that it holds for links that open later too.
         self.is_stopping = False
         self._key = key
@@ -286,7 +318,7 @@
 
     def count_incoming_bytes(self) -> int:
         """Return the bytes that the peers are still to send of incomplete frames."""
-        return sum(link.incoming_bytes for link in self.links)
+        return self.incoming_bytes
 
     def forget(self, link: ServerLink) -> None:
         """Remove a closed link and emit an event if the peer caused the close."""
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -132,6 +132,39 @@
         writer.close()
 
 
+class _UncountedSet(set):
+    """Set of links that must not be gone through."""
+
+    def __iter__(self):
+        raise AssertionError("all links were gone through")
+
+
+async def test_incomplete_frames_of_all_links_are_counted_as_they_change():
+    """Each probe of a large body went through all links."""
+    async with run_link_pair() as pair:
+        server, changes = pair.server, []
+        server.on_buffered = changes.append
+        head = make_head("/" + "x" * 50_000)
+        data = frame(FrameType.REQUEST, 1, msgspec.msgpack.encode(head))
+        writers = [(await pair.connect_raw())[1] for _ in range(3)]
+        for part, writer in enumerate(writers, 1):
+            writer.write(data[: part * 10_000])
+        await until(lambda: sum(changes) == 60_000)
+        links, server.links = server.links, _UncountedSet()
+        assert server.count_incoming_bytes() == 3 * len(data) - 60_000
+        server.links = links
+        # A frame is completed, a link is lost, and one gets more of its frame.
+        writers[0].write(data[10_000:])
+        writers[1].transport.abort()
+        writers[2].write(data[30_000:40_000])
+        await until(lambda: sum(changes) == 40_000 and len(links) == 2)
+        assert server.count_incoming_bytes() == len(data) - 40_000
+        for writer in writers:
+            writer.transport.abort()
+        await until(lambda: not links)
+        assert (server.count_incoming_bytes(), sum(changes)) == (0, 0)
+
+
 async def test_request_of_a_peer_without_the_secret_does_not_run():
     ran = []
 
