Count the bodies that a node holds for other nodes

Seen: the account of a node had the bodies of its own callers only. A node beside a popular worker could hold bodies of up to 1 MB of requests from every other node, and incomplete messages of as many links, beyond any bound.

Change: a large body of a request from another node counts until its request is answered, and an incomplete message while it arrives. If they do not fit into a sixth of the memory that the settings name, together with the bodies of the node's own callers, the node refuses probes of large bodies, and a request that arrives all the same as not run. Callers of the node itself are served as before, and nodes whose settings name no memory have no such bound.

Measured: without the check of probes, the new test sees a body of 400 kB sent that is then refused; without the counts, nothing is held. Nothing was measured under load.

--- a/packages/core/src/mangowell_core/mesh/caller_memory.py
+++ b/packages/core/src/mangowell_core/mesh/caller_memory.py
@@ -68,6 +68,9 @@
         Bytes of heads, waiting requests and unread replies of all connections.
     body_limit : int
         Bytes of bodies of all requests, unless there is only one.
+    peer_limit : int
+        Bytes of bodies that requests of callers and of other nodes take together, above
+        which those of other nodes are refused; 0 for no bound.
 
     Attributes
     ----------
@@ -75,19 +78,33 @@
         Bytes that are held for all connections, without bodies.
     body_bytes : int
         Bytes that are reserved for bodies.
+    peer_bytes : int
+        Bytes that are held for other nodes: bodies of their requests, and messages that
+        have not arrived completely.
     """
 
-    __slots__ = ("_held_by", "body_bytes", "body_limit", "connection_limit", "held")
+    __slots__ = (
+        "_held_by",
+        "body_bytes",
+        "body_limit",
+        "connection_limit",
+        "held",
+        "peer_bytes",
+        "peer_limit",
+    )
 
     def __init__(
         self,
         connection_limit: int = DEFAULT_CONNECTION_BYTES,
         body_limit: int = DEFAULT_BODY_BYTES,
+        peer_limit: int = 0,
     ):
         self.connection_limit = connection_limit
         self.body_limit = body_limit
+        self.peer_limit = peer_limit
         self.held = 0
         self.body_bytes = 0
+        self.peer_bytes = 0
         # Connections that hold nothing are left out.
         self._held_by: dict[Hashable, int] = {}
 
@@ -97,15 +114,24 @@
         if not memory_mb:
             return cls()
         memory = memory_mb * _MEGABYTE
-        return cls(
-            int(memory * CONNECTION_MEMORY_SHARE), int(memory * BODY_MEMORY_SHARE)
-        )
+        body_limit = int(memory * BODY_MEMORY_SHARE)
+        return cls(int(memory * CONNECTION_MEMORY_SHARE), body_limit, body_limit)
 
     @property
     def total(self) -> int:
         """Bytes that are held for callers."""
         return self.held + self.body_bytes
 
+    def has_room_for_peer(self, size: int) -> bool:
+        """Return whether the body of a request of another node fits.
+
+        Callers come first: their bodies are not refused for those of other nodes, which
+        may send a refused request to another worker. A body that is alone fits at any
+        size.
+        """
+        others = self.body_bytes + self.peer_bytes
+        return not (self.peer_limit and others) or others + size <= self.peer_limit
+
     @property
     def is_over(self) -> bool:
         """Whether connections have to be closed."""
--- a/packages/node/src/mangowell_node/mesh/body_budget.py
+++ b/packages/node/src/mangowell_node/mesh/body_budget.py
@@ -72,3 +72,38 @@
     def release(self, held: int) -> None:
         """Release what has been reserved for a body."""
         self._memory.body_bytes -= held
+
+    # Requests of other nodes
+
+    def has_room_for_peer(self, size: int) -> bool:
+        """Return whether the body of a request of another node is accepted."""
+        return size <= UNCOUNTED_BYTES or self._memory.has_room_for_peer(size)
+
+    def hold_for_peer(self, size: int) -> int:
+        """Reserve memory for the body of a request of another node.
+
+        Returns
+        -------
+        int
+            Bytes to pass to `release_for_peer`.
+
+        Raises
+        ------
+        BodyBudgetError
+            If other bodies leave too little.
+        """
+        if size <= UNCOUNTED_BYTES:
+            return 0
+        if not self._memory.has_room_for_peer(size):
+            held = self._held + self._memory.peer_bytes
+            raise BodyBudgetError(f"request bodies take {held} bytes")
+        self.add_peer_bytes(size)
+        return size
+
+    def release_for_peer(self, held: int) -> None:
+        """Release what `hold_for_peer` has reserved."""
+        self.add_peer_bytes(-held)
+
+    def add_peer_bytes(self, change: int) -> None:
+        """Count a change of the bytes that are held for other nodes."""
+        self._memory.peer_bytes += change
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -16,7 +16,7 @@
 from mangowell_core.mesh.worker_states import WorkerStates
 from mangowell_node.ingress import CallerReport, IncomingCall, IngressServer, Reply
 from mangowell_node.link import LinkPool, LinkServer, Traffic, derive_link_key
-from mangowell_node.mesh.body_budget import make_caller_memory
+from mangowell_node.mesh.body_budget import BodyBudget, make_caller_memory
 from mangowell_node.mesh.call_group import CallGroup
 from mangowell_node.mesh.explanation import EXPLAIN_PATH, RouteExplainer
 from mangowell_node.mesh.feed import StateFeed
@@ -115,9 +115,11 @@
             self._traffic,
         )
         self._link_server = LinkServer(
-            key, self.runner.run, lambda: -1.0, emit, self._traffic
+            key, self.runner.run_remote, lambda: -1.0, emit, self._traffic
         )
         self.runner.count_incoming_bytes = self._link_server.count_incoming_bytes
+        self.runner.body_budget = BodyBudget(self.caller_memory)
+        self._link_server.on_buffered = self.runner.body_budget.add_peer_bytes
         self.gateway = Gateway(
             settings,
             directory,
@@ -388,6 +390,7 @@
             "worker_requests_per_s": self.runner.arrivals.compute_rate(monotonic()),
             "worker_rate_limit": self.runner.rate_limit,
             "caller_held_bytes": self.caller_memory.total,
+            "peer_held_bytes": self.caller_memory.peer_bytes,
             "caller_connections": len(self._ingress.connections),
             "callers_refused_for_memory": self._ingress.refused,
             "worker_connections": len(self.runner.pool.open_connections),
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -40,6 +40,7 @@
     RequestHead,
     compute_fingerprint,
 )
+from mangowell_node.mesh.body_budget import BodyBudget, BodyBudgetError
 from mangowell_node.mesh.request_state import make_misdirected_refusal
 from mangowell_node.mesh.tasks import start_loop
 from mangowell_node.platform import PlatformDialect
@@ -162,7 +163,9 @@
         self._body_flow = BodyFlow(settings.link_mbps)
         # Returns the bytes that other nodes are about to send; replaced by `MeshNode`.
         self.count_incoming_bytes: Callable[[], int] = _count_no_bytes
-        # Large bodies refused because the link was full.
+        # Budget of bodies; replaced by that of the node by `MeshNode`.
+        self.body_budget = BodyBudget()
+        # Large bodies refused because the link or the memory for bodies was full.
         self.bodies_refused = 0
         self.admission = Admission(DEFAULT_SLOTS, keeps_late=True)
         self._warmup = self.admission.warmup
@@ -350,6 +353,28 @@
                 answer.head.pending = load.pending
                 answer.head.slots = load.limit
 
+    async def run_remote(
+        self, head: RequestHead, body: Body | None, deadline: float
+    ) -> Answer:
+        """Run a request of another node; its body counts until it is answered.
+
+        Parameters, result and errors are those of `run`.
+        """
+        try:
+            held = self.body_budget.hold_for_peer(len(head.body))
+        except BodyBudgetError as exc:
+            self.bodies_refused += 1
+            refusal = refuse(
+                Cause.OVERLOADED, str(exc), retry_after_s=QUEUE_RETRY_AFTER_S
+            )
+            load = self.compute_load()
+            error = AttemptError(refusal, float(load.pending), load.limit)
+            raise error from None
+        try:
+            return await self.run(head, body, deadline)
+        finally:
+            self.body_budget.release_for_peer(held)
+
     def _check_crashes(self, head: RequestHead) -> None:
         """Refuse a request that has crashed workers.
 
@@ -530,6 +555,11 @@
         reply = self.predict(probe)
         if not (probe.body_bytes and reply.accepted):
             return reply
+        if not self.body_budget.has_room_for_peer(probe.body_bytes):
+            self.bodies_refused += 1
+            return msgspec.structs.replace(
+                reply, accepted=False, delay_s=QUEUE_RETRY_AFTER_S
+            )
         is_admitted, delay_s = self._body_flow.admit(
             probe.body_bytes, self.count_incoming_bytes(), monotonic()
         )
