Explain requests on copies of the decisions

Operators saw a worker where the node would have refused at once, as the service counts as full, and a Retry-After range that was not that of the refusal. Each explanation also changed later decisions: the averages of the spillover and of remote probing, the learned loads and round trips, the random numbers, and the demand and reserved link time at the probed nodes.

Cause: the explanation called parts of the request path on the state of real requests, left out ServiceRoom, and had its own list of refusals.

Now the gateway, the attempts and the prober make copies of themselves whose decisions have copied state and the same random numbers, and the whole path up to the first attempt runs on them. `AttemptLoop.choose_worker` is the part of `_make_next_attempt` before the attempt. Probes of a trial are marked; a node answers them from a copy of its admission and body flow. The range of Retry-After is that of the same code with the bounds of each random range.

--- a/packages/core/src/mangowell_core/mesh/explanation.py
+++ b/packages/core/src/mangowell_core/mesh/explanation.py
@@ -4,16 +4,34 @@
 way than for a request.
 """
 
-from collections.abc import Callable, Collection, Iterable
+import copy
+from collections.abc import Callable, Collection
+from random import Random
+from typing import TypeVar
 
 import msgspec
 
-from mangowell_core.mesh.crossing import Transfer
 from mangowell_core.mesh.model import Endpoint, ProbeReply
-from mangowell_core.mesh.placement import Placement
 from mangowell_core.mesh.probing import ProbeResults
 from mangowell_core.mesh.worker_states import WorkerStates
 
+_Decisions = TypeVar("_Decisions")
+
+
+def copy_decisions(decisions: _Decisions, rng: Random, copied_rng: Random):
+    """Return copies of decisions that share no state with the originals.
+
+    Parameters
+    ----------
+    decisions : object or tuple
+        Decisions whose state is in memory only.
+    rng : random.Random
+        Source of random numbers of the originals.
+    copied_rng : random.Random
+        Source of random numbers of the copies.
+    """
+    return copy.deepcopy(decisions, {id(rng): copied_rng})
+
 
 class RecordedProbes(ProbeResults):
     """Replies to probes that can be looked up by worker."""
@@ -70,6 +88,9 @@
         Predicted wait of an accepted request, in seconds.
     retry_after_s : float or None
         Time after which a refused request may be sent again, in seconds.
+    was_asked : bool
+        Whether the worker was asked to select one, or would start the request at once
+        and was selected without.
     is_selected : bool
         Whether a request would be sent to this worker now.
     decision : str
@@ -92,9 +113,48 @@
     accepts: bool | None = None
     wait_s: float | None = None
     retry_after_s: float | None = None
+    was_asked: bool = False
     is_selected: bool = False
     decision: str = ""
 
+    def add_reply(self, reply: ProbeReply) -> None:
+        """Add what the node beside the worker replies to a probe."""
+        self.running, self.slots = reply.pending, reply.limit
+        self.failure_rate = max(self.failure_rate, reply.failure_rate)
+        self.accepts = reply.accepted
+        if reply.accepted:
+            self.wait_s = reply.delay_s
+        else:
+            self.retry_after_s = reply.delay_s
+
+    def describe_decision(self, is_full: bool) -> str:
+        """Return which decision takes a worker or leaves it.
+
+        Parameters
+        ----------
+        is_full : bool
+            Whether the request is refused without asking any worker.
+        """
+        if self.excluded_by:
+            return f"excluded: {self.excluded_by}"
+        if self.is_selected and self.is_local and not self.was_asked:
+            return "selected: beside this node and starts at once"
+        if self.is_selected and not self.was_asked:
+            return "selected: lowest predicted cost, and no worker asked accepts"
+        if self.is_selected:
+            return "selected: lowest predicted cost of the workers asked"
+        if is_full:
+            return "left: not asked, as the service counts as full"
+        if self.accepts is None:
+            return "left: its node has not replied to the probe"
+        if not self.accepts:
+            return "left: the admission of its node refuses"
+        if not self.was_asked:
+            return "left: not among the workers asked"
+        if self.wait_s:
+            return "left: accepted, but waits there"
+        return "left: accepted, but of higher cost"
+
 
 def describe_exclusion(
     endpoint: Endpoint,
@@ -124,66 +184,3 @@
     if get_suspicion(endpoint.host) is None:
         return "its node cannot be reached or stops too soon"
     return "left out by the placement"
-
-
-def view_candidates(
-    placement: Placement,
-    endpoints: Iterable[Endpoint],
-    costs: list[tuple[float, Endpoint]],
-    probes: RecordedProbes,
-    route: str,
-    objective_s: float,
-    transfer: Transfer,
-    now: float,
-) -> list[CandidateView]:
-    """Return a view of each worker, candidates of low cost first.
-
-    Parameters
-    ----------
-    placement : Placement
-        Has estimated the costs.
-    endpoints : iterable of Endpoint
-        All workers of the service.
-    costs : list of (float, Endpoint)
-        Costs of the candidates, as returned by `Placement.estimate_costs`.
-    probes : RecordedProbes
-        Replies of the candidates.
-    route : str
-        Name of the route.
-    objective_s : float
-        Time within which an answer has its full value, in seconds.
-    transfer : Transfer
-        Properties of the request that determine the cost of moving it.
-    now : float
-        Monotonic time, in seconds.
-    """
-    cost_by_id = {endpoint.id: cost_s for cost_s, endpoint in costs}
-    views = []
-    for endpoint in endpoints:
-        cost_s = cost_by_id.get(endpoint.id)
-        leaving_cost = placement.estimate_transfer_cost(
-            endpoint.failure_domain, route, transfer
-        )
-        knowledge = placement.explain(endpoint, now)
-        reply = probes.replies.get(endpoint.id)
-        view = CandidateView(
-            worker=endpoint.id,
-            failure_domain=endpoint.failure_domain,
-            address=f"{endpoint.host}:{endpoint.port}",
-            is_local=False,
-            is_evacuated=False,
-            cost_s=cost_s,
-            leaving_cost_s=leaving_cost * objective_s,
-            **knowledge,
-        )
-        if reply is not None:
-            view.running, view.slots = reply.pending, reply.limit
-            view.failure_rate = max(view.failure_rate, reply.failure_rate)
-            view.accepts = reply.accepted
-            if reply.accepted:
-                view.wait_s = reply.delay_s
-            else:
-                view.retry_after_s = reply.delay_s
-        views.append(view)
-    views.sort(key=lambda view: (view.cost_s is None, view.cost_s or 0.0, view.worker))
-    return views
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -435,6 +435,9 @@
         infinity for no limit, negative if unknown.
     body_bytes : int
         Bytes of the request body if it is large, else 0.
+    is_trial : bool
+        Whether the request is only explained and will not be sent. The probe
+        then changes nothing at the node.
     """
 
     probe: Count
@@ -446,6 +449,7 @@
     is_call: bool
     rate_limit: RateLimit = -1.0
     body_bytes: Count = 0
+    is_trial: bool = False
 
 
 class ProbeReply(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/mangowell_core/mesh/service_room.py
+++ b/packages/core/src/mangowell_core/mesh/service_room.py
@@ -122,15 +122,28 @@
         now : float
             Monotonic time, in seconds.
         """
-        room = self._rooms.get(service)
-        if room is None or self._find_mark(room, priority, objective_s, now) is None:
+        if not self.counts_as_full(service, priority, objective_s, now):
             return False
+        room = self._rooms[service]
         room.skipped[priority] = skipped = room.skipped.get(priority, 0) + 1
         if skipped % ASK_EVERY == 0:
             return False
         self.refused_at_once += 1
         return True
 
+    def counts_as_full(
+        self, service: str, priority: int, objective_s: float, now: float
+    ) -> bool:
+        """Return whether a round of refusals counts for a new request.
+
+        `is_full` lets each n-th request ask workers all the same. Takes the parameters
+        of `is_full`.
+        """
+        room = self._rooms.get(service)
+        if room is None:
+            return False
+        return self._find_mark(room, priority, objective_s, now) is not None
+
     def count_full(self, now: float) -> int:
         """Return the number of classes of services that count as full."""
         return sum(
--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to one worker after another until one has answered it."""
 
 import asyncio
+import copy
 import random
 from collections.abc import Callable
 from http import HTTPStatus
@@ -17,6 +18,7 @@
     WorkerStates,
 )
 from mangowell_core.mesh.body_flow import LARGE_BODY_BYTES
+from mangowell_core.mesh.explanation import copy_decisions
 from mangowell_core.mesh.offers import may_offer_again
 from mangowell_core.mesh.placement import LoadReport
 from mangowell_core.mesh.service_room import ServiceRoom
@@ -37,6 +39,7 @@
 )
 from mangowell_node.mesh.runner import WorkerRunner
 from mangowell_node.mesh.tasks import start_loop
+from mangowell_node.mesh.trial import TrialProber, ignore_event
 
 # Retry-After value if no worker can be reached, in seconds.
 NO_WORKER_RETRY_AFTER_S = 0.5
@@ -107,6 +110,7 @@
         self._crash_counter = crash_counter
         self._worker_states = worker_states
         self._emit = emit
+        self._rng = rng
         # Whether attempts go on until their answer or deadline, whatever is silent.
         self.keeps_running_work = False
         self.placement = Placement(settings.worker.host, settings.failure_domain, rng)
@@ -136,6 +140,28 @@
         self.placement.sync(self._directory.get_workers(), now)
         self.budget.set_nodes(len(self._directory.get_hosts()))
 
+    def make_trial(self, rng: random.Random) -> "AttemptLoop":
+        """Return a copy that decides on requests that are not sent.
+
+        Its decisions change nothing here.
+
+        Parameters
+        ----------
+        rng : random.Random
+            Source of random numbers of the copy.
+        """
+        trial = copy.copy(self)
+        trial._rng, trial._emit = rng, ignore_event
+        trial.placement, trial.room, trial.budget, trial._crash_counter = (
+            copy_decisions(
+                (self.placement, self.room, self.budget, self._crash_counter),
+                self._rng,
+                rng,
+            )
+        )
+        trial.prober = TrialProber(self.prober, trial.placement, rng)
+        return trial
+
     async def run(self, state: RequestState) -> None:
         """Make attempts until there is an answer or no further attempt is allowed."""
         ended_by = None
@@ -144,39 +170,55 @@
             ended_by = await self._make_next_attempt(state)
         state.ended_by = ended_by
 
-    async def _make_next_attempt(self, state: RequestState) -> EndReason | None:
-        """Make one attempt; return why no further one follows, or None if one may."""
+    async def choose_worker(
+        self, state: RequestState
+    ) -> tuple[Endpoint | None, EndReason | None]:
+        """Choose the worker of the next attempt.
+
+        Returns
+        -------
+        Endpoint or None, EndReason or None
+            Worker, or why there is no further attempt. Both are None if all workers may
+            be tried once more.
+        """
         if not _may_offer(state, monotonic()):
-            return EndReason.OFFER_LIMIT
+            return None, EndReason.OFFER_LIMIT
         if state.error and state.error.refusal.cause is Cause.QUARANTINED:
             # All other nodes would refuse the request as well.
-            return EndReason.QUARANTINED
+            return None, EndReason.QUARANTINED
         if self._is_service_full(state):
             reason = f"{state.service} is full"
             state.error = AttemptError(refuse(Cause.OVERLOADED, reason))
-            return EndReason.SERVICE_FULL
+            return None, EndReason.SERVICE_FULL
         try:
             endpoint = await self._select_worker(state)
         except AttemptError as exc:
             self._record_full(state, exc)
             state.error = _select_error(state.error, exc)
-            return EndReason.ALL_REFUSE
-        if endpoint is not None and not state.head.is_call:
-            self.room.record_accepted(state.service, state.route.priority)
-        if endpoint is None and self._may_reset_exclusions(state):
+            return None, EndReason.ALL_REFUSE
+        if endpoint is not None:
+            if not state.head.is_call:
+                self.room.record_accepted(state.service, state.route.priority)
+            return endpoint, None
+        if self._may_reset_exclusions(state):
             # If there is only one worker, it may have lost just a connection.
             state.excluded.clear()
-            return None
-        if endpoint is None:
-            if state.error is None and state.answer is None:
-                state.error = AttemptError(
-                    refuse(
-                        Cause.NO_INSTANCE,
-                        f"no worker of {state.service} can be reached",
-                        retry_after_s=NO_WORKER_RETRY_AFTER_S,
-                    )
+            return None, None
+        if state.error is None and state.answer is None:
+            state.error = AttemptError(
+                refuse(
+                    Cause.NO_INSTANCE,
+                    f"no worker of {state.service} can be reached",
+                    retry_after_s=NO_WORKER_RETRY_AFTER_S,
                 )
-            return EndReason.NO_WORKER
+            )
+        return None, EndReason.NO_WORKER
+
+    async def _make_next_attempt(self, state: RequestState) -> EndReason | None:
+        """Make one attempt; return why no further one follows, or None if one may."""
+        endpoint, ended_by = await self.choose_worker(state)
+        if endpoint is None:
+            return ended_by
         if state.may_have_run or state.attempts or state.is_misdirected:
             obstacle = self._find_retry_obstacle(state, monotonic())
             if obstacle is not None:
--- a/packages/node/src/mangowell_node/mesh/explanation.py
+++ b/packages/node/src/mangowell_node/mesh/explanation.py
@@ -7,25 +7,20 @@
 
 import msgspec
 
-from mangowell_core.mesh import Directory, MeshRoute, MeshSettings, WorkerStates
-from mangowell_core.mesh.crossing import Transfer
-from mangowell_core.mesh.explanation import (
-    CandidateView,
-    RecordedProbes,
-    describe_exclusion,
-    view_candidates,
+from mangowell_core.mesh import (
+    Directory,
+    Endpoint,
+    MeshRoute,
+    MeshSettings,
+    WorkerStates,
 )
-from mangowell_core.policy.outcome import refuse
-from mangowell_core.policy.types import Cause, Refusal
-from mangowell_node.exchange import AttemptError, RequestHead
+from mangowell_core.mesh.explanation import CandidateView, describe_exclusion
+from mangowell_core.mesh.service_room import ASK_EVERY
+from mangowell_core.policy.types import Refusal
 from mangowell_node.ingress import IncomingCall, Reply
-from mangowell_node.mesh.attempts import NO_WORKER_RETRY_AFTER_S
-from mangowell_node.mesh.gateway import (
-    DEFAULT_TIMEOUT_S,
-    RETRY_AFTER_JITTER,
-    Gateway,
-)
-from mangowell_node.mesh.request_state import RequestState
+from mangowell_node.mesh.gateway import DEFAULT_TIMEOUT_S, Gateway
+from mangowell_node.mesh.request_state import EndReason, RequestState
+from mangowell_node.mesh.trial import TrialCall
 
 EXPLAIN_PATH = "/explain"
 # Version of the answer; raised by changes that an older command cannot read.
@@ -36,8 +31,9 @@
 class RouteExplainer:
     """Serves operators: tells where a request would go now, and why.
 
-    It runs the decisions of the request path on a request that is not sent. The only
-    traffic are probes, as for any request.
+    It runs the decisions of the request path on a request that is not sent and on
+    copies of their state, so that an explanation changes no later decision. The only
+    traffic are probes, which the other nodes do not count as demand either.
 
     Parameters
     ----------
@@ -81,16 +77,14 @@
             status = HTTPStatus.BAD_REQUEST
             value = {"error": "host or path is missing"}
         else:
-            value = await self.explain(call, host, path, method)
+            value = await self.explain(TrialCall(method, path, host))
         body = msgspec.json.encode(value) + b"\n"
         return Reply(status.value, status.phrase, _JSON, body)
 
-    async def explain(
-        self, call: IncomingCall, host: str, path: str, method: str
-    ) -> dict:
+    async def explain(self, call: TrialCall) -> dict:
         """Return where a request would go now; docs/command.md has the fields."""
-        settings, directory = self._settings, self._directory
-        document = directory.document
+        settings, document = self._settings, self._directory.document
+        route, refusal = self._gateway.try_route(call)
         result = {
             "format": FORMAT,
             "node": {
@@ -98,129 +92,118 @@
                 "failure_domain": settings.failure_domain,
                 "service": settings.service,
             },
-            "request": {"host": host, "path": path, "method": method},
+            "request": {
+                "host": call.host,
+                "path": call.target,
+                "method": call.method,
+            },
             "unready": self._get_unready_reasons(),
             "version": document.version if document is not None else 0,
-            "route": None,
+            "route": None if route is None else _describe_route(route),
             "services": [],
             "answer": None,
         }
-        routes = self._gateway.route_table
-        if routes is None:
-            refusal = refuse(Cause.NOT_READY, "no document yet", retry_after_s=0.5)
-            return result | {"answer": _describe_refusal(refusal)}
-        route = routes.match(host, path.partition("?")[0])
         if route is None:
-            refusal = refuse(Cause.NO_ROUTE, "no route matches")
-            return result | {"answer": _describe_refusal(refusal)}
-        result["route"] = {
-            "name": route.name,
-            "prefix": route.prefix,
-            "priority": route.priority,
-            "idempotent": route.idempotent,
-            "objective_s": route.objective_s,
-            "timeout_s": route.timeout_s or DEFAULT_TIMEOUT_S,
-            "max_attempts": route.max_attempts,
-        }
+            answer = _describe_refusal(self._gateway, None, refusal)
+            return result | {"answer": answer}
         total = sum(weight for _, weight in route.parts)
         for service, weight in route.parts:
-            state = self._make_state(call, route, service, path, method)
-            part = await self._explain_service(state)
+            part = await self._explain_service(call, route, service)
             share = weight / total if total else 1.0
             result["services"].append({"service": service, "share": share, **part})
         return result
 
-    def _make_state(
-        self,
-        call: IncomingCall,
-        route: MeshRoute,
-        service: str,
-        path: str,
-        method: str,
-    ) -> RequestState:
-        """Return the state of a request that has just arrived."""
-        state = RequestState(call, route, service)
-        state.deadline = monotonic() + (route.timeout_s or DEFAULT_TIMEOUT_S)
-        state.head = RequestHead(
-            "", service, method, path, b"", "", "", route.priority, False, 0.0, True
-        )
-        return state
-
-    async def _explain_service(self, state: RequestState) -> dict:
-        attempts, directory = self._gateway.attempts, self._directory
-        route = state.route
-        now = monotonic()
-        probes = RecordedProbes()
-        costs, get_suspicion = await attempts.prober.explain(state, probes)
-        selected, refusal = None, None
-        if attempts.is_quarantined(state, now):
-            reason = "the same request has crashed workers"
-            refusal = refuse(Cause.QUARANTINED, reason)
-        else:
-            try:
-                selected = await attempts.prober.select_worker(state)
-            except AttemptError as exc:
-                refusal = exc.refusal
-            else:
-                if selected is None:
-                    refusal = refuse(
-                        Cause.NO_INSTANCE,
-                        f"no worker of {state.service} can be reached",
-                        retry_after_s=NO_WORKER_RETRY_AFTER_S,
-                    )
-        workers = directory.look_up_service(state.service)
-        views = view_candidates(
-            attempts.placement,
-            workers,
-            costs,
-            probes,
-            route.name,
-            route.objective_s,
-            Transfer(route.priority, state.head.is_call),
-            now,
+    async def _explain_service(
+        self, call: TrialCall, route: MeshRoute, service: str
+    ) -> dict:
+        trial = self._gateway.make_trial()
+        attempts = trial.attempts
+        call.arrived_at = monotonic()
+        state = trial.make_trial_state(call, route, service)
+        selected, refusal = None, await trial.try_prepare(state)
+        workers = self._directory.look_up_service(service)
+        is_full = attempts.room.counts_as_full(
+            service, route.priority, route.objective_s, monotonic()
         )
-        by_id = {worker.id: worker for worker in workers}
-        evacuated = directory.evacuated
-        for view in views:
-            worker = by_id[view.worker]
-            view.is_local = worker.host == self._settings.worker.host
-            view.is_evacuated = worker.failure_domain in evacuated
-            if view.cost_s is None:
-                view.excluded_by = describe_exclusion(
-                    worker, self._worker_states, evacuated, get_suspicion
+        views: list[CandidateView] = []
+        answer = None
+        if state.head is not None:
+            costs = attempts.prober.estimate_costs(state)
+            views = [
+                self._view_worker(trial, state, worker, costs) for worker in workers
+            ]
+            if refusal is None:
+                selected, refusal = await trial.try_workers(state)
+        if refusal is not None:
+            answer = _describe_refusal(trial, state, refusal)
+        if state.head is not None:
+            probes = await attempts.prober.ask_all(state, costs)
+            for view in views:
+                if view.worker in probes.replies:
+                    view.add_reply(probes.replies[view.worker])
+                view.was_asked = view.worker in attempts.prober.asked
+                view.is_selected = selected is not None and view.worker == selected.id
+                view.decision = view.describe_decision(
+                    state.ended_by is EndReason.SERVICE_FULL
                 )
-            view.is_selected = selected is not None and worker.id == selected.id
-            view.decision = _describe_decision(view)
+        views.sort(key=lambda v: (v.cost_s is None, v.cost_s or 0.0, v.worker))
         return {
             "selected": None if selected is None else selected.id,
             "candidates": views,
-            "answer": None if refusal is None else _describe_refusal(refusal),
+            "answer": answer,
+            "ended_by": None if refusal is None else state.ended_by.value,
+            "counts_as_full": is_full,
+            "asks_every": ASK_EVERY,
         }
 
+    def _view_worker(
+        self,
+        trial: Gateway,
+        state: RequestState,
+        worker: Endpoint,
+        costs: list[tuple[float, Endpoint]],
+    ) -> CandidateView:
+        attempts, evacuated = trial.attempts, self._directory.evacuated
+        prober = attempts.prober
+        view = CandidateView(
+            worker=worker.id,
+            failure_domain=worker.failure_domain,
+            address=f"{worker.host}:{worker.port}",
+            is_local=worker.host == self._settings.worker.host,
+            is_evacuated=worker.failure_domain in evacuated,
+            cost_s={e.id: cost_s for cost_s, e in costs}.get(worker.id),
+            leaving_cost_s=prober.estimate_leaving_cost(state, worker),
+            **attempts.placement.explain(worker, monotonic()),
+        )
+        if view.cost_s is None:
+            view.excluded_by = describe_exclusion(
+                worker,
+                self._worker_states,
+                evacuated,
+                prober.make_suspicion(state),
+            )
+        return view
+
+
+def _describe_route(route: MeshRoute) -> dict:
+    return {
+        "name": route.name,
+        "prefix": route.prefix,
+        "priority": route.priority,
+        "idempotent": route.idempotent,
+        "objective_s": route.objective_s,
+        "timeout_s": route.timeout_s or DEFAULT_TIMEOUT_S,
+        "max_attempts": route.max_attempts,
+    }
+
 
-def _describe_decision(view: CandidateView) -> str:
-    """Return which decision takes a worker or leaves it."""
-    if view.excluded_by:
-        return f"excluded: {view.excluded_by}"
-    if view.is_selected and view.is_local and view.wait_s == 0:
-        return "selected: beside this node and starts at once"
-    if view.is_selected:
-        return "selected: lowest predicted cost of the workers asked"
-    if view.accepts is None:
-        return "left: its node has not replied to the probe"
-    if not view.accepts:
-        return "left: the admission of its node refuses"
-    if view.wait_s:
-        return "left: accepted, but waits there"
-    return "left: accepted, but of higher cost or not asked"
-
-
-def _describe_refusal(refusal: Refusal) -> dict:
+def _describe_refusal(
+    gateway: Gateway, state: RequestState | None, refusal: Refusal
+) -> dict:
     """Return the answer that a caller would get."""
-    retry_after_s = refusal.retry_after_s if refusal.status == 503 else 0.0
     return {
         "status": refusal.status,
         "cause": refusal.cause.value,
         "reason": refusal.reason,
-        "retry_after_s": [retry_after_s * factor for factor in RETRY_AFTER_JITTER],
+        "retry_after_s": gateway.compute_retry_range(state, refusal),
     }
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import copy
 import math
 import random
 from collections.abc import Callable
@@ -17,7 +18,9 @@
 from mangowell_core.mesh import (
     CrashCounter,
     Directory,
+    Endpoint,
     MeshDocument,
+    MeshRoute,
     MeshSettings,
     RouteTable,
     WorkerStates,
@@ -44,6 +47,7 @@
     make_unsent_refusal,
 )
 from mangowell_node.mesh.runner import WorkerRunner
+from mangowell_node.mesh.trial import BoundRandom, TrialCall, ignore_event
 from mangowell_node.platform import (
     PlatformDialect,
     read_caller_fields,
@@ -210,43 +214,70 @@
     async def _serve(self, call: IncomingCall) -> Reply:
         fields = read_caller_fields(call.headers)
         request = fields.request
-        if self._refuses_callers and not self.is_call(request):
-            refusal = _make_stopping_refusal()
+        refusal = self._check_stop(request)
+        if refusal is not None:
             return self._make_refusal_reply(request, None, refusal, call.arrived_at)
         if self._route_table is None:
             await self._wait_for_document()
-        if self._route_table is None:
-            refusal = refuse(Cause.NOT_READY, "no document yet", retry_after_s=0.5)
+        route, refusal = self._match_route(call)
+        if route is None:
             return self._make_refusal_reply(request, None, refusal, call.arrived_at)
+        service = self._traffic_splitter.select_service(route)
+        state = self._make_state(call, route, service, fields.remaining_ms)
+        try:
+            return await self._serve_on_route(state, request)
+        finally:
+            self._body_budget.release(state.held_body_bytes)
+
+    def _check_stop(self, request: str) -> Refusal | None:
+        if self._refuses_callers and not self.is_call(request):
+            return _make_stopping_refusal()
+        return None
+
+    def _match_route(
+        self, call: IncomingCall
+    ) -> tuple[MeshRoute | None, Refusal | None]:
+        """Return the route of a request, or the refusal of one without a route."""
+        if self._route_table is None:
+            reason = "no document yet"
+            return None, refuse(Cause.NOT_READY, reason, retry_after_s=0.5)
         path = call.target.partition("?")[0]
         route = self._route_table.match(call.headers.get(_HOST, ""), path)
         if route is None:
-            refusal = refuse(Cause.NO_ROUTE, "no route matches")
-            return self._make_refusal_reply(request, None, refusal, call.arrived_at)
+            return None, refuse(Cause.NO_ROUTE, "no route matches")
+        return route, None
+
+    def _make_state(
+        self,
+        call: IncomingCall,
+        route: MeshRoute,
+        service: str,
+        remaining_ms: float | None,
+    ) -> RequestState:
+        """Return the state of a request, whose caller may state its time limit."""
         timeout_s = route.timeout_s or DEFAULT_TIMEOUT_S
         caller_s = timeout_s
-        if fields.remaining_ms is not None:
-            caller_s = fields.remaining_ms / 1000
+        if remaining_ms is not None:
+            caller_s = remaining_ms / 1000
             timeout_s = min(timeout_s, caller_s)
-        state = RequestState(call, route, self._traffic_splitter.select_service(route))
+        state = RequestState(call, route, service)
         state.caller_deadline = call.arrived_at + caller_s
         state.deadline = min(call.arrived_at + timeout_s, self._end_deadline)
-        try:
-            return await self._serve_on_route(state, request)
-        finally:
-            self._body_budget.release(state.held_body_bytes)
+        return state
 
-    async def _serve_on_route(self, state: RequestState, request: str) -> Reply:
-        call = state.call
-        refusal = await self._prepare_head(state, request)
-        if refusal is not None:
-            return self._make_refusal_reply(request, state, refusal, call.arrived_at)
+    def _check_head(self, state: RequestState) -> Refusal | None:
+        """Return the refusal of a request that no worker is asked for."""
         if self.attempts.is_quarantined(state, monotonic()):
             reason = "the same request has crashed workers"
-            refusal = refuse(Cause.QUARANTINED, reason)
-            return self._make_refusal_reply(request, state, refusal, call.arrived_at)
+            return refuse(Cause.QUARANTINED, reason)
         if self._is_cut_by_stop(state) and not self._may_finish(state):
-            refusal = _make_stopping_refusal()
+            return _make_stopping_refusal()
+        return None
+
+    async def _serve_on_route(self, state: RequestState, request: str) -> Reply:
+        call = state.call
+        refusal = await self._prepare_head(state, request) or self._check_head(state)
+        if refusal is not None:
             return self._make_refusal_reply(request, state, refusal, call.arrived_at)
         if not state.head.is_call:
             self.attempts.budget.count_request(state.service, monotonic())
@@ -263,6 +294,72 @@
             state.error = AttemptError.at(Cause.DEADLINE, stage, reason)
         return self._make_reply(state, request)
 
+    # Trials: decisions on requests that are not sent
+
+    def make_trial(self, rng: random.Random | None = None) -> "Gateway":
+        """Return a copy that decides on requests that are not sent.
+
+        Its decisions change nothing here. It decides as the next request here would be
+        decided on, as its random numbers are the same.
+
+        Parameters
+        ----------
+        rng : random.Random, optional
+            Other source of random numbers of the copy.
+        """
+        trial = copy.copy(self)
+        trial._rng = rng or copy.deepcopy(self._rng)
+        trial._emit = ignore_event
+        trial.attempts = self.attempts.make_trial(trial._rng)
+        return trial
+
+    def try_route(self, call: TrialCall) -> tuple[MeshRoute | None, Refusal | None]:
+        """Return the route of a request that is not sent, or its refusal."""
+        refusal = self._check_stop("")
+        return (None, refusal) if refusal else self._match_route(call)
+
+    def make_trial_state(
+        self, call: TrialCall, route: MeshRoute, service: str
+    ) -> RequestState:
+        """Return the state of a request whose caller states no time limit."""
+        return self._make_state(call, route, service, None)
+
+    async def try_prepare(self, state: RequestState) -> Refusal | None:
+        """Build the head of a request that is not sent; return its refusal if any."""
+        try:
+            refusal = await self._prepare_head(state, "")
+        finally:
+            self._body_budget.release(state.held_body_bytes)
+            state.held_body_bytes = 0
+        return refusal or self._check_head(state)
+
+    async def try_workers(
+        self, state: RequestState
+    ) -> tuple[Endpoint | None, Refusal | None]:
+        """Choose the worker of a request that is not sent.
+
+        Returns
+        -------
+        Endpoint or None, Refusal or None
+            One of both is None.
+        """
+        self.attempts.prober.record_request(state)
+        worker, ended_by = await self.attempts.choose_worker(state)
+        if worker is not None:
+            return worker, None
+        state.ended_by = ended_by
+        return None, state.make_refusal()
+
+    def compute_retry_range(
+        self, state: RequestState | None, refusal: Refusal
+    ) -> tuple[float, float]:
+        """Return the shortest and the longest Retry-After of a refusal, in seconds."""
+        shortest, longest = (
+            self.make_trial(BoundRandom(bound))._compute_retry_after(state, refusal)
+            for bound in (min, max)
+        )
+        return shortest, longest
+
     def _is_cut_by_stop(self, state: RequestState) -> bool:
         """Return whether the node ends before the time limit of a request."""
         return state.deadline >= self._end_deadline
@@ -441,7 +538,9 @@
     def _compute_retry_after(
         self, state: RequestState | None, refusal: Refusal
     ) -> float:
-        """Return the Retry-After value of a refusal, in seconds."""
+        """Return the Retry-After value of a refusal, in seconds; 0 for none."""
+        if refusal.status != 503 or not refusal.retry_after_s:
+            return 0.0
         jitter = self._rng.uniform(*RETRY_AFTER_JITTER)
         if state is None or refusal.cause in _FIXED_RETRY_CAUSES:
             return refusal.retry_after_s * jitter
@@ -462,9 +561,7 @@
         refusal: Refusal,
         arrived_at: float,
     ) -> Reply:
-        retry_after_s = 0.0
-        if refusal.status == 503 and refusal.retry_after_s:
-            retry_after_s = self._compute_retry_after(state, refusal)
+        retry_after_s = self._compute_retry_after(state, refusal)
         fields = {
             "request": request,
             "cause": refusal.cause.value,
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -50,11 +50,28 @@
         Name of the request's route.
     max_wait_s : float
         Longest time to wait for replies, in seconds.
+    placement : Placement
+        Learns from the replies.
     """
 
-    __slots__ = ("_end", "_loop", "_timer", "results", "route", "unanswered")
+    __slots__ = (
+        "_end",
+        "_loop",
+        "_timer",
+        "placement",
+        "results",
+        "route",
+        "unanswered",
+    )
 
-    def __init__(self, results: ProbeResults, route: str, max_wait_s: float):
+    def __init__(
+        self,
+        results: ProbeResults,
+        route: str,
+        max_wait_s: float,
+        placement: Placement,
+    ):
+        self.placement = placement
         self._loop = asyncio.get_running_loop()
         self._end = self._loop.create_future()
         self._timer = self._loop.call_later(max_wait_s, self._finish)
@@ -126,6 +143,7 @@
         self._placement = placement
         self._worker_states = worker_states
         self._get_suspicion = get_suspicion
+        self._rng = rng
         self._remote_probing = RemoteProbing(rng)
         self._spillover = Spillover(rng)
         # Document that the rates of cold workers are from, by service.
@@ -330,7 +348,7 @@
         """Ask the workers of a sample and wait for their replies."""
         is_large = _has_large_body(state)
         max_wait_s = MAX_LARGE_REPLY_WAIT_S if is_large else MAX_REPLY_WAIT_S
-        pending = _Round(results, state.route.name, max_wait_s)
+        pending = _Round(results, state.route.name, max_wait_s, self._placement)
         for _, endpoint in sample:
             self._send_probe(state, endpoint, pending)
         pending.update()
@@ -339,7 +357,11 @@
         finally:
             for number, (_, link, _) in pending.unanswered.items():
                 self._rounds.pop(number, None)
-                link.check_alive()
+                self._check_link(link)
+
+    def _check_link(self, link: Link) -> None:
+        """Check a link on which a reply is missing."""
+        link.check_alive()
 
     def _send_probe(
         self, state: RequestState, endpoint: Endpoint, pending: _Round
@@ -360,7 +382,7 @@
     def _record_reply(
         self, pending: _Round, endpoint: Endpoint, reply: ProbeReply
     ) -> None:
-        in_flight = self._placement.count_in_flight(endpoint)
+        in_flight = pending.placement.count_in_flight(endpoint)
         pending.results.record_reply(endpoint, reply, in_flight)
 
     def _record_round_trip(self, link: Link, seconds: float) -> None:
@@ -369,29 +391,6 @@
             domain = endpoint.failure_domain
             self._placement.round_trips.record(domain, seconds, now)
 
-    async def explain(
-        self, state: RequestState, results: ProbeResults
-    ) -> tuple[list[tuple[float, Endpoint]], Callable[[str], bool | None]]:
-        """Ask all candidates of a request that is not sent.
-
-        Parameters
-        ----------
-        state : RequestState
-            Request.
-        results : ProbeResults
-            Receives the replies.
-
-        Returns
-        -------
-        list of (float, Endpoint), callable
-            Costs of the candidates as `select_worker` uses them, and the
-            `get_suspicion` that it uses; see `Placement.select_worker`.
-        """
-        transfer = Transfer(state.route.priority, state.head.is_call)
-        costs = self._estimate_costs(state, state.excluded, transfer)
-        await self._run_round(state, results, costs)
-        return costs, self._make_suspicion(state)
-
     def answer_probe(self, link: Link, probe: ProbeNotice) -> None:
         """Answer the probe of another node."""
         reply = self._runner.predict_remote(probe)
@@ -404,9 +403,10 @@
             return
         endpoint, _, sent_at = pending.unanswered.pop(reply.probe)
         now = monotonic()
-        self._placement.round_trips.record(endpoint.failure_domain, now - sent_at, now)
+        placement = pending.placement
+        placement.round_trips.record(endpoint.failure_domain, now - sent_at, now)
         self._record_reply(pending, endpoint, reply)
-        self._placement.record_reply(endpoint, pending.route, reply, now)
+        placement.record_reply(endpoint, pending.route, reply, now)
         pending.update()
 
 
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -1,6 +1,7 @@
 """Runs requests at the local worker."""
 
 import asyncio
+import copy
 import math
 from collections.abc import Callable
 from http import HTTPStatus
@@ -530,11 +531,14 @@
         reply = self.predict(probe)
         if not (probe.body_bytes and reply.accepted):
             return reply
-        is_admitted, delay_s = self._body_flow.admit(
+        body_flow = self._body_flow
+        if probe.is_trial:
+            body_flow = copy.deepcopy(body_flow)
+        is_admitted, delay_s = body_flow.admit(
             probe.body_bytes, self.count_incoming_bytes(), monotonic()
         )
         if not is_admitted:
-            self.bodies_refused += 1
+            self.bodies_refused += not probe.is_trial
             return msgspec.structs.replace(reply, accepted=False, delay_s=delay_s)
         return msgspec.structs.replace(reply, delay_s=max(reply.delay_s, delay_s))
 
@@ -542,6 +546,9 @@
         """Predict what the admission of a request would decide."""
         now = monotonic()
         admission = self.admission
+        if probe.is_trial:
+            # A prediction counts as demand, and a trial must not.
+            admission = copy.deepcopy(admission)
         local_worker = self._local_worker
         if (
             local_worker is None
@@ -553,7 +560,10 @@
         ):
             accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
         else:
-            self._adopt_rate_limit(local_worker, probe.rate_limit)
+            if not probe.is_trial:
+                self._adopt_rate_limit(local_worker, probe.rate_limit)
+            elif self._may_adopt_rate_limit(probe.rate_limit):
+                admission.rate_limit.set_rate(probe.rate_limit, now)
             rank, objective_s = _get_rank_and_objective(
                 probe.is_call, probe.priority, probe.objective_s
             )
@@ -561,7 +571,7 @@
                 probe.route, rank, objective_s, now + probe.remaining_s, now
             )
             accepted = decision is not AdmissionDecision.REFUSED
-        load = self.compute_load()
+        load = admission.compute_load(now)
         return ProbeReply(
             probe.probe,
             accepted,
@@ -712,11 +722,14 @@
         After a restart, this node would otherwise learn it only with the first
         answer, when all slots are already in use.
         """
-        if 0 <= limit < NO_RATE_LIMIT and self.rate_limit < 0:
+        if self._may_adopt_rate_limit(limit):
             self._worker_states.record(worker, limit, False)
             self._log_rate_limit(worker, limit)
             self._apply_rate_limit()
 
+    def _may_adopt_rate_limit(self, limit: float) -> bool:
+        return 0 <= limit < NO_RATE_LIMIT and self.rate_limit < 0
+
     def _log_rate_limit(self, worker: Endpoint, limit: float) -> None:
         """Emit an event if a limit appears, ends or changes clearly."""
         logged = self._logged_limit
--- /dev/null
+++ b/packages/node/src/mangowell_node/mesh/trial.py
@@ -0,0 +1,140 @@
+"""Decisions on requests that are not sent, for operators.
+
+A trial runs the decisions of the request path on copies of their state, so that it
+neither changes them nor needs a second version of them.
+"""
+
+import random
+from collections.abc import Callable
+from time import monotonic
+
+import msgspec
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from mangowell_core.events import Event
+from mangowell_core.mesh import Endpoint, Placement
+from mangowell_core.mesh.explanation import RecordedProbes, copy_decisions
+from mangowell_core.mesh.model import ProbeNotice
+from mangowell_core.mesh.probing import ProbeResults
+from mangowell_node.link.connection import Link
+from mangowell_node.mesh.prober import Prober
+from mangowell_node.mesh.request_state import RequestState
+
+
+def ignore_event(event: Event) -> None:
+    """Do nothing; a request that is not sent causes no event."""
+
+
+class BoundRandom(random.Random):
+    """Returns a bound of each range instead of a random number.
+
+    Parameters
+    ----------
+    bound : callable
+        `min` or `max`.
+    """
+
+    def __init__(self, bound: Callable[[float, float], float]):
+        super().__init__(0)
+        self._bound = bound
+
+    def uniform(self, a: float, b: float) -> float:
+        """Return a bound of the range."""
+        return self._bound(a, b)
+
+
+class TrialCall:
+    """Request that no caller has sent; see `IncomingCall` for the attributes.
+
+    Parameters
+    ----------
+    method, target, host : str
+        Method, path with the query, and host of the request.
+    """
+
+    is_body_complete = True
+
+    def __init__(self, method: str, target: str, host: str):
+        self.method = method
+        self.target = target
+        self.host = host
+        fields = {"Host": host}
+        self.headers = CIMultiDictProxy(CIMultiDict(fields))
+        self.raw_headers = tuple(
+            (name.encode(), value.encode()) for name, value in fields.items()
+        )
+        self.arrived_at = monotonic()
+
+    def get_complete_body(self) -> bytes:
+        """Return a body without content."""
+        return b""
+
+
+class TrialProber(Prober):
+    """Selects the worker of a request that is not sent, and records how.
+
+    Parameters
+    ----------
+    prober : Prober
+        Prober of the requests that are sent; its state stays as it is.
+    placement : Placement
+        Copy of the placement.
+    rng : random.Random
+        Source of random numbers of all copies.
+
+    Attributes
+    ----------
+    asked : set of str
+        Ids of the workers that were asked to select one of them.
+    """
+
+    def __init__(self, prober: Prober, placement: Placement, rng: random.Random):
+        self.__dict__.update(vars(prober))
+        self._placement = placement
+        self._remote_probing, self._spillover = copy_decisions(
+            (prober._remote_probing, prober._spillover), prober._rng, rng
+        )
+        self._rng = rng
+        self.asked: set[str] = set()
+
+    def estimate_costs(self, state: RequestState) -> list[tuple[float, Endpoint]]:
+        """Return the candidates of a request with their costs, in seconds."""
+        transfer = self._make_transfer(state)
+        return self._estimate_costs(state, state.excluded, transfer)
+
+    def estimate_leaving_cost(self, state: RequestState, endpoint: Endpoint) -> float:
+        """Return the cost of the failure domain of a worker, in seconds."""
+        cost = self._placement.estimate_transfer_cost(
+            endpoint.failure_domain, state.route.name, self._make_transfer(state)
+        )
+        return cost * state.route.objective_s
+
+    async def ask_all(
+        self, state: RequestState, costs: list[tuple[float, Endpoint]]
+    ) -> RecordedProbes:
+        """Return the replies of all candidates."""
+        results = RecordedProbes()
+        asked = set(self.asked)
+        await self._run_round(state, results, costs)
+        self.asked = asked
+        return results
+
+    def make_suspicion(self, state: RequestState) -> Callable[[str], bool | None]:
+        """Return the `get_suspicion` of `Placement.select_worker` for a request."""
+        return self._make_suspicion(state)
+
+    async def _run_round(
+        self,
+        state: RequestState,
+        results: ProbeResults,
+        sample: list[tuple[float, Endpoint]],
+    ) -> None:
+        await super()._run_round(state, results, sample)
+        self.asked |= results.asked
+
+    def _make_probe(self, state: RequestState, endpoint: Endpoint) -> ProbeNotice:
+        probe = super()._make_probe(state, endpoint)
+        return msgspec.structs.replace(probe, is_trial=True)
+
+    def _check_link(self, link: Link) -> None:
+        """Leave the link alone, whose state other requests depend on."""
--- a/tests/mesh/test_explanation.py
+++ b/tests/mesh/test_explanation.py
@@ -20,21 +20,23 @@
     admission.offer("more", "r1", 1, 0.5, now + 2.0, now)
 
 
-async def explain(machine, path="/x", method="GET", host=HOST, verb="GET"):
+async def explain(
+    machine, path="/x", method="GET", host=HOST, verb="GET", **parameters
+):
     """Ask a node; return status and the decoded answer."""
     settings = machine.settings
     address = settings.ready.host, settings.metrics_port
     reader, writer = await asyncio.open_connection(*address)
-    query = urlencode({"host": host, "path": path, "method": method})
+    query = urlencode({"host": host, "path": path, "method": method, **parameters})
     writer.write(f"{verb} /explain?{query} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
     answer = await read_response(reader)
     writer.close()
     return answer.status, json.loads(answer.body)
 
 
-async def explain_service(machine, path="/x"):
+async def explain_service(machine, path="/x", **parameters):
     """Return the part of the only service, and its candidates by worker."""
-    status, answer = await explain(machine, path)
+    status, answer = await explain(machine, path, **parameters)
     assert status == 200
     (part,) = answer["services"]
     return part, {view["worker"]: view for view in part["candidates"]}
@@ -117,3 +119,40 @@
         for _ in range(5):
             await explain_service(machine)
         assert sizes.estimate("r1", 60_000) == before
+
+
+async def test_service_that_counts_as_full_is_explained_without_asking_workers():
+    """The explanation showed a worker, and the request was refused at once."""
+    async with run_mesh(2) as (_, (first, second)):
+        await until(lambda: first.node._links.links)
+        fill_slots(first)
+        room = first.node.gateway.attempts.room
+        room.record_full("orders", 1, 0.5, 0.25, monotonic())
+        part, views = await explain_service(first)
+        assert (part["selected"], part["ended_by"]) == (None, "service-full")
+        assert part["counts_as_full"]
+        answer = part["answer"]
+        assert (answer["status"], answer["reason"]) == (503, "orders is full")
+        # The wait of 0.25 s with the random factor, but early enough for a retry.
+        shortest, longest = answer["retry_after_s"]
+        assert 0.1 < shortest < longest <= 0.35
+        assert views[second.id]["accepts"] is True
+        reason = "left: not asked, as the service counts as full"
+        assert {view["decision"] for view in views.values()} == {reason}
+        assert room.refused_at_once == 0
+        # Of the requests of a class that counts as full, each fourth asks all the same.
+        room.record_full("orders", 1, 0.5, 0.25, monotonic())
+        for _ in range(3):
+            assert room.is_full("orders", 1, 0.5, monotonic())
+        part, _ = await explain_service(first)
+        assert part["counts_as_full"]
+        assert part["selected"] == second.id
+
+
+async def test_node_that_no_longer_serves_callers_explains_that():
+    async with run_mesh() as (_, (machine,)):
+        machine.node.gateway.refuse_callers()
+        _, answer = await explain(machine)
+        assert (answer["answer"]["cause"], answer["services"]) == ("leaving", [])
+        shortest, longest = answer["answer"]["retry_after_s"]
+        assert (shortest, longest) == (2.0 * 0.8, 2.0 * 1.6)
