Explain requests with a body of a given size

Operators could only ask for a request without a body, so the explanation of an upload showed too small a cost of leaving the failure domain, asked no slow link for room, and did not show the refusal of a body over the limits.

The node makes a body that has only a size and runs the same decisions; it checks the value (400), as does the command (exit code 2). A node that does not know the parameter would explain a request without a body, so the command takes its answer for one of another version.

--- a/packages/cli/src/mangowell_cli/app.py
+++ b/packages/cli/src/mangowell_cli/app.py
@@ -174,6 +174,10 @@
     method: Annotated[
         str, Arg(long="--method", value_name="METHOD", help="Method of the request.")
     ] = "GET"
+    body_bytes: Annotated[
+        int,
+        Arg(long="--body-bytes", value_name="N", help="Size of the body, in bytes."),
+    ] = 0
     failure_domain: Annotated[
         str,
         Arg(
@@ -196,6 +200,7 @@
         return show_route(
             select_nodes(self.nodes, ""),
             request,
+            self.body_bytes,
             self.failure_domain,
             Timeouts(self.timeout_s, self.deadline_s),
             self.json,
--- a/packages/cli/src/mangowell_cli/internal/route_explanation.py
+++ b/packages/cli/src/mangowell_cli/internal/route_explanation.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Sequence
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -17,6 +18,17 @@
 
 # Format of the answers that this version reads; see `EXPLAIN_PATH` at the nodes.
 FORMAT = 1
+# Largest size of a body that a node takes, far above any limit of a document.
+MAX_BODY_BYTES = 10**12 - 1
+
+
+class Request(msgspec.Struct):
+    """Request that was explained.
+
+    Nodes before the size of the body was added leave it out, and assume 0.
+    """
+
+    body_bytes: int = 0
 
 
 class NodeName(msgspec.Struct):
@@ -76,6 +88,9 @@
     selected: str | None
     candidates: list[Candidate]
     answer: ExpectedAnswer | None
+    ended_by: str | None = None
+    counts_as_full: bool = False
+    asks_every: int = 0
 
 
 class Explanation(msgspec.Struct):
@@ -88,6 +103,7 @@
     route: Route | None
     services: list[ServicePart]
     answer: ExpectedAnswer | None
+    request: Request = msgspec.field(default_factory=Request)
 
     @property
     def is_refused(self) -> bool:
@@ -95,20 +111,32 @@
         return bool(self.answer) or any(part.answer for part in self.services)
 
 
-def parse_explanation(answer: Any) -> Result[Explanation, str]:
-    """Decode and validate the answer of ``/explain``."""
+def parse_explanation(answer: Any, body_bytes: int) -> Result[Explanation, str]:
+    """Decode and validate the answer of ``/explain``.
+
+    Parameters
+    ----------
+    answer : object
+        Decoded JSON.
+    body_bytes : int
+        Size of the body that the node was asked for.
+    """
     found = answer.get("format") if isinstance(answer, dict) else None
     if found != FORMAT:
         return Err(f"another version: format {found!r}, expected {FORMAT}")
     try:
-        return Ok(msgspec.convert(answer, Explanation))
+        explanation = msgspec.convert(answer, Explanation)
     except msgspec.ValidationError as exc:
         return Err(f"another version: unexpected answer: {exc}")
+    if explanation.request.body_bytes != body_bytes:
+        return Err("another version: does not take the size of the body")
+    return Ok(explanation)
 
 
 def show_route(
     nodes: Sequence[NodeAddress],
     request: dict[str, str],
+    body_bytes: int,
     failure_domain: str,
     timeouts: Timeouts,
     as_json: bool,
@@ -121,6 +149,8 @@
         Metrics ports of the nodes to ask.
     request : dict
         Host, path and method of the request.
+    body_bytes : int
+        Size of its body.
     failure_domain : str
         Failure domain of the caller; only its nodes answer. Empty for any.
     timeouts : Timeouts
@@ -136,12 +166,17 @@
     """
     if not request["host"] or not request["path"].startswith("/"):
         raise CommandError("give --host, and --path that begins with /")
-    answers = query_nodes(nodes, "/explain", request, timeouts)
+    if not 0 <= body_bytes <= MAX_BODY_BYTES:
+        raise CommandError(
+            f"--body-bytes must be from 0 to {MAX_BODY_BYTES}: {body_bytes}"
+        )
+    size = {"body_bytes": str(body_bytes)} if body_bytes else {}
+    answers = query_nodes(nodes, "/explain", request | size, timeouts)
     explained: list[tuple[NodeAddress, Explanation, Any]] = []
     unreachable: list[tuple[NodeAddress, str]] = []
     others: list[tuple[NodeAddress, str]] = []
     for node, answer in zip(nodes, answers, strict=True):
-        match answer.and_then(parse_explanation):
+        match answer.and_then(partial(parse_explanation, body_bytes=body_bytes)):
             case Ok(found):
                 domain = found.node.failure_domain
                 if failure_domain and domain != failure_domain:
@@ -204,6 +239,9 @@
             _print(f"goes to {part.selected}")
         else:
             _print(f"answer: {_format_answer(part.answer)}")
+        if part.counts_as_full:
+            every = part.asks_every
+            _print(f"counts as full: asks workers for one request in {every}")
         print_table(
             (
                 "WORKER",
--- a/packages/node/src/mangowell_node/mesh/explanation.py
+++ b/packages/node/src/mangowell_node/mesh/explanation.py
@@ -26,6 +26,8 @@
 # Version of the answer; raised by changes that an older command cannot read.
 FORMAT = 1
 _JSON = b"Content-Type: application/json\r\n"
+# Digits of the largest body that can be asked for, far above any limit of a document.
+MAX_SIZE_DIGITS = 12
 
 
 class RouteExplainer:
@@ -64,11 +66,16 @@
         self._worker_states = worker_states
 
     async def serve(self, call: IncomingCall) -> Reply:
-        """Answer ``GET /explain?host=..&path=..&method=..``."""
-        query = parse_qs(call.target.partition("?")[2])
-        host, path, method = (
+        """Answer ``GET /explain?host=..&path=..&method=..&body_bytes=..``."""
+        query = parse_qs(call.target.partition("?")[2], keep_blank_values=True)
+        host, path, method, size = (
             query.get(name, [default])[0]
-            for name, default in (("host", ""), ("path", ""), ("method", "GET"))
+            for name, default in (
+                ("host", ""),
+                ("path", ""),
+                ("method", "GET"),
+                ("body_bytes", "0"),
+            )
         )
         status = HTTPStatus.OK
         if call.method != "GET":
@@ -76,8 +83,11 @@
         elif not host or not path.startswith("/"):
             status = HTTPStatus.BAD_REQUEST
             value = {"error": "host or path is missing"}
+        elif not _is_size(size):
+            status = HTTPStatus.BAD_REQUEST
+            value = {"error": "body_bytes is not a number of bytes"}
         else:
-            value = await self.explain(TrialCall(method, path, host))
+            value = await self.explain(TrialCall(method, path, host, int(size)))
         body = msgspec.json.encode(value) + b"\n"
         return Reply(status.value, status.phrase, _JSON, body)
 
@@ -96,6 +106,7 @@
                 "host": call.host,
                 "path": call.target,
                 "method": call.method,
+                "body_bytes": call.body_bytes,
             },
             "unready": self._get_unready_reasons(),
             "version": document.version if document is not None else 0,
@@ -185,6 +196,11 @@
         return view
 
 
+def _is_size(text: str) -> bool:
+    is_number = text.isascii() and text.isdigit()
+    return is_number and len(text) <= MAX_SIZE_DIGITS
+
+
 def _describe_route(route: MeshRoute) -> dict:
     return {
         "name": route.name,
--- a/packages/node/src/mangowell_node/mesh/trial.py
+++ b/packages/node/src/mangowell_node/mesh/trial.py
@@ -4,6 +4,7 @@
 neither changes them nor needs a second version of them.
 """
 
+import os
 import random
 from collections.abc import Callable
 from time import monotonic
@@ -43,6 +44,27 @@
         return self._bound(a, b)
 
 
+class _SizedBody(bytes):
+    """Body of which only the size is known.
+
+    It has some random bytes, so that it is not taken for a request that has crashed
+    workers.
+
+    Parameters
+    ----------
+    size : int
+        Size, in bytes.
+    """
+
+    def __new__(cls, size: int):
+        body = super().__new__(cls, os.urandom(16))
+        body._size = size
+        return body
+
+    def __len__(self) -> int:
+        return self._size
+
+
 class TrialCall:
     """Request that no caller has sent; see `IncomingCall` for the attributes.
 
@@ -50,24 +72,30 @@
     ----------
     method, target, host : str
         Method, path with the query, and host of the request.
+    body_bytes : int
+        Size of its body.
     """
 
     is_body_complete = True
 
-    def __init__(self, method: str, target: str, host: str):
+    def __init__(self, method: str, target: str, host: str, body_bytes: int = 0):
         self.method = method
         self.target = target
         self.host = host
+        self.body_bytes = body_bytes
         fields = {"Host": host}
+        if body_bytes:
+            fields["Content-Length"] = str(body_bytes)
         self.headers = CIMultiDictProxy(CIMultiDict(fields))
         self.raw_headers = tuple(
             (name.encode(), value.encode()) for name, value in fields.items()
         )
         self.arrived_at = monotonic()
+        self._body = _SizedBody(body_bytes) if body_bytes else b""
 
     def get_complete_body(self) -> bytes:
-        """Return a body without content."""
-        return b""
+        """Return a body that only tells its size."""
+        return self._body
 
 
 class TrialProber(Prober):
--- a/tests/cli/test_explain_route.py
+++ b/tests/cli/test_explain_route.py
@@ -81,6 +81,42 @@
     assert (code, "no connection" in err) == (3, True)
 
 
+def test_node_that_ignores_the_size_of_the_body_is_an_error(explain):
+    """Nodes of an earlier version explain a request without a body instead."""
+    code, out, err, _ = explain([EXPLANATION], "--body-bytes", "60000")
+    assert (code, out) == (3, "")
+    assert "another version: does not take the size of the body" in err
+    request = {"host": "shop.example", "path": "/x", "body_bytes": 60_000}
+    answer = change(request=request)
+    code, _, err, (port,) = explain([answer], "--body-bytes", "60000")
+    assert (code, err) == (1, "")
+    assert port.queries[0]["body_bytes"] == "60000"
+
+
+@pytest.mark.parametrize("size", ["-1", "x", "1.5", "", "1000000000000"])
+def test_size_of_the_body_that_is_no_number_of_bytes_is_invalid(run, size):
+    words = (*ROUTE, f"--body-bytes={size}", "--nodes", "127.0.0.1:1")
+    code, out, err = run("explain", "route", *words)
+    assert (code, out) == (2, "")
+    assert "--body-bytes" in err
+
+
+def test_some_node_without_a_usable_answer_is_a_finding(run, explain):
+    """An operator would take the answers of the others for those of all nodes."""
+    part = EXPLANATION["services"][0] | {"answer": None, "selected": "i-1"}
+    code, out, err, _ = explain([change(services=[part]), change(format=2)])
+    assert (code, "goes to i-1" in out) == (1, True)
+    assert "another version: format 2, expected 1" in err
+    assert explain([change(services=[part])])[0] == 0
+
+
+def test_service_that_counts_as_full_is_shown(explain):
+    part = EXPLANATION["services"][0]
+    fields = {"counts_as_full": True, "asks_every": 4, "ended_by": "service-full"}
+    _, out, _, _ = explain([change(services=[part | fields])])
+    assert "counts as full: asks workers for one request in 4" in out
+
+
 @pytest.mark.parametrize("words", [(), ("--host", "x"), ("--host", "x", "--path", "y")])
 def test_missing_host_or_path_is_invalid(run, words):
     code, _, err = run("explain", "route", *words, "--nodes", "127.0.0.1:1")
--- a/tests/mesh/test_explanation.py
+++ b/tests/mesh/test_explanation.py
@@ -149,6 +149,28 @@
         assert part["selected"] == second.id
 
 
+async def test_size_of_the_body_counts_for_the_transfer_the_links_and_the_limit():
+    async with run_mesh(2, zones=("a", "b")) as (_, (first, second)):
+        await until(lambda: first.node._links.links)
+        fill_slots(first, waiting=40)
+        _, small = await explain_service(first, "/pay/1")
+        second.node.runner.count_incoming_bytes = lambda: 10**9
+        _, large = await explain_service(first, "/pay/1", body_bytes=60_000)
+        views = small[second.id], large[second.id]
+        assert views[0]["leaving_cost_s"] < views[1]["leaving_cost_s"]
+        assert [view["accepts"] for view in views] == [True, False]
+        part, views = await explain_service(first, "/pay/1", body_bytes=1_000_001)
+        assert (part["answer"]["status"], views) == (413, {})
+        assert first.node.caller_memory.body_bytes == 0
+
+
+async def test_size_of_the_body_is_checked():
+    async with run_mesh() as (_, (machine,)):
+        for size in ("-1", "+1", "1e3", "1.0", "x", "", " 1", "\u0663", "9" * 13):
+            status, answer = await explain(machine, body_bytes=size)
+            assert (status, "body_bytes" in answer["error"]) == (400, True), size
+
+
 async def test_node_that_no_longer_serves_callers_explains_that():
     async with run_mesh() as (_, (machine,)):
         machine.node.gateway.refuse_callers()
--- a/tests/mesh/test_trials.py
+++ b/tests/mesh/test_trials.py
@@ -129,8 +129,8 @@
         for seed in SEEDS[:20]:
             load_workers(machines, random.Random(seed))
             before = capture_decisions(machines)
-            for _ in range(3):
-                status, _ = await explain(machines[0], "/x", "POST")
+            for size in (0, 60_000, 2_000_000):
+                status, _ = await explain(machines[0], "/x", "POST", body_bytes=size)
                 assert status == 200
             assert capture_decisions(machines) == before
 
@@ -175,10 +175,11 @@
         for seed in SEEDS:
             rng = random.Random(seed)
             load_workers(machines, rng)
-            _, explanation = await explain(first, "/x", "POST")
+            size = rng.choice((0, 0, 500, 60_000))
+            _, explanation = await explain(first, "/x", "POST", body_bytes=size)
             (part,) = explanation["services"]
             chosen.clear()
-            answer = await send(first, b"")
+            answer = await send(first, b"x" * size)
             selected = [part["selected"]] if part["selected"] else []
             assert (seed, chosen) == (seed, selected)
             if selected:
