Show what leaves each worker out of an explanation

Operators did not see workers that had left or whose address another worker has taken, and saw "the admission of its node refuses" where the node beside the worker refuses for another reason: the worker leaves, is not the one that answers there, its failure domain is evacuated, its node stops, or the link is too full for the body. A cold worker was shown without the requests that it may start now, or that it was spared at random; a silent node was not shown at all.

The directory tells which known workers it leaves out of a service, and why. The reply to a marked probe has the decision that refuses and the starts that the bound of a cold worker allows now; other replies are as long as before. The prober of an explanation notes which cold workers were spared.

--- a/packages/cli/src/mangowell_cli/internal/route_explanation.py
+++ b/packages/cli/src/mangowell_cli/internal/route_explanation.py
@@ -78,6 +78,8 @@
     retry_after_s: float | None
     is_selected: bool
     decision: str
+    cold_starts: int | None = None
+    is_suspect: bool = False
 
 
 class ServicePart(msgspec.Struct):
@@ -271,9 +273,9 @@
     return (
         view.worker,
         view.failure_domain,
-        f"{view.running}/{view.slots}",
+        f"{view.running}/{view.slots}{'?' if view.is_suspect else ''}",
         f"{view.speed:.2f}",
-        _format_ms(view.warmup_left_s or None),
+        _format_warmup(view),
         "yes" if view.is_evacuated else "no",
         f"{view.failure_rate:.0%}",
         _format_ms(view.cost_s),
@@ -283,6 +285,12 @@
     )
 
 
+def _format_warmup(view: Candidate) -> str:
+    """Return the cold time that is left, and the requests that may start now."""
+    left = _format_ms(view.warmup_left_s or None)
+    return left if view.cold_starts is None else f"{left} ({view.cold_starts} now)"
+
+
 def _format_answer(answer: ExpectedAnswer) -> str:
     shortest, longest = answer.retry_after_s
     retry = f", Retry-After {shortest:.3f} to {longest:.3f} s" if longest > 0 else ""
--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -354,6 +354,21 @@
             self._by_service = self._group_by_service()
         return self._by_service.get(service, ())
 
+    def find_unused(self, service: str) -> list[tuple[Endpoint, str]]:
+        """Return known workers that `look_up_service` leaves out, and why it does."""
+        used = {endpoint.id for endpoint in self.look_up_service(service)}
+        unused = {
+            endpoint.id: (endpoint, "another worker has started at its address")
+            for endpoint in self._endpoints.values()
+            if endpoint.id not in used
+        }
+        for endpoint, *_ in self._departed.values():
+            unused[endpoint.id] = endpoint, "entry was removed: the worker has left"
+        for endpoint in self._withheld.values():
+            reason = "entry is a copy from before the worker left"
+            unused[endpoint.id] = endpoint, reason
+        return [pair for pair in unused.values() if pair[0].service == service]
+
     def look_up_address(self, host: str, port: int) -> Endpoint | None:
         """Return the most recently started worker at an address."""
         candidates = [e for e in self.look_up_host(host) if e.port == port]
--- a/packages/core/src/mangowell_core/mesh/explanation.py
+++ b/packages/core/src/mangowell_core/mesh/explanation.py
@@ -5,7 +5,7 @@
 """
 
 import copy
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from random import Random
 from typing import TypeVar
 
@@ -73,6 +73,11 @@
         Speed relative to the mean of the service, without the warm-up.
     warmup_left_s : float
         Time for which the worker is still expected to be cold, in seconds.
+    cold_starts : int or None
+        Requests that may start now at a cold worker, by the node beside it; None if it
+        is not cold or has not replied.
+    is_suspect : bool
+        Whether its node has not answered for a moment.
     is_evacuated : bool
         Whether its failure domain is evacuated.
     failure_rate : float
@@ -88,9 +93,13 @@
         Predicted wait of an accepted request, in seconds.
     retry_after_s : float or None
         Time after which a refused request may be sent again, in seconds.
+    refused_by : str
+        Decision by which the node beside the worker refuses; empty if it accepts.
     was_asked : bool
         Whether the worker was asked to select one, or would start the request at once
         and was selected without.
+    was_spared : bool
+        Whether the worker was left out at random because it is cold.
     is_selected : bool
         Whether a request would be sent to this worker now.
     decision : str
@@ -106,6 +115,8 @@
     slots: int
     speed: float
     warmup_left_s: float
+    cold_starts: int | None = None
+    is_suspect: bool = False
     is_evacuated: bool
     failure_rate: float
     cost_s: float | None = None
@@ -113,7 +124,9 @@
     accepts: bool | None = None
     wait_s: float | None = None
     retry_after_s: float | None = None
+    refused_by: str = ""
     was_asked: bool = False
+    was_spared: bool = False
     is_selected: bool = False
     decision: str = ""
 
@@ -122,6 +135,9 @@
         self.running, self.slots = reply.pending, reply.limit
         self.failure_rate = max(self.failure_rate, reply.failure_rate)
         self.accepts = reply.accepted
+        self.refused_by = reply.refused_by
+        if reply.cold_starts >= 0:
+            self.cold_starts = reply.cold_starts
         if reply.accepted:
             self.wait_s = reply.delay_s
         else:
@@ -145,10 +161,13 @@
             return "selected: lowest predicted cost of the workers asked"
         if is_full:
             return "left: not asked, as the service counts as full"
+        if self.was_spared:
+            return "left: cold, spared at random to stay within its rate"
         if self.accepts is None:
             return "left: its node has not replied to the probe"
         if not self.accepts:
-            return "left: the admission of its node refuses"
+            refused_by = self.refused_by or "admission"
+            return f"left: its node refuses: {refused_by}"
         if not self.was_asked:
             return "left: not among the workers asked"
         if self.wait_s:
@@ -160,7 +179,8 @@
     endpoint: Endpoint,
     worker_states: WorkerStates,
     evacuated: Collection[str],
-    get_suspicion: Callable[[str], bool | None],
+    is_reachable: bool,
+    stops_too_soon: bool,
 ) -> str:
     """Return what the filters of the selection leave a worker out for.
 
@@ -172,8 +192,11 @@
         What the workers have stated in their answers.
     evacuated : collection of str
         Evacuated failure domains.
-    get_suspicion : callable
-        See `Placement.select_worker`.
+    is_reachable : bool
+        Whether the node beside the worker gets requests, see `get_suspicion` of
+        `Placement.select_worker`.
+    stops_too_soon : bool
+        Whether it stops before the request ends.
     """
     if endpoint.failure_domain in evacuated:
         return "failure domain is evacuated"
@@ -181,6 +204,8 @@
         return "worker states that it leaves"
     if endpoint.draining:
         return "entry is draining"
-    if get_suspicion(endpoint.host) is None:
-        return "its node cannot be reached or stops too soon"
+    if stops_too_soon:
+        return "its node stops too soon"
+    if not is_reachable:
+        return "its node cannot be reached"
     return "left out by the placement"
--- a/packages/core/src/mangowell_core/mesh/model.py
+++ b/packages/core/src/mangowell_core/mesh/model.py
@@ -436,8 +436,8 @@
     body_bytes : int
         Bytes of the request body if it is large, else 0.
     is_trial : bool
-        Whether the request is only explained and will not be sent. The probe
-        then changes nothing at the node.
+        Whether the request is only explained and will not be sent. The answer then has
+        further fields, and the probe changes nothing at the node.
     """
 
     probe: Count
@@ -452,7 +452,7 @@
     is_trial: bool = False
 
 
-class ProbeReply(msgspec.Struct, frozen=True, tag=True):
+class ProbeReply(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
     """Prediction for one request by the node beside a worker.
 
     Parameters
@@ -471,6 +471,11 @@
         Share of the latest requests that the worker has failed.
     pending, limit : int
         Requests that run or wait at the worker, and its number of slots.
+    refused_by : str
+        Decision that refuses the request; only in the reply to a trial.
+    cold_starts : int
+        Requests that may start now at a cold worker, negative if it is not cold; only
+        in the reply to a trial.
     """
 
     probe: Count
@@ -480,6 +485,8 @@
     failure_rate: Share
     pending: Load
     limit: Load
+    refused_by: Annotated[str, Meta(max_length=MAX_NAME_CHARS)] = ""
+    cold_starts: Annotated[int, Meta(ge=-1, le=MAX_INTEGER)] = -1
 
 
 Notice = (
--- a/packages/core/src/mangowell_core/mesh/warmup.py
+++ b/packages/core/src/mangowell_core/mesh/warmup.py
@@ -180,6 +180,15 @@
             delay_s = max(delay_s, leaving + self._window_s - now)
         return min(delay_s, self.cold_until - now)
 
+    def count_allowed(self, now: float) -> int:
+        """Return the number of requests that may start now; -1 while warm."""
+        if not self.is_cold(now):
+            return -1
+        self._refill(now)
+        self._expire(now)
+        room = self._max_in_window - len(self._sent)
+        return max(0, min(math.floor(self._tokens + _ROUNDING), room))
+
     def compute_utilization(self, now: float) -> float:
         """Return the used share of the tokens, from 0 to 1; 0 while warm."""
         if not self.is_cold(now):
--- a/packages/node/src/mangowell_node/mesh/explanation.py
+++ b/packages/node/src/mangowell_node/mesh/explanation.py
@@ -133,6 +133,7 @@
         state = trial.make_trial_state(call, route, service)
         selected, refusal = None, await trial.try_prepare(state)
         workers = self._directory.look_up_service(service)
+        unused = self._directory.find_unused(service)
         is_full = attempts.room.counts_as_full(
             service, route.priority, route.objective_s, monotonic()
         )
@@ -141,8 +142,10 @@
         if state.head is not None:
             costs = attempts.prober.estimate_costs(state)
             views = [
-                self._view_worker(trial, state, worker, costs) for worker in workers
+                self._view_worker(trial, state, worker, costs)
+                for worker in [*workers, *(worker for worker, _ in unused)]
             ]
+            reasons = {worker.id: reason for worker, reason in unused}
             if refusal is None:
                 selected, refusal = await trial.try_workers(state)
         if refusal is not None:
@@ -150,9 +153,12 @@
         if state.head is not None:
             probes = await attempts.prober.ask_all(state, costs)
             for view in views:
+                if view.worker in reasons:
+                    view.cost_s, view.excluded_by = None, reasons[view.worker]
                 if view.worker in probes.replies:
                     view.add_reply(probes.replies[view.worker])
                 view.was_asked = view.worker in attempts.prober.asked
+                view.was_spared = view.worker in attempts.prober.spared
                 view.is_selected = selected is not None and view.worker == selected.id
                 view.decision = view.describe_decision(
                     state.ended_by is EndReason.SERVICE_FULL
@@ -176,12 +182,14 @@
     ) -> CandidateView:
         attempts, evacuated = trial.attempts, self._directory.evacuated
         prober = attempts.prober
+        suspicion = prober.is_suspect(state, worker.host)
         view = CandidateView(
             worker=worker.id,
             failure_domain=worker.failure_domain,
             address=f"{worker.host}:{worker.port}",
             is_local=worker.host == self._settings.worker.host,
             is_evacuated=worker.failure_domain in evacuated,
+            is_suspect=bool(suspicion),
             cost_s={e.id: cost_s for cost_s, e in costs}.get(worker.id),
             leaving_cost_s=prober.estimate_leaving_cost(state, worker),
             **attempts.placement.explain(worker, monotonic()),
@@ -191,7 +199,8 @@
                 worker,
                 self._worker_states,
                 evacuated,
-                prober.make_suspicion(state),
+                suspicion is not None,
+                prober.stops_too_soon(state, worker.host),
             )
         return view
 
--- a/packages/node/src/mangowell_node/mesh/prober.py
+++ b/packages/node/src/mangowell_node/mesh/prober.py
@@ -173,8 +173,7 @@
         if likely is None or self._is_free_here(state, likely):
             return likely
         results = ProbeResults()
-        rate_per_s = self._get_warmup_rate(state.service)
-        kept = self._placement.spare_cold_workers(costs, rate_per_s, monotonic())
+        kept = self._spare_cold_workers(state, costs)
         local, remote = self._split_by_domain(kept)
         await self._run_round(state, results, self._sample(state, local, LOCAL_PROBES))
         if results.has_free_worker:
@@ -234,6 +233,13 @@
         was_useful = selected is not None and not self._is_local(selected)
         self._remote_probing.record(state.service, was_useful)
 
+    def _spare_cold_workers(
+        self, state: RequestState, costs: list[tuple[float, Endpoint]]
+    ) -> list[tuple[float, Endpoint]]:
+        """Return the candidates without the cold ones that are left out at random."""
+        rate_per_s = self._get_warmup_rate(state.service)
+        return self._placement.spare_cold_workers(costs, rate_per_s, monotonic())
+
     def _get_warmup_rate(self, service: str) -> float:
         """Return the requests per second that a cold worker takes; 0 for no limit."""
         document = self._directory.document
@@ -312,12 +318,15 @@
         now = monotonic()
 
         def get_suspicion(host: str) -> bool | None:
-            if not self.stopping_peers.may_finish(host, state.deadline, now):
+            if self._stops_too_soon(host, state, now):
                 return None
             return self._get_suspicion(host)
 
         return get_suspicion
 
+    def _stops_too_soon(self, host: str, state: RequestState, now: float) -> bool:
+        return not self.stopping_peers.may_finish(host, state.deadline, now)
+
     def _is_free_here(self, state: RequestState, endpoint: Endpoint) -> bool:
         """Return whether the worker is the local one and starts the request at once."""
         if endpoint.host != self._settings.worker.host:
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -539,7 +539,10 @@
         )
         if not is_admitted:
             self.bodies_refused += not probe.is_trial
-            return msgspec.structs.replace(reply, accepted=False, delay_s=delay_s)
+            refused_by = "link is too full for the body" if probe.is_trial else ""
+            return msgspec.structs.replace(
+                reply, accepted=False, delay_s=delay_s, refused_by=refused_by
+            )
         return msgspec.structs.replace(reply, delay_s=max(reply.delay_s, delay_s))
 
     def predict(self, probe: ProbeNotice) -> ProbeReply:
@@ -549,28 +552,29 @@
         if probe.is_trial:
             # A prediction counts as demand, and a trial must not.
             admission = copy.deepcopy(admission)
-        local_worker = self._local_worker
-        if (
-            local_worker is None
-            or local_worker.id != probe.instance
-            or self._is_misplaced
-            or self._is_leaving(local_worker)
-            or self._is_evacuated
-            or now + probe.remaining_s > self._end_deadline
-        ):
+        deadline = now + probe.remaining_s
+        refused_by = self._find_obstacle(probe.instance, deadline)
+        if refused_by:
             accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
         else:
             if not probe.is_trial:
-                self._adopt_rate_limit(local_worker, probe.rate_limit)
+                self._adopt_rate_limit(self._local_worker, probe.rate_limit)
             elif self._may_adopt_rate_limit(probe.rate_limit):
                 admission.rate_limit.set_rate(probe.rate_limit, now)
             rank, objective_s = _get_rank_and_objective(
                 probe.is_call, probe.priority, probe.objective_s
             )
             decision, delay_s = admission.predict(
-                probe.route, rank, objective_s, now + probe.remaining_s, now
+                probe.route, rank, objective_s, deadline, now
             )
             accepted = decision is not AdmissionDecision.REFUSED
+        cold_starts = -1
+        if probe.is_trial:
+            cold_starts = admission.warmup.count_allowed(now)
+            if not accepted and not refused_by:
+                refused_by = "admission, worker is " + (
+                    "full" if cold_starts < 0 else "cold"
+                )
         load = admission.compute_load(now)
         return ProbeReply(
             probe.probe,
@@ -580,8 +584,25 @@
             self._failure_rate.estimate(now),
             load.pending,
             load.limit,
+            refused_by if probe.is_trial else "",
+            cold_starts,
         )
 
+    def _find_obstacle(self, instance: str, deadline: float) -> str:
+        """Return why a request cannot be run here whatever the load; else empty."""
+        worker = self._local_worker
+        if worker is None or worker.id != instance:
+            return "worker is not listed beside its node"
+        if self._is_misplaced:
+            return "another worker has answered at its address"
+        if self._is_leaving(worker):
+            return "worker leaves"
+        if self._is_evacuated:
+            return "failure domain is evacuated"
+        if deadline > self._end_deadline:
+            return "its node stops too soon"
+        return ""
+
     async def _admit(self, head: RequestHead, deadline: float) -> Ticket:
         rank, objective_s = _get_rank_and_objective(
             head.is_call, head.priority, head.objective_s
--- a/packages/node/src/mangowell_node/mesh/trial.py
+++ b/packages/node/src/mangowell_node/mesh/trial.py
@@ -114,6 +114,8 @@
     ----------
     asked : set of str
         Ids of the workers that were asked to select one of them.
+    spared : set of str
+        Ids of the cold workers that were left out at random.
     """
 
     def __init__(self, prober: Prober, placement: Placement, rng: random.Random):
@@ -124,6 +126,7 @@
         )
         self._rng = rng
         self.asked: set[str] = set()
+        self.spared: set[str] = set()
 
     def estimate_costs(self, state: RequestState) -> list[tuple[float, Endpoint]]:
         """Return the candidates of a request with their costs, in seconds."""
@@ -147,9 +150,21 @@
         self.asked = asked
         return results
 
-    def make_suspicion(self, state: RequestState) -> Callable[[str], bool | None]:
-        """Return the `get_suspicion` of `Placement.select_worker` for a request."""
-        return self._make_suspicion(state)
+    def is_suspect(self, state: RequestState, host: str) -> bool | None:
+        """Return what `Placement.select_worker` gets for a host."""
+        return self._make_suspicion(state)(host)
+
+    def stops_too_soon(self, state: RequestState, host: str) -> bool:
+        """Return whether the node at a host stops before a request ends."""
+        return self._stops_too_soon(host, state, monotonic())
+
+    def _spare_cold_workers(
+        self, state: RequestState, costs: list[tuple[float, Endpoint]]
+    ) -> list[tuple[float, Endpoint]]:
+        kept = super()._spare_cold_workers(state, costs)
+        kept_ids = {endpoint.id for _, endpoint in kept}
+        self.spared = {endpoint.id for _, endpoint in costs} - kept_ids
+        return kept
 
     async def _run_round(
         self,
--- a/tests/cli/test_explain_route.py
+++ b/tests/cli/test_explain_route.py
@@ -110,11 +110,14 @@
     assert explain([change(services=[part])])[0] == 0
 
 
-def test_service_that_counts_as_full_is_shown(explain):
+def test_full_service_cold_and_suspected_workers_are_shown(explain):
     part = EXPLANATION["services"][0]
+    worker = part["candidates"][0] | {"cold_starts": 2, "is_suspect": True}
     fields = {"counts_as_full": True, "asks_every": 4, "ended_by": "service-full"}
-    _, out, _, _ = explain([change(services=[part | fields])])
+    part = part | {"candidates": [worker]} | fields
+    _, out, _, _ = explain([change(services=[part])])
     assert "counts as full: asks workers for one request in 4" in out
+    assert all(text in out for text in ("6/4?", "1500ms (2 now)"))
 
 
 @pytest.mark.parametrize("words", [(), ("--host", "x"), ("--host", "x", "--path", "y")])
--- a/tests/mesh/test_explanation.py
+++ b/tests/mesh/test_explanation.py
@@ -5,6 +5,7 @@
 from time import monotonic
 from urllib.parse import urlencode
 
+from mangowell_core.mesh import StoppingPeers
 from mangowell_core.mesh.model import ProbeNotice
 from mangowell_standins.scripted_http import read_response
 from mesh.support_mesh import HOST, fill_slots, make_entry, run_mesh, until
@@ -99,7 +100,14 @@
         store.delete(f"servers/{machine.id}")
         await until(lambda: not len(machine.node.directory))
         part, views = await explain_service(machine)
-        assert (part["answer"]["cause"], views) == ("no-instance", {})
+        assert part["answer"]["cause"] == "no-instance"
+        ((worker, view),) = views.items()
+        assert (worker, view["cost_s"], view["is_selected"]) == (
+            machine.id,
+            None,
+            False,
+        )
+        assert view["excluded_by"] == "entry was removed: the worker has left"
 
 
 async def test_explanation_that_cannot_be_given_is_an_error():
@@ -121,6 +129,86 @@
         assert sizes.estimate("r1", 60_000) == before
 
 
+async def test_worker_that_is_left_out_is_shown_with_the_decision_that_does_it(
+    monkeypatch,
+):
+    # The node runs on, and says so to the others.
+    monkeypatch.setattr(StoppingPeers, "forget", lambda *_: None)
+    async with run_mesh(6) as (store, machines):
+        first, leaving, stopping, misplaced, replaced, suspect = machines
+        node = first.node
+        prober = node.gateway.attempts.prober
+        await until(lambda: len(node._links.links) == 5)
+        leaver = node.directory.endpoints[leaving.id]
+        node._gossip._worker_states.record_leaving(leaver.id, leaver.born_ms)
+        prober.stopping_peers.record(stopping.host, None)
+        misplaced.node.runner._misplaced_until = monotonic() + 9
+        entry = make_entry(replaced.host, replaced.worker.port, born=1_800_000_000_000)
+        store.put("servers/i-new", entry)
+        await until(lambda: "i-new" in node.directory.endpoints)
+        get_suspicion = prober._get_suspicion
+        known = {suspect.host: True}
+        prober._get_suspicion = lambda host: known.get(host, get_suspicion(host))
+        _, views = await explain_service(first)
+        excluded = {worker: view["excluded_by"] for worker, view in views.items()}
+        assert excluded == {
+            first.id: "",
+            leaving.id: "worker states that it leaves",
+            stopping.id: "its node stops too soon",
+            misplaced.id: "",
+            replaced.id: "another worker has started at its address",
+            "i-new": "",
+            suspect.id: "",
+        }
+        view = views[misplaced.id]
+        reason = "left: its node refuses: another worker has answered at its address"
+        assert (view["accepts"], view["decision"]) == (False, reason)
+        assert [name for name, view in views.items() if view["is_suspect"]] == [
+            suspect.id
+        ]
+        known[suspect.host] = None
+        store.delete("servers/i-new")
+        await until(lambda: "i-new" not in node.directory.endpoints)
+        _, views = await explain_service(first)
+        reason = "excluded: its node cannot be reached"
+        assert views[suspect.id]["decision"] == reason
+        reason = "excluded: entry was removed: the worker has left"
+        assert views["i-new"]["decision"] == reason
+
+
+async def test_cold_worker_is_shown_with_the_requests_that_it_may_start_now():
+    async with run_mesh(2) as (_, (first, second)):
+        await until(lambda: first.node._links.links)
+        fill_slots(first)
+        now = monotonic()
+        warmup = second.node.runner.admission.warmup
+        warmup.set_bound(6.0, 1.5, 8.0)
+        warmup.record_entry(9.0, now)
+        warmup._tokens, warmup._updated_at = 2.0, now + 9
+        _, views = await explain_service(first)
+        assert views[first.id]["cold_starts"] is None
+        assert views[second.id]["cold_starts"] == 2
+        attempts = first.node.gateway.attempts
+        attempts.placement._stats_by_id[second.id].warmup_ends_at = now + 9
+        prober = attempts.prober
+        prober._document = first.node.directory.document
+        prober._warmup_rates = {"orders": 1e-9}
+        _, views = await explain_service(first)
+        assert views[second.id]["was_spared"]
+        reason = "left: cold, spared at random to stay within its rate"
+        assert views[second.id]["decision"] == reason
+        warmup._tokens = 0.0
+        for number in range(99):
+            second.node.runner.admission.offer(
+                str(number), "r1", 1, 0.5, now + 2.0, monotonic()
+            )
+        prober._warmup_rates = {}
+        _, views = await explain_service(first)
+        assert views[second.id]["cold_starts"] == 0
+        reason = "left: its node refuses: admission, worker is cold"
+        assert views[second.id]["decision"] == reason
+
+
 async def test_service_that_counts_as_full_is_explained_without_asking_workers():
     """The explanation showed a worker, and the request was refused at once."""
     async with run_mesh(2) as (_, (first, second)):
@@ -159,6 +247,7 @@
         views = small[second.id], large[second.id]
         assert views[0]["leaving_cost_s"] < views[1]["leaving_cost_s"]
         assert [view["accepts"] for view in views] == [True, False]
+        assert "link is too full for the body" in views[1]["decision"]
         part, views = await explain_service(first, "/pay/1", body_bytes=1_000_001)
         assert (part["answer"]["status"], views) == (413, {})
         assert first.node.caller_memory.body_bytes == 0
--- a/tests/mesh/test_trials.py
+++ b/tests/mesh/test_trials.py
@@ -98,6 +98,16 @@
         stats.backoff_until = now + rng.choice((0.0, 0.0, 0.0, 60.0))
         stats.warmup_ends_at = now + rng.choice((0.0, 0.0, 60.0))
         attempts.placement.round_trips.record(machine.zone, rng.uniform(0, 0.01), now)
+        leaving = machine.node._gossip._worker_states
+        leaving._states.clear()
+        if rng.random() < 0.1:
+            leaving.record_leaving(machine.id, 1_700_000_000_000)
+        until = now + 60.0 if rng.random() < 0.1 else 0.0
+        machine.node.runner._misplaced_until = until
+        attempts.prober.stopping_peers.forget(machine.host)
+        if rng.random() < 0.1:
+            end = rng.choice((now + 1.0, now + 60.0, None))
+            attempts.prober.stopping_peers.record(machine.host, end)
     attempts.prober._warmup_rates = {"orders": rng.choice((0.0, 6.0))}
     attempts.prober._document = machines[0].node.directory.document
     attempts.prober._spillover._needs["orders", 1] = rng.random()
