--- a/packages/node/src/mangowell_node/mesh/trial.py
+++ b/packages/node/src/mangowell_node/mesh/trial.py
@@ -1,7 +1,8 @@
 """Decisions on requests that are not sent, for operators.
 
 A trial runs the decisions of the request path on copies of their state, so that it
-neither changes them nor needs a second version of them.
+neither changes them nor needs a second version of them. What it shares with requests
+that are sent is no state of a decision: the numbers of probes, and the bytes on links.
 """
 
 import os
--- a/tests/cli/test_explain_route.py
+++ b/tests/cli/test_explain_route.py
@@ -135,3 +135,19 @@
         assert (code, err) == (0, "")
         assert "route r2" in out
         assert f"goes to {machine.id}" in out
+
+
+async def test_running_node_explains_a_request_with_a_body(run):
+    """Guards against a size that the command sends and the node does not read."""
+    async with run_mesh() as (_, (machine,)):
+        node = f"{machine.host}:{machine.settings.metrics_port}"
+        words = ("--host", HOST, "--path", "/x", "--nodes", node, "--json")
+        for size, code in ((60_000, 0), (1_000_001, 1)):
+            found, out, err = await asyncio.to_thread(
+                run, "explain", "route", *words, "--body-bytes", str(size)
+            )
+            assert (found, err) == (code, "")
+            (explanation,) = json.loads(out)["explanations"]
+            assert explanation["request"]["body_bytes"] == size
+        (part,) = explanation["services"]
+        assert part["answer"]["status"] == 413
--- a/tests/mesh/test_notices.py
+++ b/tests/mesh/test_notices.py
@@ -131,6 +131,8 @@
         ProbeReply(1, True, -1.0, 0.1, 0.0, 1, 4),
         ProbeReply(1, True, 0.0, float("inf"), 0.0, 1, 4),
         ProbeReply(1, True, 0.0, 0.1, 2.0, 1, 4),
+        ProbeReply(1, False, 0.0, 0.1, 0.0, 1, 4, "x" * 256),
+        ProbeReply(1, True, 0.0, 0.1, 0.0, 1, 4, "", -2),
     ],
 )
 def test_notice_with_a_number_out_of_range_is_refused(notice):
--- a/tests/mesh/test_random_bytes.py
+++ b/tests/mesh/test_random_bytes.py
@@ -238,6 +238,8 @@
         CrashNotice("i-1/5", ("f1", "f2")),
         ProbeNotice(1, "i-1", "r1", 1, 0.5, 1.0, False, float("inf")),
         ProbeReply(1, True, 0.0, 0.1, 0.5, 3, 4),
+        ProbeNotice(2, "i-1", "r1", 1, 0.5, 1.0, False, is_trial=True),
+        ProbeReply(2, False, 0.0, 0.1, 0.5, 3, 4, "worker leaves", 3),
     ]
 
 
