Merge the gaps of route explanations

Conflict: the refusal of a body for the memory that a node holds for others and the trial of a body that is only explained change the same lines. Both refusals now go through one function, which names the reason in the reply to a trial.

--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -1,6 +1,7 @@
 """Runs requests at the local worker."""
 
 import asyncio
+import copy
 import math
 from collections.abc import Callable
 from http import HTTPStatus
@@ -556,42 +557,60 @@
         if not (probe.body_bytes and reply.accepted):
             return reply
         if not self.body_budget.has_room_for_peer(probe.body_bytes):
-            self.bodies_refused += 1
-            return msgspec.structs.replace(
-                reply, accepted=False, delay_s=QUEUE_RETRY_AFTER_S
-            )
-        is_admitted, delay_s = self._body_flow.admit(
+            reason = "its node has no memory for the body"
+            return self._refuse_body(probe, reply, QUEUE_RETRY_AFTER_S, reason)
+        body_flow = self._body_flow
+        if probe.is_trial:
+            body_flow = copy.deepcopy(body_flow)
+        is_admitted, delay_s = body_flow.admit(
             probe.body_bytes, self.count_incoming_bytes(), monotonic()
         )
         if not is_admitted:
-            self.bodies_refused += 1
-            return msgspec.structs.replace(reply, accepted=False, delay_s=delay_s)
+            reason = "link is too full for the body"
+            return self._refuse_body(probe, reply, delay_s, reason)
         return msgspec.structs.replace(reply, delay_s=max(reply.delay_s, delay_s))
 
+    def _refuse_body(
+        self, probe: ProbeNotice, reply: ProbeReply, delay_s: float, reason: str
+    ) -> ProbeReply:
+        """Return the reply that refuses the body of a request."""
+        self.bodies_refused += not probe.is_trial
+        refused_by = reason if probe.is_trial else ""
+        return msgspec.structs.replace(
+            reply, accepted=False, delay_s=delay_s, refused_by=refused_by
+        )
+
     def predict(self, probe: ProbeNotice) -> ProbeReply:
         """Predict what the admission of a request would decide."""
         now = monotonic()
         admission = self.admission
-        local_worker = self._local_worker
-        if (
-            local_worker is None
-            or local_worker.id != probe.instance
-            or self._is_misplaced
-            or self._is_leaving(local_worker)
-            or self._is_evacuated
-            or now + probe.remaining_s > self._end_deadline
-        ):
+        if probe.is_trial:
+            # A prediction counts as demand, and a trial must not.
+            admission = copy.deepcopy(admission)
+        deadline = now + probe.remaining_s
+        refused_by = self._find_obstacle(probe.instance, deadline)
+        if refused_by:
             accepted, delay_s = False, NO_INSTANCE_RETRY_AFTER_S
         else:
-            self._adopt_rate_limit(local_worker, probe.rate_limit)
+            if not probe.is_trial:
+                self._adopt_rate_limit(self._local_worker, probe.rate_limit)
+            elif self._may_adopt_rate_limit(probe.rate_limit):
+                admission.rate_limit.set_rate(probe.rate_limit, now)
             rank, objective_s = _get_rank_and_objective(
                 probe.is_call, probe.priority, probe.objective_s
             )
             decision, delay_s = admission.predict(
-                probe.route, rank, objective_s, now + probe.remaining_s, now
+                probe.route, rank, objective_s, deadline, now
             )
             accepted = decision is not AdmissionDecision.REFUSED
-        load = self.compute_load()
+        cold_starts = -1
+        if probe.is_trial:
+            cold_starts = admission.warmup.count_allowed(now)
+            if not accepted and not refused_by:
+                refused_by = "admission, worker is " + (
+                    "full" if cold_starts < 0 else "cold"
+                )
+        load = admission.compute_load(now)
         return ProbeReply(
             probe.probe,
             accepted,
@@ -600,8 +619,25 @@
             self._failure_rate.estimate(now),
             load.pending,
             load.limit,
+            refused_by if probe.is_trial else "",
+            cold_starts,
         )
 
+    def _find_obstacle(self, instance: str, deadline: float) -> str:
+        """Return why a request cannot be run here whatever the load; else empty."""
+        worker = self._local_worker
+        if worker is None or worker.id != instance:
+            return "worker is not listed beside its node"
+        if self._is_misplaced:
+            return "another worker has answered at its address"
+        if self._is_leaving(worker):
+            return "worker leaves"
+        if self._is_evacuated:
+            return "failure domain is evacuated"
+        if deadline > self._end_deadline:
+            return "its node stops too soon"
+        return ""
+
     async def _admit(self, head: RequestHead, deadline: float) -> Ticket:
         rank, objective_s = _get_rank_and_objective(
             head.is_call, head.priority, head.objective_s
@@ -742,11 +778,14 @@
         After a restart, this node would otherwise learn it only with the first
         answer, when all slots are already in use.
         """
-        if 0 <= limit < NO_RATE_LIMIT and self.rate_limit < 0:
+        if self._may_adopt_rate_limit(limit):
             self._worker_states.record(worker, limit, False)
             self._log_rate_limit(worker, limit)
             self._apply_rate_limit()
 
+    def _may_adopt_rate_limit(self, limit: float) -> bool:
+        return 0 <= limit < NO_RATE_LIMIT and self.rate_limit < 0
+
     def _log_rate_limit(self, worker: Endpoint, limit: float) -> None:
         """Emit an event if a limit appears, ends or changes clearly."""
         logged = self._logged_limit
