Send evacuation orders only if all of them are known

In a fleet with nodes of an earlier version, or of which some lack the setting `evacuate`, requests could reach workers of an evacuated domain: a node that had its state from one that knows no orders told others that nothing was evacuated at that revision, and they believed it because the revision was higher. With the store away, the order was lost until the store came back.

Cause: `Directory.export` and the changes that a reader publishes always named a list, empty if none was known. A node that began to read watched from the revision of the reader before it, and so missed orders that this one did not know.

The directory now records the revision at which all orders are known. State and changes name orders only if that is the current revision; without a list, the receiver keeps what it knows. A new reader that may miss orders reads all items again. Orders that become known at an unchanged revision are published.

--- a/packages/core/src/mangowell_core/mesh/changes.py
+++ b/packages/core/src/mangowell_core/mesh/changes.py
@@ -92,32 +92,35 @@
 class Publication:
     """Tracks the part of the directory that has been published to other nodes."""
 
-    __slots__ = ("_endpoints", "_revision", "_version")
+    __slots__ = ("_endpoints", "_evacuated", "_revision", "_version")
 
     def __init__(self):
         self._revision = 0
         self._version = 0
         self._endpoints: dict[str, Endpoint] = {}
+        self._evacuated: tuple[str, ...] | None = None
 
     def mark(
         self,
         revision: int,
         document: MeshDocument | None,
         endpoints: dict[str, Endpoint],
+        evacuated: tuple[str, ...] | None = None,
     ) -> None:
         """Mark a state as published, for example because another node published it."""
         self._revision = revision
         self._version = document.version if document else 0
         self._endpoints = dict(endpoints)
+        self._evacuated = evacuated
 
     @property
-    def state(self) -> tuple[int, int, dict[str, Endpoint]]:
+    def state(self) -> tuple:
         """What has been published, for `restore`."""
-        return self._revision, self._version, self._endpoints
+        return self._revision, self._version, self._endpoints, self._evacuated
 
-    def restore(self, state: tuple[int, int, dict[str, Endpoint]]) -> None:
+    def restore(self, state: tuple) -> None:
         """Return to an earlier state, as what was collected since was not sent."""
-        self._revision, self._version, self._endpoints = state
+        self._revision, self._version, self._endpoints, self._evacuated = state
 
     def collect(
         self,
@@ -125,11 +128,12 @@
         document: MeshDocument | None,
         history: DocumentHistory,
         endpoints: dict[str, Endpoint],
-        evacuated: frozenset[str] = frozenset(),
+        evacuated: tuple[str, ...] | None = None,
     ) -> ChangeNotice | None:
         """Return the changes since the last published state and mark them published.
 
-        The evacuated failure domains are few, so each notice names all of them.
+        The evacuated failure domains are few, so each notice names all of them, or
+        none if they are not known.
 
         Returns
         -------
@@ -137,7 +141,8 @@
             None if nothing has changed or no state was published before.
         """
         since, version, published = self._revision, self._version, self._endpoints
-        self.mark(revision, document, endpoints)
+        has_new_orders = evacuated is not None and evacuated != self._evacuated
+        self.mark(revision, document, endpoints, evacuated)
         if not since:
             # The other nodes read the store themselves when they start.
             return None
@@ -150,7 +155,8 @@
             if published.get(endpoint.id) is not endpoint
         )
         removed = tuple(name for name in published if name not in endpoints)
-        if revision == since and delta is None and not changed and not removed:
+        has_changed = revision != since or has_new_orders
+        if not has_changed and delta is None and not changed and not removed:
             return None
         return ChangeNotice(
             since,
@@ -159,5 +165,5 @@
             delta,
             changed,
             removed,
-            evacuated=tuple(sorted(evacuated)),
+            evacuated=evacuated,
         )
--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -49,6 +49,8 @@
     evacuated : frozenset of str
         Failure domains whose workers get no new requests. While the store is away,
         the last known orders hold.
+    knows_evacuations : bool
+        Whether all orders at the current revision are known.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "_by_service",
         "_departed",
         "_endpoints",
+        "_evacuations_known_at",
         "_held",
         "_named_services",
         "_restored_through",
@@ -76,6 +79,9 @@
         # Increases with every change of the endpoints.
         self.epoch = 0
         self.evacuated: frozenset[str] = frozenset()
+        # Highest revision at which all orders to evacuate are known; 0 for none. Nodes
+        # of earlier versions know no orders, so it may be behind `revision`.
+        self._evacuations_known_at = 0
         self._endpoints: dict[str, Endpoint] = {}
         # Missing entries that are held, each with the revision at which it was missing.
         self._held: dict[str, int] = {}
@@ -186,9 +192,37 @@
         """Return whether the workers of a failure domain get no new requests."""
         return failure_domain in self.evacuated
 
-    def _set_evacuated(self, failure_domains: Iterable[str] | None) -> None:
+    @property
+    def knows_evacuations(self) -> bool:
+        """Whether all orders at the current revision are known."""
+        return self._evacuations_known_at >= self.revision
+
+    def confirm_evacuations(self, revision: int) -> None:
+        """Record that all orders up to `revision` have been applied."""
+        self._evacuations_known_at = max(self._evacuations_known_at, revision)
+
+    def export_evacuations(self) -> tuple[str, ...] | None:
+        """Return the orders at the current revision, or None if some may be unknown."""
+        if not self.knows_evacuations:
+            return None
+        return tuple(sorted(self.evacuated))
+
+    def _apply_evacuations(
+        self, failure_domains: Iterable[str] | None, revision: int
+    ) -> None:
+        """Apply all orders at `revision`; None if the sender does not know them."""
         if failure_domains is None:
             return
+        domains = frozenset(failure_domains)
+        if revision >= self._evacuations_known_at:
+            self.confirm_evacuations(revision)
+            self._set_evacuated(domains)
+            return
+        # The list may be older than orders that are known from other nodes. The
+        # changes after it, which are read next, tell which of its orders have ended.
+        self._set_evacuated(domains | self.evacuated)
+
+    def _set_evacuated(self, failure_domains: Iterable[str]) -> None:
         evacuated = frozenset(failure_domains)
         if evacuated != self.evacuated:
             self.evacuated = evacuated
@@ -215,11 +249,7 @@
             All evacuated failure domains; None keeps those that are known.
         """
         self._follow_restore(revision, now)
-        if evacuated is not None and revision < self.revision:
-            # The list may be older than an order that is known from other nodes. The
-            # changes after it, which are read next, tell which orders have ended.
-            evacuated = {*evacuated, *self.evacuated}
-        self._set_evacuated(evacuated)
+        self._apply_evacuations(evacuated, revision)
         listed_by_id = {endpoint.id: endpoint for endpoint in endpoints}
         for endpoint in listed_by_id.values():
             self.put(endpoint)
@@ -271,7 +301,7 @@
         if self.document_version < changes.version:
             return False
         self._follow_restore(changes.revision, now)
-        self._set_evacuated(changes.evacuated)
+        self._apply_evacuations(changes.evacuated, changes.revision)
         for endpoint in changes.endpoints:
             self.put(endpoint)
         for endpoint_id in changes.removed:
@@ -301,11 +331,13 @@
         """Return the state for a node that has document `version`; 0 for none.
 
         Held entries are left out: the store does not list them at this revision.
+        Orders to evacuate are left out unless all of them are known, so that a state
+        from a node that knows none ends no evacuation elsewhere.
         """
         delta = self.history.compute_delta_from(version)
         document = self.document if delta is None else None
         endpoints = tuple(self.listed.values())
-        evacuated = tuple(sorted(self.evacuated))
+        evacuated = self.export_evacuations()
         state = MeshState(self.revision, document, endpoints, evacuated)
         return StateNotice(state, delta)
 
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -196,7 +196,11 @@
         fields = {"revision": get_number(self._directory.revision)}
         if is_reading:
             self._emit(Event(EventCode.READER_STARTED, fields))
-            self._revision = self._directory.revision
+            directory = self._directory
+            # A watch tells only of later orders. If nodes that know none have sent the
+            # last changes, all items are read again.
+            is_complete = directory.knows_evacuations or not self._reads_evacuations
+            self._revision = directory.revision if is_complete else 0
             self._is_up = None
             self._reading_enabled.set()
             return
@@ -339,6 +343,8 @@
         self._revision = max(1, revision)
         directory = self._directory
         directory.revision = max(directory.revision, revision)
+        if self._reads_evacuations:
+            directory.confirm_evacuations(revision)
         self._on_change()
 
     def _emit_refused_items(self, reasons: Iterable[str]) -> None:
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -433,13 +433,14 @@
         """Send changes to the nodes of the failure domain, if this node publishes."""
         directory = self._directory
         state = directory.revision, directory.document
+        evacuated = directory.export_evacuations()
         published = self._publication.state
         if not self._election.is_publisher(monotonic()):
-            self._publication.mark(*state, directory.listed)
+            self._publication.mark(*state, directory.listed, evacuated)
             return
         try:
             changes = self._publication.collect(
-                *state, directory.history, directory.listed, directory.evacuated
+                *state, directory.history, directory.listed, evacuated
             )
             if changes is None:
                 return
@@ -473,7 +474,12 @@
             self._fetch_state(link)
             return
         # The sender sends the changes to the other nodes too, so this node does not.
-        self._publication.mark(directory.revision, directory.document, directory.listed)
+        self._publication.mark(
+            directory.revision,
+            directory.document,
+            directory.listed,
+            directory.export_evacuations(),
+        )
         if directory.generation != before:
             self._emit_changes(link, changes)
             self._on_change()
--- a/tests/mesh/support_mesh.py
+++ b/tests/mesh/support_mesh.py
@@ -44,6 +44,8 @@
         self.store_port = store_port
         # Report interval of the workers, in seconds; 0 if the settings do not name it.
         self.heartbeat_s = 0.0
+        # Bound of the platform for evacuations, in seconds; 0 if it has none.
+        self.evacuate_s = 2.0
         self.settings: MeshSettings | None = None
         self.node: MeshNode | None = None
         self.log_path = None if logs is None else logs / f"node-{number}.log"
@@ -67,7 +69,7 @@
             retry_floor=100,
             retry_window_s=10.0,
             heartbeat_s=self.heartbeat_s,
-            evacuate_s=2.0,
+            evacuate_s=self.evacuate_s,
         )
         sink = None
         if self.log_path is not None:
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from mangowell_core.mesh import Directory
+from mangowell_core.mesh import Directory, Publication
+from mangowell_core.mesh.model import ChangeNotice, MeshState, StateNotice
 from mesh.support_mesh import restart, run_mesh, until
 
 ORDER = "op/evacuate/a"
@@ -120,3 +121,74 @@
     assert directory.evacuated == {"a", "b"}
     directory.load([], 100, 3.0, ["a"])
     assert directory.evacuated == {"a"}
+
+
+# Fleets with nodes that know no orders: of an earlier version, or without the setting
+
+
+def make_state(revision, evacuated=None):
+    """Return a state as a node sends it; without `evacuated`, it knows no orders."""
+    return StateNotice(MeshState(revision, None, (), evacuated), None)
+
+
+def make_orders(since, revision, version=0, evacuated=None):
+    return ChangeNotice(since, revision, version, None, (), (), None, evacuated)
+
+
+def test_a_state_that_passed_through_a_node_without_orders_ends_no_evacuation():
+    """A node with the state of an earlier version sent that nothing was evacuated."""
+    relay, told = Directory(), Directory()
+    assert relay.apply_state(make_state(5), 1.0)
+    told.load([], 3, 1.0, ["a"])
+    assert told.apply_state(relay.export(), 2.0)
+    assert (told.revision, told.evacuated) == (5, {"a"})
+
+
+def test_orders_are_not_sent_as_complete_after_changes_without_orders():
+    """Orders that were given meanwhile ended at the nodes that were sent the state."""
+    relay, told = Directory(), Directory()
+    relay.load([], 3, 1.0, ["a"])
+    assert relay.apply_changes(make_orders(3, 5), 2.0)
+    told.load([], 4, 1.0, ["a", "b"])
+    assert told.apply_state(relay.export(), 2.0)
+    assert told.evacuated == {"a", "b"}
+    assert relay.apply_changes(make_orders(5, 6, evacuated=("b",)), 3.0)
+    assert relay.export().state.evacuated == ("b",)
+
+
+async def test_a_reader_without_the_setting_ends_no_evacuation():
+    """It told its failure domain that nothing was evacuated, with the next change."""
+    async with run_mesh(3, zones=("a", "b", "b")) as (store, machines):
+        reader, told = machines[1:]
+        store.put(ORDER, b"{}")
+        await until(lambda: are_told(machines, "a"))
+        reader.evacuate_s = 0.0
+        await restart(reader)
+        await told.node._feed.stop()
+        revision = store.put("servers/i-1", machines[0].entry)
+        await until(lambda: told.node.directory.revision >= revision)
+        assert are_told([told], "a")
+
+
+async def test_a_new_reader_learns_of_orders_that_the_last_one_did_not_know():
+    """It watched from the last reader's revision, which was later than the order."""
+    async with run_mesh(1, zones=("a",)) as (store, machines):
+        feed, directory = machines[0].node._feed, machines[0].node.directory
+        feed.set_reading(False)
+        since, version = directory.revision, directory.document_version
+        revision = store.put(ORDER, b"{}")
+        assert directory.apply_changes(make_orders(since, revision, version), 0.0)
+        assert not directory.evacuated
+        feed.set_reading(True)
+        await until(lambda: are_told(machines, "a"))
+
+
+def test_orders_that_become_known_are_published_without_another_change():
+    """Nodes kept to what an earlier reader had told them until the next change."""
+    reader, publication = Directory(), Publication()
+    reader.apply_state(make_state(5), 1.0)
+    publication.mark(5, None, {}, reader.export_evacuations())
+    reader.load([], 5, 2.0, ["a"])
+    state = 5, None, reader.history, reader.listed, reader.export_evacuations()
+    assert publication.collect(*state).evacuated == ("a",)
+    assert publication.collect(*state) is None
