Ignore older copies of evacuation orders

A node whose watch lagged behind other nodes could end an evacuation that they had told it of: requests went to the domain again until its watch caught up, about half a second later, or for the whole outage if the store went away then. The opposite order left the domain evacuated at that node.

Cause: changes of entries are compared by revision; an order or its end was applied whatever was known. A list that was older than the known state joined orders that had ended since to what the node sent to others.

Orders are now applied only if their revision is later than that at which all orders are known. Orders of an older list hold locally until a later write or the watch confirms them, and are not sent to other nodes before.

Evidence: both cases of `test_an_older_copy_of_an_order_changes_nothing` and the test of the older list fail on the code before.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -62,6 +62,7 @@
         "_held",
         "_named_services",
         "_restored_through",
+        "_unconfirmed_orders",
         "_withheld",
         "_withheld_until",
         "document",
@@ -82,6 +83,8 @@
         # Highest revision at which all orders to evacuate are known; 0 for none. Nodes
         # of earlier versions know no orders, so it may be behind `revision`.
         self._evacuations_known_at = 0
+        # Orders of an older list that may have ended since, each with its revision.
+        self._unconfirmed_orders: dict[str, int] = {}
         self._endpoints: dict[str, Endpoint] = {}
         # Missing entries that are held, each with the revision at which it was missing.
         self._held: dict[str, int] = {}
@@ -180,13 +183,28 @@
         if current is not None and current.revision <= revision:
             self._drop(endpoint_id, revision, now)
 
-    def evacuate(self, failure_domain: str) -> None:
-        """Record the order to send nothing more to a failure domain."""
-        self._set_evacuated({*self.evacuated, failure_domain})
+    def evacuate(self, failure_domain: str, revision: int) -> None:
+        """Record the order to send nothing more to a failure domain.
 
-    def end_evacuation(self, failure_domain: str) -> None:
-        """Record that a failure domain may be used again."""
-        self._set_evacuated(self.evacuated - {failure_domain})
+        An order of a revision whose orders are known already is an older copy.
+        """
+        if self._record_order(failure_domain, revision):
+            self._set_evacuated({*self.evacuated, failure_domain})
+
+    def end_evacuation(self, failure_domain: str, revision: int) -> None:
+        """Record that a failure domain may be used again; see `evacuate`."""
+        if self._record_order(failure_domain, revision):
+            self._unconfirmed_orders.pop(failure_domain, None)
+            self._set_evacuated(self.evacuated - {failure_domain})
+
+    def _record_order(self, failure_domain: str, revision: int) -> bool:
+        """Return whether a write of an order is later than what is known of it."""
+        known_at = self._evacuations_known_at
+        if revision <= self._unconfirmed_orders.get(failure_domain, known_at):
+            return False
+        if failure_domain in self._unconfirmed_orders:
+            self._unconfirmed_orders[failure_domain] = revision
+        return True
 
     def is_evacuated(self, failure_domain: str) -> bool:
         """Return whether the workers of a failure domain get no new requests."""
@@ -199,13 +217,15 @@
 
     def confirm_evacuations(self, revision: int) -> None:
         """Record that all orders up to `revision` have been applied."""
-        self._evacuations_known_at = max(self._evacuations_known_at, revision)
+        if revision >= self._evacuations_known_at:
+            self._evacuations_known_at = revision
+            self._unconfirmed_orders.clear()
 
     def export_evacuations(self) -> tuple[str, ...] | None:
         """Return the orders at the current revision, or None if some may be unknown."""
         if not self.knows_evacuations:
             return None
-        return tuple(sorted(self.evacuated))
+        return tuple(sorted(self.evacuated - self._unconfirmed_orders.keys()))
 
     def _apply_evacuations(
         self, failure_domains: Iterable[str] | None, revision: int
@@ -220,6 +240,8 @@
             return
         # The list may be older than orders that are known from other nodes. The
         # changes after it, which are read next, tell which of its orders have ended.
+        for domain in domains - self.evacuated:
+            self._unconfirmed_orders[domain] = revision
         self._set_evacuated(domains | self.evacuated)
 
     def _set_evacuated(self, failure_domains: Iterable[str]) -> None:
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -364,9 +364,9 @@
         domain = item.evacuated_domain
         known = self._directory.evacuated
         if item.value is None:
-            self._directory.end_evacuation(domain)
+            self._directory.end_evacuation(domain, item.revision)
         else:
-            self._directory.evacuate(domain)
+            self._directory.evacuate(domain, item.revision)
         self._emit_evacuations(known, item.revision)
 
     def _emit_evacuations(self, known: frozenset[str], revision: int) -> None:
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -1,11 +1,13 @@
 """Guards the order to send nothing more to the workers of a failure domain."""
 
 import asyncio
+from time import monotonic
 
 import pytest
 
 from mangowell_core.mesh import Directory, Publication
 from mangowell_core.mesh.model import ChangeNotice, MeshState, StateNotice
+from mangowell_node.platform import Item
 from mesh.support_mesh import restart, run_mesh, until
 
 ORDER = "op/evacuate/a"
@@ -80,7 +82,7 @@
         store.put(ORDER, b"{}")
         await until(lambda: are_told(machines, "a"))
         late = machines[1].node.directory
-        late.end_evacuation("a")
+        late.end_evacuation("a", late.revision + 1)
         before = machines[0].worker.executions
         for number in range(12):
             answer = await machines[1].call(request=f"late-{number}")
@@ -183,6 +185,39 @@
         await until(lambda: are_told(machines, "a"))
 
 
+@pytest.mark.parametrize("value", [b"{}", None])
+async def test_an_older_copy_of_an_order_changes_nothing(value):
+    """A watch behind the other nodes ended the evacuation that they had told of.
+
+    If the store went away then, it stayed ended.
+    """
+    async with run_mesh(1, zones=("b",)) as (_, machines):
+        feed, directory = machines[0].node._feed, machines[0].node.directory
+        revision, version = directory.revision, directory.document_version
+        told = ("a",) if value is None else ()
+        orders = make_orders(revision, revision + 3, version, told)
+        assert directory.apply_changes(orders, monotonic())
+        feed._apply(Item(ORDER, value, revision + 1))
+        feed._advance_revision(revision + 1)
+        assert directory.evacuated == set(told)
+        feed._apply(Item("op/evacuate/c", b"{}", revision + 4))
+        assert directory.evacuated == {*told, "c"}
+
+
+def test_an_order_of_an_older_list_holds_until_a_later_write_ends_it():
+    """It is not sent to other nodes as one that holds, as it may have ended."""
+    directory = Directory()
+    directory.load([], 100, 1.0, ["a"])
+    directory.load([], 90, 2.0, ["b"])
+    assert directory.export().state.evacuated == ("a",)
+    directory.end_evacuation("a", 95)
+    directory.end_evacuation("b", 95)
+    assert directory.evacuated == {"a"}
+    directory.load([], 90, 2.0, ["b"])
+    directory.confirm_evacuations(100)
+    assert directory.export().state.evacuated == ("a", "b")
+
+
 def test_orders_that_become_known_are_published_without_another_change():
     """Nodes kept to what an earlier reader had told them until the next change."""
     reader, publication = Directory(), Publication()
