Write events of evacuations that other nodes tell of

Two nodes of each failure domain read the store; only these wrote events 311 and 312. The runbook tells operators to compare the events of all nodes, so the others looked as if they had not heard of the order.

Nodes that hear of an order from changes or a state write the events as well, with the field `peer`. The test of a node that cannot read the store fails before (no event).

--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from enum import StrEnum
 from time import monotonic
 
@@ -372,17 +372,8 @@
     def _emit_evacuations(self, known: frozenset[str], revision: int) -> None:
         """Emit an event for each failure domain whose evacuation began or ended."""
         evacuated = self._directory.evacuated
-        codes = {
-            EventCode.EVACUATION_STARTED: evacuated - known,
-            EventCode.EVACUATION_ENDED: known - evacuated,
-        }
-        for code, domains in codes.items():
-            for domain in sorted(domains):
-                fields = {
-                    "domain": formats.quote(domain),
-                    "revision": get_number(revision),
-                }
-                self._emit(Event(code, fields))
+        for event in make_evacuation_events(known, evacuated, revision):
+            self._emit(event)
 
     def _apply_document(self, item: Item) -> None:
         if item.value is None:
@@ -470,3 +461,27 @@
         self._directory.record_store_outage()
         fields = {"reason": reason, "revision": get_number(self._directory.revision)}
         self._emit(Event(EventCode.SOURCE_DOWN, fields))
+
+
+def make_evacuation_events(
+    known: frozenset[str], evacuated: frozenset[str], revision: int, **fields
+) -> Iterator[Event]:
+    """Make an event for each failure domain whose evacuation began or ended.
+
+    Parameters
+    ----------
+    known, evacuated : frozenset of str
+        Evacuated failure domains before and after a change.
+    revision : int
+        Revision of the change.
+    **fields
+        Further fields of the events.
+    """
+    codes = {
+        EventCode.EVACUATION_STARTED: evacuated - known,
+        EventCode.EVACUATION_ENDED: known - evacuated,
+    }
+    for code, domains in codes.items():
+        for domain in sorted(domains):
+            names = {"domain": formats.quote(domain), "revision": get_number(revision)}
+            yield Event(code, names | fields)
--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -44,7 +44,7 @@
 from mangowell_node.link import LinkPool, LinkServer
 from mangowell_node.link.connection import Link
 from mangowell_node.mesh.call_group import CallGroup
-from mangowell_node.mesh.feed import StateFeed
+from mangowell_node.mesh.feed import StateFeed, make_evacuation_events
 from mangowell_node.mesh.notices import (
     NoticeFormatError,
     decode_notice,
@@ -469,7 +469,7 @@
 
     def _handle_changes(self, link: Link, changes: ChangeNotice) -> None:
         directory = self._directory
-        before = directory.generation
+        before, evacuated = directory.generation, directory.evacuated
         if not directory.apply_changes(changes, monotonic()):
             self._fetch_state(link)
             return
@@ -482,6 +482,7 @@
         )
         if directory.generation != before:
             self._emit_changes(link, changes)
+            self._emit_evacuations(link, evacuated)
             self._on_change()
 
     def _emit_changes(self, link: Link, changes: ChangeNotice) -> None:
@@ -500,6 +501,14 @@
         for name in changes.removed:
             self._emit(Event(EventCode.INSTANCE_REMOVED, {"backend": name} | fields))
 
+    def _emit_evacuations(self, link: Link, known: frozenset[str]) -> None:
+        """Emit the evacuations that began or ended with a notice of another node."""
+        directory = self._directory
+        for event in make_evacuation_events(
+            known, directory.evacuated, directory.revision, peer=link.address[0]
+        ):
+            self._emit(event)
+
     @property
     def lastingly_failing(self) -> frozenset[str]:
         """Names of the steps that have failed several times in a row."""
@@ -789,13 +798,14 @@
     def _handle_state(self, link: Link, notice: StateNotice) -> None:
         directory = self._directory
         was_store_away = directory.is_store_away
-        before = directory.generation
+        before, evacuated = directory.generation, directory.evacuated
         is_newer = directory.apply_state(notice, monotonic())
         if directory.generation == before:
             return
         revision = get_number(notice.state.revision)
         fields = {"peer": link.address[0], "revision": revision}
         self._emit(Event(EventCode.REPAIR_FETCH, fields))
+        self._emit_evacuations(link, evacuated)
         self._on_change()
         if is_newer and not was_store_away:
             # The local watch should have delivered this state, so it may be silent.
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -74,6 +74,13 @@
         store.put(ORDER, b"{}")
         await until(lambda: are_told(machines, "a"))
         assert reader.node.directory.is_evacuated("a")
+        store.delete(ORDER)
+        await until(lambda: are_told(machines))
+        # Operators compare the events of all nodes.
+        for machine in machines:
+            for name in ("evacuation_started", "evacuation_ended"):
+                (event,) = machine.get_events(name)
+                assert event["fields"]["domain"] == "a"
 
 
 async def test_the_node_beside_an_evacuated_worker_refuses_late_arrivals():
