--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -49,6 +49,8 @@
     evacuated : frozenset of str
         Failure domains whose workers get no new requests. While the store is away,
         the last known orders hold.
+    knows_evacuations : bool
+        Whether all orders at the current revision are known.
     """
 
     __slots__ = (
@@ -56,9 +58,11 @@
         "_by_service",
         "_departed",
         "_endpoints",
+        "_evacuations_known_at",
         "_held",
         "_named_services",
         "_restored_through",
+        "_unconfirmed_orders",
         "_withheld",
         "_withheld_until",
         "document",
@@ -76,6 +80,11 @@
         # Increases with every change of the endpoints.
         self.epoch = 0
         self.evacuated: frozenset[str] = frozenset()
+        # Highest revision at which all orders to evacuate are known; 0 for none. Nodes
+        # of earlier versions know no orders, so it may be behind `revision`.
+        self._evacuations_known_at = 0
+        # Orders of an older list that may have ended since, each with its revision.
+        self._unconfirmed_orders: dict[str, int] = {}
         self._endpoints: dict[str, Endpoint] = {}
         # Missing entries that are held, each with the revision at which it was missing.
         self._held: dict[str, int] = {}
@@ -174,21 +183,68 @@
         if current is not None and current.revision <= revision:
             self._drop(endpoint_id, revision, now)
 
-    def evacuate(self, failure_domain: str) -> None:
-        """Record the order to send nothing more to a failure domain."""
-        self._set_evacuated({*self.evacuated, failure_domain})
+    def evacuate(self, failure_domain: str, revision: int) -> None:
+        """Record the order to send nothing more to a failure domain.
 
-    def end_evacuation(self, failure_domain: str) -> None:
-        """Record that a failure domain may be used again."""
-        self._set_evacuated(self.evacuated - {failure_domain})
+        An order of a revision whose orders are known already is an older copy.
+        """
+        if self._record_order(failure_domain, revision):
+            self._set_evacuated({*self.evacuated, failure_domain})
+
+    def end_evacuation(self, failure_domain: str, revision: int) -> None:
+        """Record that a failure domain may be used again; see `evacuate`."""
+        if self._record_order(failure_domain, revision):
+            self._unconfirmed_orders.pop(failure_domain, None)
+            self._set_evacuated(self.evacuated - {failure_domain})
+
+    def _record_order(self, failure_domain: str, revision: int) -> bool:
+        """Return whether a write of an order is later than what is known of it."""
+        known_at = self._evacuations_known_at
+        if revision <= self._unconfirmed_orders.get(failure_domain, known_at):
+            return False
+        if failure_domain in self._unconfirmed_orders:
+            self._unconfirmed_orders[failure_domain] = revision
+        return True
 
     def is_evacuated(self, failure_domain: str) -> bool:
         """Return whether the workers of a failure domain get no new requests."""
         return failure_domain in self.evacuated
 
-    def _set_evacuated(self, failure_domains: Iterable[str] | None) -> None:
+    @property
+    def knows_evacuations(self) -> bool:
+        """Whether all orders at the current revision are known."""
+        return self._evacuations_known_at >= self.revision
+
+    def confirm_evacuations(self, revision: int) -> None:
+        """Record that all orders up to `revision` have been applied."""
+        if revision >= self._evacuations_known_at:
+            self._evacuations_known_at = revision
+            self._unconfirmed_orders.clear()
+
+    def export_evacuations(self) -> tuple[str, ...] | None:
+        """Return the orders at the current revision, or None if some may be unknown."""
+        if not self.knows_evacuations:
+            return None
+        return tuple(sorted(self.evacuated - self._unconfirmed_orders.keys()))
+
+    def _apply_evacuations(
+        self, failure_domains: Iterable[str] | None, revision: int
+    ) -> None:
+        """Apply all orders at `revision`; None if the sender does not know them."""
         if failure_domains is None:
             return
+        domains = frozenset(failure_domains)
+        if revision >= self._evacuations_known_at:
+            self.confirm_evacuations(revision)
+            self._set_evacuated(domains)
+            return
+        # The list may be older than orders that are known from other nodes. The
+        # changes after it, which are read next, tell which of its orders have ended.
+        for domain in domains - self.evacuated:
+            self._unconfirmed_orders[domain] = revision
+        self._set_evacuated(domains | self.evacuated)
+
+    def _set_evacuated(self, failure_domains: Iterable[str]) -> None:
         evacuated = frozenset(failure_domains)
         if evacuated != self.evacuated:
             self.evacuated = evacuated
@@ -215,11 +271,7 @@
             All evacuated failure domains; None keeps those that are known.
         """
         self._follow_restore(revision, now)
-        if evacuated is not None and revision < self.revision:
-            # The list may be older than an order that is known from other nodes. The
-            # changes after it, which are read next, tell which orders have ended.
-            evacuated = {*evacuated, *self.evacuated}
-        self._set_evacuated(evacuated)
+        self._apply_evacuations(evacuated, revision)
         listed_by_id = {endpoint.id: endpoint for endpoint in endpoints}
         for endpoint in listed_by_id.values():
             self.put(endpoint)
@@ -271,7 +323,7 @@
         if self.document_version < changes.version:
             return False
         self._follow_restore(changes.revision, now)
-        self._set_evacuated(changes.evacuated)
+        self._apply_evacuations(changes.evacuated, changes.revision)
         for endpoint in changes.endpoints:
             self.put(endpoint)
         for endpoint_id in changes.removed:
@@ -301,11 +353,13 @@
         """Return the state for a node that has document `version`; 0 for none.
 
         Held entries are left out: the store does not list them at this revision.
+        Orders to evacuate are left out unless all of them are known, so that a state
+        from a node that knows none ends no evacuation elsewhere.
         """
         delta = self.history.compute_delta_from(version)
         document = self.document if delta is None else None
         endpoints = tuple(self.listed.values())
-        evacuated = tuple(sorted(self.evacuated))
+        evacuated = self.export_evacuations()
         state = MeshState(self.revision, document, endpoints, evacuated)
         return StateNotice(state, delta)
 
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from enum import StrEnum
 from time import monotonic
 
@@ -196,7 +196,11 @@
         fields = {"revision": get_number(self._directory.revision)}
         if is_reading:
             self._emit(Event(EventCode.READER_STARTED, fields))
-            self._revision = self._directory.revision
+            directory = self._directory
+            # A watch tells only of later orders. If nodes that know none have sent the
+            # last changes, all items are read again.
+            is_complete = directory.knows_evacuations or not self._reads_evacuations
+            self._revision = directory.revision if is_complete else 0
             self._is_up = None
             self._reading_enabled.set()
             return
@@ -339,6 +343,8 @@
         self._revision = max(1, revision)
         directory = self._directory
         directory.revision = max(directory.revision, revision)
+        if self._reads_evacuations:
+            directory.confirm_evacuations(revision)
         self._on_change()
 
     def _emit_refused_items(self, reasons: Iterable[str]) -> None:
@@ -358,25 +364,16 @@
         domain = item.evacuated_domain
         known = self._directory.evacuated
         if item.value is None:
-            self._directory.end_evacuation(domain)
+            self._directory.end_evacuation(domain, item.revision)
         else:
-            self._directory.evacuate(domain)
+            self._directory.evacuate(domain, item.revision)
         self._emit_evacuations(known, item.revision)
 
     def _emit_evacuations(self, known: frozenset[str], revision: int) -> None:
         """Emit an event for each failure domain whose evacuation began or ended."""
         evacuated = self._directory.evacuated
-        codes = {
-            EventCode.EVACUATION_STARTED: evacuated - known,
-            EventCode.EVACUATION_ENDED: known - evacuated,
-        }
-        for code, domains in codes.items():
-            for domain in sorted(domains):
-                fields = {
-                    "domain": formats.quote(domain),
-                    "revision": get_number(revision),
-                }
-                self._emit(Event(code, fields))
+        for event in make_evacuation_events(known, evacuated, revision):
+            self._emit(event)
 
     def _apply_document(self, item: Item) -> None:
         if item.value is None:
@@ -464,3 +461,27 @@
         self._directory.record_store_outage()
         fields = {"reason": reason, "revision": get_number(self._directory.revision)}
         self._emit(Event(EventCode.SOURCE_DOWN, fields))
+
+
+def make_evacuation_events(
+    known: frozenset[str], evacuated: frozenset[str], revision: int, **fields
+) -> Iterator[Event]:
+    """Make an event for each failure domain whose evacuation began or ended.
+
+    Parameters
+    ----------
+    known, evacuated : frozenset of str
+        Evacuated failure domains before and after a change.
+    revision : int
+        Revision of the change.
+    **fields
+        Further fields of the events.
+    """
+    codes = {
+        EventCode.EVACUATION_STARTED: evacuated - known,
+        EventCode.EVACUATION_ENDED: known - evacuated,
+    }
+    for code, domains in codes.items():
+        for domain in sorted(domains):
+            names = {"domain": formats.quote(domain), "revision": get_number(revision)}
+            yield Event(code, names | fields)
