Report the reasons of refusals in the soaks of node processes

A run of the evacuation soak with more answers 503 than 200 could not be explained: the record of the callers had only the status.

The callers record the reason that the refusal names, without its numbers, and a run on one seed prints how often each occurred. The seeded soak of the suite checks that every refusal of a node has one.

--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -346,7 +346,9 @@
     journal, report = run(args.seed, args.seconds, args.nodes)
     statuses = Counter(request.status for request in journal.requests)
     acts = Counter(what.split(" ")[0] for _, _, what in journal.acts)
-    print(f"seed {args.seed}: by status {dict(statuses)}, {dict(acts)}\n{report}")
+    print(f"seed {args.seed}: by status {dict(statuses)}, {dict(acts)}")
+    reasons = Counter(r.reason for r in journal.requests if r.status == 503)
+    print(f"503 by reason {dict(reasons.most_common())}\n{report}")
     sys.exit(1 if report else 0)
 
 
--- a/bench/stop_soak_traffic.py
+++ b/bench/stop_soak_traffic.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import re
 from dataclasses import dataclass, field
 from time import monotonic
 
@@ -18,6 +19,7 @@
 MIN_TIMEOUT_MS, MAX_TIMEOUT_MS = 3000, 4500
 MAX_BATCHES, MAX_CONNECTIONS = 30, 3000  # of a connection, of a caller
 PATIENCE_S = 2.0  # wait for an answer beyond the time limit
+MAX_REASON_BYTES = 80
 _ids = itertools.count(1)
 
 
@@ -48,6 +50,7 @@
     is_workers: bool = False  # whether the answer is that of a worker
     has_left: bool = False  # whether the caller closed the connection
     mix_up: str = ""
+    reason: str = ""  # of a refusal, without numbers
 
 
 @dataclass(slots=True)
@@ -224,6 +227,9 @@
         owner = answer.headers.get("request-id", request.id)
         request.status = answer.status if answer.complete else 0
         request.is_workers = "response-stamp" in answer.headers
+        if request.status >= 400 and not request.is_workers:
+            reason = answer.body[:MAX_REASON_BYTES].decode(errors="replace").strip()
+            request.reason = re.sub(r"\d+", "N", reason)
         if owner != request.id:
             request.mix_up = f"answer of request {owner}"
         elif request.status == 200 and not request.is_workers:
--- a/tests/mesh/test_evacuation_soak.py
+++ b/tests/mesh/test_evacuation_soak.py
@@ -16,6 +16,9 @@
     assert not report, report
     assert journal.evacuations
     assert sum(request.status == 200 for request in journal.requests) >= 300
+    refused = [r for r in journal.requests if r.status == 503 and not r.is_workers]
+    # A run with many refusals cannot be explained without their reasons.
+    assert all(request.reason for request in refused)
 
 
 @pytest.mark.parametrize(
