Let refused requests go without a full collection

Seen: each request that all workers refuse leaves its state, its head and its connection until the next full collection: 5 of 5 with the collector disabled.

Cause: the state of a request refers to its error, whose traceback refers to frames with the state.

Change: the gateway clears the error once the reply is made.

Measured: the new test finds 8 of 8 states left without the change, and none with it.

--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -235,6 +235,9 @@
             return await self._serve_on_route(state, request)
         finally:
             self._body_budget.release(state.held_body_bytes)
+            # The traceback of the error refers to the state, so that the request and
+            # its connection would stay until a full collection.
+            state.error = None
 
     async def _serve_on_route(self, state: RequestState, request: str) -> Reply:
         call = state.call
--- a/tests/mesh/test_caller_memory.py
+++ b/tests/mesh/test_caller_memory.py
@@ -7,10 +7,12 @@
 import pytest
 
 from mangowell_core.mesh.caller_memory import REQUEST_BYTES, CallerMemory
+from mangowell_core.mesh.service_room import ServiceRoom
 from mangowell_node.ingress import CallerReport, IncomingCall, IngressServer, Reply
 from mangowell_node.ingress.connection import CallerConnection
+from mangowell_node.mesh.request_state import RequestState
 from mangowell_standins.platform_values import make_document, make_route
-from mesh.support_mesh import make_request, run_mesh, until
+from mesh.support_mesh import fill_slots, make_request, run_mesh, until
 from node.support_calls import read_response
 
 MAX_HEADER_BYTES = 16_384
@@ -345,6 +347,27 @@
     await server.stop(0.0)
 
 
+async def test_refused_requests_release_their_memory_without_a_collection(
+    monkeypatch,
+):
+    """Each request that all workers refused stayed, also with its connection."""
+    # Otherwise, only the first is offered to a worker.
+    monkeypatch.setattr(ServiceRoom, "is_full", lambda *_: False)
+    async with run_mesh() as (_, (machine,)):
+        fill_slots(machine, waiting=100)
+        gc.collect()
+        gc.disable()
+        try:
+            for number in range(8):
+                assert (await machine.call(request=f"id-{number}")).status == 503
+            await until(lambda: not machine.node._ingress.connections)
+            await asyncio.sleep(0.01)
+            left = [o for o in gc.get_objects() if type(o) is RequestState]
+            assert left == []
+        finally:
+            gc.enable()
+
+
 async def test_idle_connections_make_room_and_those_with_a_request_stay():
     """A crowd of open heads kept all other callers out."""
     finish = asyncio.Event()
