--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -228,6 +228,9 @@
             return await self._serve_on_route(state, request)
         finally:
             self._body_budget.release(state.held_body_bytes)
+            # The traceback of the error refers to the state, so that the request and
+            # its connection would stay until a full collection.
+            state.error = None
 
     def _check_stop(self, request: str) -> Refusal | None:
         if self._refuses_callers and not self.is_call(request):
@@ -263,17 +266,7 @@
         state = RequestState(call, route, service)
         state.caller_deadline = call.arrived_at + caller_s
         state.deadline = min(call.arrived_at + timeout_s, self._end_deadline)
-<<<<<<< .merge_file_M5pCTx
         return state
-=======
-        try:
-            return await self._serve_on_route(state, request)
-        finally:
-            self._body_budget.release(state.held_body_bytes)
-            # The traceback of the error refers to the state, so that the request and
-            # its connection would stay until a full collection.
-            state.error = None
->>>>>>> .merge_file_AUMxm9
 
     def _check_head(self, state: RequestState) -> Refusal | None:
         """Return the refusal of a request that no worker is asked for."""
