Let workers start cold in a soak of real processes

The bound of cold workers was tested on single restarts in one process.

The scripted worker no longer writes to a connection that it has closed by its crash, which printed a traceback.

--- a/bench/stop_soak.py
+++ b/bench/stop_soak.py
@@ -156,6 +156,11 @@
         """Bounds of the platform, as the settings of the nodes have them."""
         return BOUNDS | {"bounds.grace": f"{self.grace_s}s"}
 
+    @property
+    def service_fields(self) -> dict:
+        """Further fields of the services in the document."""
+        return {}
+
     async def _call(self, number: int) -> None:
         """Run one of the callers, which are dealt out to the nodes in turn."""
         kind, node = divmod(number, self._count)
@@ -270,7 +275,10 @@
         routes["stock"] = make_route("/stock/", **(fields | {"service": "stock"}))
         for n in range(2, version + 1):
             routes[f"v{n}"] = make_route(f"/v{n}/", **fields)
-        self._store.put("op/config", make_document(version, routes, SERVICES))
+        document = make_document(
+            version, routes, SERVICES, service_fields=self.service_fields
+        )
+        self._store.put("op/config", document)
         self.journal.documents.append((monotonic(), timeout_ms / 1000))
         self._record(0, f"document {version}, {timeout_ms} ms")
 
--- a/packages/standins/src/mangowell_standins/platform_values.py
+++ b/packages/standins/src/mangowell_standins/platform_values.py
@@ -5,8 +5,10 @@
 HOST = "shop.example"
 
 
-def make_document(version=1, routes=None, services=("orders",), limits=None):
-    """Return the operators' document as bytes."""
+def make_document(
+    version=1, routes=None, services=("orders",), limits=None, service_fields=None
+):
+    """Return the operators' document as bytes; all services have `service_fields`."""
     return json.dumps(
         {
             "version": version,
@@ -15,7 +17,11 @@
             ),
             "services": make_table(
                 {
-                    name: {"health-path": "/healthz", "max-connections": 60}
+                    name: {
+                        "health-path": "/healthz",
+                        "max-connections": 60,
+                        **(service_fields or {}),
+                    }
                     for name in services
                 }
             ),
--- a/packages/standins/src/mangowell_standins/scripted_http.py
+++ b/packages/standins/src/mangowell_standins/scripted_http.py
@@ -122,7 +122,7 @@
             if isinstance(handling.exception(), ConnectionError):
                 request.cancelled.set()
             answer = handling.result()
-        if answer is None:
+        if answer is None or writer.is_closing():
             return False
         writer.write(answer)
         await writer.drain()
