Count waiting requests of a starving class as started

Where urgent requests alone exceed the capacity, all patient requests that came before the first one had started went ahead of urgent ones, in waves: the share of their class counted only started requests. Urgent requests were held and refused, and the limit had to be low to make up for it.

Requests of a starving class that wait at the worker now count as started, so that only the missing ones are preferred. The share is averaged over 8 s, and its limit is 0.185 of the best share if that is below one half, else 0.0575.

--- a/packages/core/src/mangowell_core/mesh/admission.py
+++ b/packages/core/src/mangowell_core/mesh/admission.py
@@ -97,6 +97,7 @@
         "deadline",
         "is_late",
         "is_running",
+        "is_starving",
         "latest_start",
         "rank",
         "request",
@@ -123,6 +124,8 @@
         self.deadline = deadline
         # Whether the request waits behind all that can be in time.
         self.is_late = False
+        # Whether it counts as urgent because its class is served far too seldom.
+        self.is_starving = False
         self.sort_key = sort_key
         self.latest_start = latest_start
         self.work_s = work_s
@@ -318,11 +321,8 @@
                 latest_start_in_queue,
                 now + max(slack_s * QUEUED_WAIT_SHARE, min_wait_s),
             )
-        is_starving = rank > 0 and self._shares.is_starving(rank, route, now)
-        sort_key = (
-            0 if is_starving else rank,
-            self._offer_count,
-        )
+        is_starving = rank > 0 and self._is_starving(rank, route, now)
+        sort_key = (0 if is_starving else rank, self._offer_count)
         ticket = Ticket(
             request,
             route,
@@ -333,8 +333,16 @@
             work_s,
             now,
         )
+        ticket.is_starving = is_starving
         return ticket, latest_start_on_arrival
 
+    def _is_starving(self, rank: int, route: str, now: float) -> bool:
+        """Return whether a new request counts as urgent, as its class is starving."""
+        preferred = sum(
+            t.is_starving and (t.rank, t.route) == (rank, route) for t in self._queue
+        )
+        return self._shares.is_starving(rank, route, preferred, now)
+
     def _record_offer(self, ticket: Ticket, amount: float, now: float) -> None:
         self._left_capacity.record_offer(ticket.rank, ticket.work_s * amount, now)
         self._shares.record_offer(ticket.rank, ticket.route, amount, now)
--- a/packages/core/src/mangowell_core/mesh/late_queue.py
+++ b/packages/core/src/mangowell_core/mesh/late_queue.py
@@ -32,8 +32,9 @@
 # A request that is refused by a prediction is asked about at several workers, so each
 # refusal counts as this much of an arrival.
 PREDICTION_WEIGHT = 0.25
-# Time over which the shares of the classes are averaged, in seconds.
-SHARES_AVERAGE_S = 5.0
+# Time over which the shares of the classes are averaged, in seconds: longer than a
+# burst of a few seconds, after which patient requests are served in any case.
+SHARES_AVERAGE_S = 8.0
 # Number of requests of a class from which its share is known.
 MIN_OFFERED = 3.0
 # Decayed number of requests below which a class is forgotten.
@@ -41,11 +42,16 @@
 # Interval at which the best served class is looked for, in seconds: a document may have
 # more than a thousand routes.
 BEST_INTERVAL_S = 0.1
-# Share of a class, relative to the best served one, below which its requests are
-# treated as urgent. The platform's bound is a quarter of the requests. Refused ones
-# come back and are offered again, so that bound is met at a lower share of the offers.
-# A higher one takes capacity from more urgent classes in an overload.
-STARVING_SHARE = 0.045
+# Share of a class below which its requests are treated as urgent. The platform's bound
+# is a quarter of the requests of the best served class. Refused ones come back and are
+# offered again, so that bound is met at a lower share of the offers. A higher one takes
+# capacity from more urgent classes in an overload.
+STARVING_SHARE = 0.0575
+# The same as a part of the share of the best served class, if that is below
+# `FULL_SHARE`. Urgent requests alone then exceed the capacity, and others do not get
+# the slots that are free between two urgent ones either.
+STARVING_RATIO = 0.185
+FULL_SHARE = 0.5
 
 
 class DecayingSum:
@@ -164,14 +170,31 @@
         known = self._classes.get((rank, route))
         return None if known is None else _get_share(known, now)
 
-    def is_starving(self, rank: int, route: str, now: float) -> bool:
-        """Return whether a class is served far less often than the best served one."""
-        share = self.get_share(rank, route, now)
-        if share is None or share >= STARVING_SHARE:
+    def is_starving(self, rank: int, route: str, preferred: int, now: float) -> bool:
+        """Return whether a class is served far less often than the best served one.
+
+        Parameters
+        ----------
+        rank : int
+            Rank of the class.
+        route : str
+            Its route.
+        preferred : int
+            Number of its requests that wait and are preferred already. They start
+            soon; without them, all that arrive meanwhile would be preferred.
+        now : float
+            Monotonic time, in seconds.
+        """
+        known = self._classes.get((rank, route))
+        if known is None:
+            return False
+        share = _get_share(known, now, preferred)
+        if share is None or share >= STARVING_RATIO:
             return False
         if now >= self._best_at + BEST_INTERVAL_S:
             self._update_best(now)
-        return share < STARVING_SHARE * self._best
+        best = self._best
+        return share < (STARVING_RATIO * best if best < FULL_SHARE else STARVING_SHARE)
 
     def _update_best(self, now: float) -> None:
         """Compute the share of the best served class."""
@@ -198,8 +221,8 @@
                 del self._classes[key]
 
 
-def _get_share(known: _Class, now: float) -> float | None:
+def _get_share(known: _Class, now: float, preferred: int = 0) -> float | None:
     offered = known.offered.get(now)
     if offered < MIN_OFFERED:
         return None
-    return min(1.0, known.started.get(now) / offered)
+    return min(1.0, (known.started.get(now) + preferred) / offered)
--- a/tests/mesh/test_queueing.py
+++ b/tests/mesh/test_queueing.py
@@ -215,8 +215,45 @@
     assert shares["daily"] > 0.95 * shares["uploads"]
     # The rule by (rank, arrival) reached 0.772; over 30 s it served uploads only 0.07
     # times as often as reads. By calculation, a quarter for uploads costs 0.05 of it.
+    # It was 0.725 while all uploads that came before the first one started counted as
+    # urgent.
     value = sum(replay.value_share for replay in replays) / len(replays)
-    assert value > 0.71
+    assert value > 0.73
+
+
+def test_patient_class_is_served_in_a_long_overload():
+    """The rule by (rank, arrival) served it 0.07 times as often over 30 s."""
+    replay = Replay(URGENT, [(30.0, 1.7)], True, 1)
+    shares = replay.get_shares()
+    assert shares["uploads"] > 0.25 * shares["daily"]
+    assert replay.value_share > 0.712
+
+
+def make_starving(admission, now=1.0):
+    """Let urgent requests be served and uploads be refused, with all slots busy."""
+    fill(admission, 6, now)
+    shares = admission._shares
+    for _ in range(20):
+        shares.record_offer(0, "urgent", 1.0, now)
+        shares.record_start(0, "urgent", now)
+        shares.record_offer(4, "uploads", 1.0, now)
+
+
+def test_only_the_missing_requests_of_a_starving_class_are_urgent():
+    """All that came before the first one had started preceded urgent requests."""
+    admission = Admission(6, True)
+    make_starving(admission)
+    tickets = [
+        admission.offer(f"u{n}", "uploads", 4, 0.0, 60.0, 1.0)[1] for n in range(6)
+    ]
+    assert [ticket.sort_key[0] for ticket in tickets] == [0, 0, 4, 4, 4, 4]
+    urgent = admission.offer("urgent", "urgent", 0, 0.0, 60.0, 1.0)[1]
+    queue = [ticket.request for ticket in admission._queue]
+    assert queue == ["u0", "u1", urgent.request, "u2", "u3", "u4", "u5"]
+    # One that leaves the queue makes room for another.
+    admission.cancel(tickets[0])
+    last = admission.offer("u6", "uploads", 4, 0.0, 60.0, 1.0)[1]
+    assert last.sort_key[0] == 0
 
 
 def test_lightly_loaded_workers_refuse_nothing():
