Keep calls of patient parents apart from the shares of new requests

Calls of parents of priority 2 and above have a rank above 0. They counted as the best served class, so that urgent requests yielded to classes that only calls were ahead of. New requests of a starving class, at key 0, preceded waiting calls. And the limit below which calls starve was that of requests that are offered again: calls are not, and were served 0.09 times as often as urgent requests where those exceed the capacity.

The node now tells the admission which requests are calls. They do not count as the best served class and starve below 0.28 of the estimated share of new requests that are served. One waiting call goes before each new request of a starving class.

Each new test fails without the line that it guards.

--- a/packages/core/src/mangowell_core/mesh/admission.py
+++ b/packages/core/src/mangowell_core/mesh/admission.py
@@ -80,6 +80,8 @@
         Name of its route.
     rank : int
         Rank of its class; lower ranks run first.
+    is_call : bool
+        Whether it is a call of a running request.
     sort_key : tuple of int
         Rank in the queue and order of arrival; lower keys run first.
     latest_start : float
@@ -95,6 +97,8 @@
     __slots__ = (
         "arrived",
         "deadline",
+        "has_yielded",
+        "is_call",
         "is_late",
         "is_running",
         "is_starving",
@@ -112,6 +116,7 @@
         request: str,
         route: str,
         rank: int,
+        is_call: bool,
         sort_key,
         latest_start: float,
         deadline: float,
@@ -121,11 +126,14 @@
         self.request = request
         self.route = route
         self.rank = rank
+        self.is_call = is_call
         self.deadline = deadline
         # Whether the request waits behind all that can be in time.
         self.is_late = False
         # Whether it counts as urgent because its class is served far too seldom.
         self.is_starving = False
+        # Whether a call has run in its place.
+        self.has_yielded = False
         self.sort_key = sort_key
         self.latest_start = latest_start
         self.work_s = work_s
@@ -212,6 +220,7 @@
         objective_s: float,
         deadline: float,
         now: float,
+        is_call: bool = False,
     ) -> tuple[AdmissionDecision, Ticket, float]:
         """Admit, queue or refuse a request.
 
@@ -222,8 +231,8 @@
         route : str
             Name of its route.
         rank : int
-            Lower ranks run first; a call made by a running request has the
-            lowest, because refusing it would waste the work already done.
+            Lower ranks run first; a call made by a running request has a lower one
+            than its parent, because refusing it would waste the work already done.
         objective_s : float
             Time within which an answer has its full value, in seconds; 0 if
             only the deadline counts.
@@ -231,6 +240,9 @@
             Monotonic time, in seconds.
         now : float
             Monotonic time, in seconds.
+        is_call : bool, optional
+            Whether a running request makes it. Calls precede requests of starving
+            classes, and new requests do not yield to how often calls are served.
 
         Returns
         -------
@@ -239,7 +251,7 @@
             sent again, and 0 for other requests.
         """
         ticket, latest_start_on_arrival = self._make_ticket(
-            request, route, rank, objective_s, deadline, now
+            request, route, rank, objective_s, deadline, now, is_call
         )
         self._offer_count += 1
         self._record_offer(ticket, 1.0, now)
@@ -255,7 +267,13 @@
         return decision, ticket, delay_s
 
     def predict(
-        self, route: str, rank: int, objective_s: float, deadline: float, now: float
+        self,
+        route: str,
+        rank: int,
+        objective_s: float,
+        deadline: float,
+        now: float,
+        is_call: bool = False,
     ) -> tuple[AdmissionDecision, float]:
         """Return what `offer` would decide, without admitting the request.
 
@@ -268,7 +286,7 @@
             after which a refused one may be sent again, in seconds.
         """
         ticket, latest_start_on_arrival = self._make_ticket(
-            "", route, rank, objective_s, deadline, now
+            "", route, rank, objective_s, deadline, now, is_call
         )
         decision, delay_s = self._decide(ticket, latest_start_on_arrival, deadline, now)
         if decision is AdmissionDecision.REFUSED:
@@ -296,7 +314,7 @@
         return mean_age_s if is_stuck else known_work_s
 
     def _make_ticket(
-        self, request, route, rank, objective_s, deadline, now
+        self, request, route, rank, objective_s, deadline, now, is_call
     ) -> tuple[Ticket, float]:
         """Build the ticket of a request, and its latest start if it has to wait."""
         work_s = self._mean_work_s.get(route, INITIAL_WORK_S)
@@ -327,6 +345,7 @@
             request,
             route,
             rank,
+            is_call,
             sort_key,
             latest_start_in_queue,
             deadline,
@@ -345,7 +364,9 @@
 
     def _record_offer(self, ticket: Ticket, amount: float, now: float) -> None:
         self._left_capacity.record_offer(ticket.rank, ticket.work_s * amount, now)
-        self._shares.record_offer(ticket.rank, ticket.route, amount, now)
+        self._shares.record_offer(
+            ticket.rank, ticket.route, amount, now, ticket.is_call
+        )
 
     def _decide(
         self, ticket: Ticket, latest_start: float, deadline: float, now: float
@@ -420,11 +441,27 @@
         """Start waiting requests while that is possible, and return them."""
         started = []
         while (self._queue or self._late) and self._can_start(now):
-            ticket = self._select_queue(now).pop(0)
+            ticket = self._pop_next(now)
             self._start(ticket, now)
             started.append(ticket)
         return started
 
+    def _pop_next(self, now: float) -> Ticket:
+        """Remove the request that runs next from its queue, and return it.
+
+        A new request of a starving class takes a slot from more urgent ones. A waiting
+        call has the first claim to such a slot, as its refusal would waste the work of
+        its parent. Only one call goes before each such request: otherwise all calls of
+        patient parents would precede urgent requests while a class starves.
+        """
+        queue = self._select_queue(now)
+        first = queue[0]
+        if first.is_starving and not (first.is_call or first.has_yielded):
+            first.has_yielded = True
+            position = next((n for n, t in enumerate(queue) if t.is_call), 0)
+            return queue.pop(position)
+        return queue.pop(0)
+
     def _select_queue(self, now: float) -> list[Ticket]:
         """Return the queue whose first request runs next.
 
--- a/packages/core/src/mangowell_core/mesh/late_queue.py
+++ b/packages/core/src/mangowell_core/mesh/late_queue.py
@@ -52,6 +52,11 @@
 # the slots that are free between two urgent ones either.
 STARVING_RATIO = 0.185
 FULL_SHARE = 0.5
+# The same for calls, as a part of the share of new requests that are served within
+# `ATTEMPTS` offers: calls are offered once. At 0.25, calls were served 0.246 times as
+# often as the best served class in the worst of three replays.
+CALL_STARVING_RATIO = 0.28
+ATTEMPTS = 3
 
 
 class DecayingSum:
@@ -135,9 +140,10 @@
 
 
 class _Class:
-    __slots__ = ("offered", "started")
+    __slots__ = ("is_call", "offered", "started")
 
     def __init__(self):
+        self.is_call = False
         self.offered = DecayingSum(SHARES_AVERAGE_S)
         self.started = DecayingSum(SHARES_AVERAGE_S)
 
@@ -157,9 +163,13 @@
         """Return the number of known classes."""
         return len(self._classes)
 
-    def record_offer(self, rank: int, route: str, amount: float, now: float) -> None:
+    def record_offer(
+        self, rank: int, route: str, amount: float, now: float, is_call: bool = False
+    ) -> None:
         """Record an offered request, or a part of one."""
-        self._get_class(rank, route, now).offered.add(amount, now)
+        known = self._get_class(rank, route, now)
+        known.offered.add(amount, now)
+        known.is_call = is_call
 
     def record_start(self, rank: int, route: str, now: float) -> None:
         """Record a request that starts."""
@@ -189,20 +199,24 @@
         if known is None:
             return False
         share = _get_share(known, now, preferred)
-        if share is None or share >= STARVING_RATIO:
+        bound = CALL_STARVING_RATIO if known.is_call else STARVING_RATIO
+        if share is None or share >= bound:
             return False
         if now >= self._best_at + BEST_INTERVAL_S:
             self._update_best(now)
         best = self._best
+        if known.is_call:
+            served = 1.0 - (1.0 - best) ** ATTEMPTS
+            return share < CALL_STARVING_RATIO * served
         return share < (STARVING_RATIO * best if best < FULL_SHARE else STARVING_SHARE)
 
     def _update_best(self, now: float) -> None:
         """Compute the share of the best served class."""
         self._best, self._best_at = 0.0, now
-        for (rank, _), known in self._classes.items():
+        for known in self._classes.values():
             share = _get_share(known, now)
-            # Ranks below 0 do not count: they are calls, which go first in any case.
-            if rank >= 0 and share is not None:
+            # Calls precede new requests whose share is low in any case.
+            if not known.is_call and share is not None:
                 self._best = max(self._best, share)
 
     def _get_class(self, rank: int, route: str, now: float) -> _Class:
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -558,7 +558,12 @@
                 probe.is_call, probe.priority, probe.objective_s
             )
             decision, delay_s = admission.predict(
-                probe.route, rank, objective_s, now + probe.remaining_s, now
+                probe.route,
+                rank,
+                objective_s,
+                now + probe.remaining_s,
+                now,
+                probe.is_call,
             )
             accepted = decision is not AdmissionDecision.REFUSED
         load = self.compute_load()
@@ -577,7 +582,13 @@
             head.is_call, head.priority, head.objective_s
         )
         decision, ticket, retry_after_s = self.admission.offer(
-            head.request, head.route, rank, objective_s, deadline, monotonic()
+            head.request,
+            head.route,
+            rank,
+            objective_s,
+            deadline,
+            monotonic(),
+            head.is_call,
         )
         match decision:
             case AdmissionDecision.RUN:
--- a/tests/mesh/test_queueing.py
+++ b/tests/mesh/test_queueing.py
@@ -27,6 +27,8 @@
     budget_s: float
     value: float
     late_value: float
+    # Call of a running request; its objective is 0, and its caller does not retry.
+    is_call: bool = False
 
 
 MIXED = {
@@ -46,6 +48,12 @@
     "daily": Kind(0, 0.9, 0.088, 0.482, 1.2, 3.2, 0.38),
     "uploads": Kind(2, 0.1, 0.260, 2.200, 6.7, 0.84, 0.38),
 }
+# The same, and calls of patient parents, with the rank that the node gives them.
+CALLS = {
+    "daily": Kind(0, 0.6, 0.088, 0.482, 1.2, 3.2, 0.38),
+    "calls": Kind(1, 0.3, 0.055, 0.0, 0.838, 0.84, 0.84, is_call=True),
+    "uploads": Kind(4, 0.1, 0.260, 2.200, 6.7, 0.84, 0.38),
+}
 # Seconds and load of each phase.
 BURST = [(3.0, 0.7), (3.0, 1.7), (4.0, 0.7)]
 STEADY = [(12.0, 1.3)]
@@ -98,7 +106,7 @@
         predictions = []
         for worker in self.rng.sample(range(WORKERS), PROBES):
             decision, delay_s = self.admissions[worker].predict(
-                name, kind.rank, kind.objective_s, deadline, now
+                name, kind.rank, kind.objective_s, deadline, now, kind.is_call
             )
             is_refused = decision is AdmissionDecision.REFUSED
             predictions.append((is_refused, delay_s, worker))
@@ -108,14 +116,15 @@
             return
         admission = self.admissions[worker]
         request = (name, first, tries, worker)
-        decision, ticket, delay_s = admission.offer(
-            request, name, kind.rank, kind.objective_s, deadline, now
-        )
+        terms = (name, kind.rank, kind.objective_s, deadline, now, kind.is_call)
+        decision, ticket, delay_s = admission.offer(request, *terms)
         if decision is AdmissionDecision.RUN:
             self.start(now, ticket)
 
     def refuse(self, now, name, first, tries, retry_after_s):
         back = now + (0.01 if self.at_once else retry_after_s)
+        if self.kinds[name].is_call:
+            return
         if tries < self.tries and back < first + self.kinds[name].budget_s:
             self.push(back, self.arrive, name, first, tries + 1)
 
@@ -150,7 +159,7 @@
     def held_share(self):
         """Requests refused after an eighth of the objective, as a share of all."""
         held = sum(
-            waited_s > self.kinds[name].objective_s / 8
+            waited_s > (self.kinds[name].objective_s or self.kinds[name].budget_s) / 8
             for name, waits_s in self.held.items()
             for waited_s in waits_s
         )
@@ -256,6 +265,45 @@
     assert last.sort_key[0] == 0
 
 
+def test_calls_of_patient_parents_are_served_in_an_overload():
+    """They are not retried, and were served 0.09 times as often as urgent requests."""
+    replays = [Replay(CALLS, [(12.0, 2.2)], True, seed) for seed in SEEDS]
+    for replay in replays:
+        shares = replay.get_shares()
+        assert min(shares.values()) > 0.25 * max(shares.values())
+        # They do not crowd out the urgent requests either.
+        assert shares["daily"] > 0.65
+
+
+def test_call_goes_before_a_request_of_a_starving_class():
+    """The call was refused once its parent had waited for it."""
+    admission = Admission(6, True)
+    make_starving(admission)
+    running = [ticket for ticket in admission._running if ticket.request == "f"]
+    calls = [
+        admission.offer(f"c{n}", "call", 1, 0.0, 60.0, 1.0, True)[1] for n in range(2)
+    ]
+    upload = admission.offer("upload", "uploads", 4, 0.0, 60.0, 1.0)[1]
+    assert upload.sort_key < calls[0].sort_key
+    # Only one call takes the place of such a request.
+    for ticket, expected in zip(running, [calls[0], upload, calls[1]], strict=False):
+        assert admission.finish(ticket, True, 1.1) == [expected]
+
+
+def test_shares_of_calls_do_not_count_as_those_of_the_best_served_class():
+    """Urgent requests yielded to a class that only calls were ahead of."""
+    shares = ClassShares()
+    for _ in range(100):
+        shares.record_offer(0, "urgent", 1.0, 1.0)
+        shares.record_offer(4, "uploads", 1.0, 1.0)
+        shares.record_offer(1, "call", 1.0, 1.0, True)
+        shares.record_start(1, "call", 1.0)
+    for rank, route, count in ((0, "urgent", 20), (4, "uploads", 5)):
+        for _ in range(count):
+            shares.record_start(rank, route, 1.0)
+    assert not shares.is_starving(4, "uploads", 0, 1.0)
+
+
 def test_lightly_loaded_workers_refuse_nothing():
     """Guards against estimates that refuse requests while slots are free."""
     replay = Replay(MIXED, [(6.0, 0.6)], True, 1)
