Forget the work of ranks that have had no requests for a while

LeftCapacity kept two sums for each rank ever seen, and each estimate of the capacity left over added up all of them. Priorities come from the document and from heads of other nodes, so that their number has no bound. A new rank now removes those whose decayed work is below a millisecond of a slot.

--- a/packages/core/src/mangowell_core/mesh/late_queue.py
+++ b/packages/core/src/mangowell_core/mesh/late_queue.py
@@ -14,6 +14,8 @@
 # Time over which offered work is averaged, in seconds: longer than one request, so
 # that a pause between two is not taken for free capacity.
 OFFERED_WORK_AVERAGE_S = 2.0
+# Decayed work below which a rank is forgotten, in slot seconds.
+FORGOTTEN_WORK_S = 0.001
 # Share of the slots below which the capacity left over counts as none. A
 # burst grows faster than the average, so that less would be gone before late requests
 # have started, and they would be refused after waiting.
@@ -97,6 +99,10 @@
         self._accepted_s: dict[int, DecayingSum] = {}
         self._offered_s: dict[int, DecayingSum] = {}
 
+    def __len__(self) -> int:
+        """Return the number of known ranks."""
+        return len(self._accepted_s.keys() | self._offered_s.keys())
+
     def record_offer(self, rank: int, work_s: float, now: float) -> None:
         """Record the expected work of an offered request, in slot seconds."""
         _add_work(self._offered_s, rank, work_s, now)
@@ -129,6 +135,10 @@
 ) -> None:
     work = sums.get(rank)
     if work is None:
+        # Ranks come and go with the routes, and each estimate adds up all of them.
+        for other, known in list(sums.items()):
+            if known.get(now) < FORGOTTEN_WORK_S:
+                del sums[other]
         work = sums[rank] = DecayingSum(OFFERED_WORK_AVERAGE_S)
     work.add(work_s, now)
 
--- a/tests/mesh/test_queueing.py
+++ b/tests/mesh/test_queueing.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mangowell_core.mesh import Admission, AdmissionDecision
-from mangowell_core.mesh.late_queue import ClassShares
+from mangowell_core.mesh.late_queue import ClassShares, LeftCapacity
 
 WORKERS, SLOTS, PROBES = 8, 6, 4
 STEP_S = 0.02
@@ -366,3 +366,14 @@
         shares.record_offer(0, f"route-{number}", 1.0, float(number))
         shares.record_start(0, f"route-{number}", float(number))
     assert len(shares) < 50
+
+
+def test_former_ranks_are_forgotten():
+    """The work of each rank was kept, and added up, for the life of the node."""
+    left = LeftCapacity()
+    for number in range(2000):
+        left.record_offer(2 * number, 0.2, float(number))
+        left.record_accepted(2 * number, 0.2, float(number))
+    assert len(left) < 20
+    # The work of the last two seconds still counts.
+    assert left.estimate_share(4000, 1.0, 2000.0) < 0.9
