Move the health requests to the local worker into a module of their own

The latter is now SlowStart in node/mesh/slow_start.py: sync, forget_worker, suspect_restart, note_connection, is_asking and stop. It sets the times of the WarmupGate, which the runner applies.

--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -7,7 +7,6 @@
 from time import monotonic
 
 import msgspec
-from multidict import CIMultiDict, CIMultiDictProxy
 
 from mangowell_core.events import Event, EventCode
 from mangowell_core.mesh import (
@@ -41,6 +40,7 @@
     compute_fingerprint,
 )
 from mangowell_node.mesh.request_state import make_misdirected_refusal
+from mangowell_node.mesh.slow_start import SlowStart, is_same_start
 from mangowell_node.mesh.tasks import start_loop
 from mangowell_node.platform import PlatformDialect
 from mangowell_node.reach import AddressFilter
@@ -72,12 +72,6 @@
 MISPLACED_RECHECK_S = 1.0
 # A change of a worker's rate limit by this factor is logged.
 LOGGED_LIMIT_RATIO = 1.25
-# Time that the worker has to answer a health request, and until the next one if it has
-# not answered, in seconds. Health answers come at once, also from a cold worker.
-HEALTH_TIMEOUT_S = 1.0
-HEALTH_RETRY_S = 0.25
-# Shortest time between two events that tell that the worker is cold, in seconds.
-COLD_EVENT_INTERVAL_S = 5.0
 # Rank of a new request, as a multiple of its priority, and the ranks by which a call
 # precedes new requests of its parent's priority. A refused call wastes the work of its
 # parent, so calls come first. Only new requests that are two priorities more urgent
@@ -167,18 +161,6 @@
         self.admission = Admission(DEFAULT_SLOTS, keeps_late=True)
         self._warmup = self.admission.warmup
         self._service: MeshService | None = None
-        # Last known entry of the worker, also after it is no longer listed.
-        self._last_entry: Endpoint | None = None
-        self._was_evacuated = False
-        self._health_task: asyncio.Task | None = None
-        # Connection of the last health answer. It is kept, as its loss shows a restart
-        # also if no request runs, and other connections come and go.
-        self._health_conn: BackendConnection | None = None
-        # Counts the reasons to ask, so that an earlier answer does not count.
-        self._health_reasons = 0
-        self._warm_timer: asyncio.TimerHandle | None = None
-        self._is_logged_cold = False
-        self._cold_logged_at = -math.inf
         self._failure_rate = FailureRate()
         self.pool = BackendPool(
             settings.worker.host,
@@ -187,18 +169,20 @@
             DEFAULT_CONNECTIONS,
             PlatformDialect(),
         )
+        self.slow_start = SlowStart(self._warmup, self.pool, emit, self._start_waiting)
 
     def sync(self) -> None:
         """Apply a change of the directory."""
         worker = self._settings.worker
         local_worker = self._directory.look_up_address(worker.host, worker.port)
         previous, self._local_worker = self._local_worker, local_worker
-        if previous is not None and not _is_same_start(previous, local_worker):
+        if previous is not None and not is_same_start(previous, local_worker):
             self._misplaced_until = -math.inf
             self._clear_queue(_make_unlisted_refusal())
             self.pool.forget_refusals()
             self._completed.clear()
         if local_worker is None:
+            self.slow_start.forget_worker()
             return
         self._apply_rate_limit()
         self.admission.limit = max(1, local_worker.slots)
@@ -208,7 +192,9 @@
                 limit = service.max_connections - RESERVED_CONNECTIONS
                 self.pool.limit = max(local_worker.slots, limit)
                 self._service = service
-        self._sync_warmup(local_worker)
+        self.slow_start.sync(
+            local_worker, self._service, self._settings, self._is_evacuated
+        )
         if self._is_leaving(local_worker):
             self._clear_queue(_make_leaving_refusal())
         elif self._is_evacuated:
@@ -388,141 +374,6 @@
         """Requests per second that a cold worker of the service gets; 0 if any."""
         return self._warmup.per_s
 
-    def _sync_warmup(self, worker: Endpoint) -> None:
-        """Apply the listed cold time; ask the worker after a start or evacuation."""
-        service, settings, warmup = self._service, self._settings, self._warmup
-        if service is None or service.name != worker.service:
-            return
-        now = monotonic()
-        warmup.set_bound(
-            service.warmup_per_s, settings.warmup_overage, settings.warmup_slack
-        )
-        previous, self._last_entry = self._last_entry, worker
-        was_evacuated, self._was_evacuated = self._was_evacuated, self._is_evacuated
-        if previous != worker:
-            warmup.record_entry(worker.warmup_s, now)
-        has_returned = was_evacuated and not self._was_evacuated
-        if previous is not None and not _is_same_start(previous, worker):
-            self._suspect_restart()
-        elif service.health_path and (previous is None or has_returned):
-            # The node has just started, or has not used the worker for a while. Only
-            # the worker itself knows better than its entry, so it is asked.
-            self._suspect_restart()
-        self._follow_warmup()
-
-    def _suspect_restart(self) -> None:
-        """Treat the worker as cold until it has answered a health request."""
-        service = self._service
-        if service is None or not self._warmup.is_bounded:
-            return
-        self._warmup.assume_cold(service.warmup_s, monotonic())
-        self._health_reasons += 1
-        if service.health_path and self._health_task is None:
-            self._health_task = start_loop(self._check_health(service.health_path))
-
-    def _note_connection(self, conn: BackendConnection) -> None:
-        """Suspect a restart if no other connection to the worker has stayed open.
-
-        A restart closes all of them; while one of them is open, the worker is the
-        same.
-        """
-        if not self._warmup.is_bounded:
-            return
-        others = self.pool.open_connections
-        if not any(c.is_open for c in others if c is not conn):
-            self._suspect_restart()
-
-    async def _check_health(self, path: str) -> None:
-        """Ask the worker for its cold time until it has answered."""
-        try:
-            while self._warmup.is_assumed(monotonic()):
-                reasons = self._health_reasons
-                is_answered, warmup_s = await self._ask_health(path)
-                if is_answered and reasons == self._health_reasons:
-                    self._warmup.record_health(warmup_s, monotonic())
-                else:
-                    await asyncio.sleep(HEALTH_RETRY_S)
-        finally:
-            self._health_task = None
-            self._follow_warmup()
-
-    async def _ask_health(self, path: str) -> tuple[bool, float | None]:
-        """Send a health request.
-
-        Returns
-        -------
-        bool, float or None
-            Whether the worker has answered, and the cold time that it states, in
-            seconds.
-        """
-        deadline = monotonic() + HEALTH_TIMEOUT_S
-        head = RequestHead(
-            "", "", "GET", path, b"Host: health\r\n", "", "", 0, False, 0, True
-        )
-        try:
-            conn = await self.pool.open(deadline)
-        except AttemptError:
-            return False, None
-        conn.is_pooled = False
-        try:
-            if not conn.is_open:
-                return False, None
-            self._warmup.record_sent(monotonic())
-            await conn.start(head, deadline)
-            answer = await self.pool.read_answer(conn, head, _ignore_end)
-        except AttemptError:
-            conn.abort()
-            return False, None
-        except BaseException:
-            conn.abort()
-            raise
-        if answer.stream is not None:
-            answer.stream.close()
-        previous, self._health_conn = self._health_conn, conn
-        if previous is not None:
-            previous.abort()
-        headers = _parse_fields(answer.head.headers)
-        warmup_s = self.pool.dialect.read_warmup(headers)
-        if warmup_s is not None:
-            return True, warmup_s
-        # Without the field, only the answer of the listed worker tells that its entry
-        # holds.
-        worker = self._local_worker
-        instance = self.pool.dialect.read_instance(headers)
-        is_listed = worker is not None and instance in ("", worker.id)
-        return answer.head.status < HTTPStatus.BAD_REQUEST and is_listed, None
-
-    def _follow_warmup(self) -> None:
-        """Let waiting requests go on, and log the state of the worker."""
-        now = monotonic()
-        self._resume(self.admission.start_waiting(now))
-        if self._warm_timer is not None:
-            self._warm_timer.cancel()
-            self._warm_timer = None
-        is_cold = self._warmup.is_cold(now)
-        if is_cold:
-            delay_s = self._warmup.cold_until - now
-            self._warm_timer = self._loop.call_later(delay_s, self._follow_warmup)
-        worker = self._last_entry
-        if worker is None or self._health_task is not None:
-            # The health answer tells whether the worker is cold.
-            return
-        if is_cold and not self._is_logged_cold:
-            if now < self._cold_logged_at + COLD_EVENT_INTERVAL_S:
-                return
-            self._cold_logged_at = now
-            is_assumed = self._warmup.is_assumed(now)
-            fields = {
-                "backend": worker.id,
-                "for_s": round(self._warmup.cold_until - now, 1),
-                "per_s": self._warmup.per_s,
-                "reason": "restarted" if is_assumed else "stated by the worker",
-            }
-            self._emit(Event(EventCode.BACKEND_COLD, fields))
-        elif not is_cold and self._is_logged_cold:
-            self._emit(Event(EventCode.BACKEND_WARM, {"backend": worker.id}))
-        self._is_logged_cold = is_cold
-
     # Admission
 
     def predict_remote(self, probe: ProbeNotice) -> ProbeReply:
@@ -639,6 +490,9 @@
             else:
                 waiter.fut.set_result(None)
 
+    def _start_waiting(self) -> None:
+        self._resume(self.admission.start_waiting(monotonic()))
+
     def _refuse_expired(self) -> None:
         for ticket, retry_after_s in self.admission.expire(monotonic()):
             self._fail_waiter(ticket, self._make_overload_error(retry_after_s))
@@ -657,7 +511,7 @@
     def _sweep(self) -> None:
         self._sweep_timer = None
         try:
-            self._resume(self.admission.start_waiting(monotonic()))
+            self._start_waiting()
             self._refuse_expired()
         finally:
             # Waiting requests depend on the next sweep, also if this one has failed.
@@ -680,9 +534,9 @@
         if answer.stream is not None:
             answer.stream.close()
         # Another worker has answered, so one has started.
-        self._suspect_restart()
+        self.slow_start.suspect_restart()
         found = answer.head.instance
-        if found and found != worker.id and _is_same_start(worker, self._local_worker):
+        if found and found != worker.id and is_same_start(worker, self._local_worker):
             if not self._is_misplaced:
                 fields = {"backend": worker.id, "found": found}
                 self._emit(Event(EventCode.CALL_MISDIRECTED, fields))
@@ -693,7 +547,7 @@
     def _record_statements(self, worker: Endpoint, head: AnswerHead) -> None:
         """Record what the worker states about itself in an answer."""
         # The entry may have changed since the request was sent.
-        is_local = _is_same_start(worker, self._local_worker)
+        is_local = is_same_start(worker, self._local_worker)
         was_leaving = self._worker_states.get(worker).is_leaving
         self._worker_states.record(worker, head.rate_limit, head.is_leaving)
         state = self._worker_states.get(worker)
@@ -749,7 +603,7 @@
         conn = self._take_idle_connection(head)
         if conn is None:
             conn = await self.pool.open(deadline)
-            self._note_connection(conn)
+            self.slow_start.note_connection(conn)
         if not conn.is_open:
             raise AttemptError.at(Cause.CONNECT_FAILED, Stage.UNSENT, "worker closed")
         if not self._warmup.may_send(monotonic()):
@@ -817,7 +671,7 @@
         try:
             await asyncio.sleep(CRASH_WINDOW_S)
             conn = await self.pool.open(monotonic() + CRASH_WINDOW_S * 4)
-            self._note_connection(conn)
+            self.slow_start.note_connection(conn)
             conn.release()
         except AttemptError as exc:
             # All connections may be in use, which shows nothing about the worker.
@@ -842,12 +696,7 @@
         """Close the connections to the worker."""
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
-        # Nothing is timed or asked any more.
-        self._warmup.set_bound(0.0, 1.0, 0.0)
-        if self._warm_timer is not None:
-            self._warm_timer.cancel()
-        if self._health_task is not None:
-            self._health_task.cancel()
+        self.slow_start.stop()
         self.pool.close()
 
 
@@ -863,24 +712,6 @@
     return (rank - CALL_PRECEDENCE, 0.0) if is_call else (rank, objective_s)
 
 
-def _is_same_start(known: Endpoint, listed: Endpoint | None) -> bool:
-    """Return whether the listed worker is the known one, without a restart."""
-    return listed is not None and (known.id, known.born_ms) == (
-        listed.id,
-        listed.born_ms,
-    )
-
-
-def _parse_fields(block: bytes) -> CIMultiDictProxy[str]:
-    """Return the header fields of an answer, which are lines that end in CRLF."""
-    fields: CIMultiDict[str] = CIMultiDict()
-    for line in block.decode("latin-1").split("\r\n"):
-        name, colon, value = line.partition(":")
-        if colon:
-            fields.add(name, value.strip())
-    return CIMultiDictProxy(fields)
-
-
 def _make_unlisted_refusal() -> Refusal:
     return refuse(
         Cause.NO_INSTANCE,
--- a/tests/mesh/support_cold.py
+++ b/tests/mesh/support_cold.py
@@ -61,5 +61,5 @@
                 machine.settings, warmup_overage=OVERAGE, warmup_slack=SLACK
             )
             runner.sync()
-            await until(lambda r=runner: r._health_task is None and not r.is_cold)
+            await until(lambda r=runner: not r.slow_start.is_asking and not r.is_cold)
         yield store, machines
