--- a/packages/core/src/mangowell_core/mesh/late_queue.py
+++ b/packages/core/src/mangowell_core/mesh/late_queue.py
@@ -14,6 +14,8 @@
 # Time over which offered work is averaged, in seconds: longer than one request, so
 # that a pause between two is not taken for free capacity.
 OFFERED_WORK_AVERAGE_S = 2.0
+# Decayed work below which a rank is forgotten, in slot seconds.
+FORGOTTEN_WORK_S = 0.001
 # Share of the slots below which the capacity left over counts as none. A
 # burst grows faster than the average, so that less would be gone before late requests
 # have started, and they would be refused after waiting.
@@ -32,8 +34,9 @@
 # A request that is refused by a prediction is asked about at several workers, so each
 # refusal counts as this much of an arrival.
 PREDICTION_WEIGHT = 0.25
-# Time over which the shares of the classes are averaged, in seconds.
-SHARES_AVERAGE_S = 5.0
+# Time over which the shares of the classes are averaged, in seconds: longer than a
+# burst of a few seconds, after which patient requests are served in any case.
+SHARES_AVERAGE_S = 8.0
 # Number of requests of a class from which its share is known.
 MIN_OFFERED = 3.0
 # Decayed number of requests below which a class is forgotten.
@@ -41,11 +44,21 @@
 # Interval at which the best served class is looked for, in seconds: a document may have
 # more than a thousand routes.
 BEST_INTERVAL_S = 0.1
-# Share of a class, relative to the best served one, below which its requests are
-# treated as urgent. The platform's bound is a quarter of the requests. Refused ones
-# come back and are offered again, so that bound is met at a lower share of the offers.
-# A higher one takes capacity from more urgent classes in an overload.
-STARVING_SHARE = 0.045
+# Share of a class below which its requests are treated as urgent. The platform's bound
+# is a quarter of the requests of the best served class. Refused ones come back and are
+# offered again, so that bound is met at a lower share of the offers. A higher one takes
+# capacity from more urgent classes in an overload.
+STARVING_SHARE = 0.0575
+# The same as a part of the share of the best served class, if that is below
+# `FULL_SHARE`. Urgent requests alone then exceed the capacity, and others do not get
+# the slots that are free between two urgent ones either.
+STARVING_RATIO = 0.185
+FULL_SHARE = 0.5
+# The same for calls, as a part of the share of new requests that are served within
+# `ATTEMPTS` offers: calls are offered once. At 0.25, calls were served 0.246 times as
+# often as the best served class in the worst of three replays.
+CALL_STARVING_RATIO = 0.28
+ATTEMPTS = 3
 
 
 class DecayingSum:
@@ -86,6 +99,10 @@
         self._accepted_s: dict[int, DecayingSum] = {}
         self._offered_s: dict[int, DecayingSum] = {}
 
+    def __len__(self) -> int:
+        """Return the number of known ranks."""
+        return len(self._accepted_s.keys() | self._offered_s.keys())
+
     def record_offer(self, rank: int, work_s: float, now: float) -> None:
         """Record the expected work of an offered request, in slot seconds."""
         _add_work(self._offered_s, rank, work_s, now)
@@ -118,6 +135,10 @@
 ) -> None:
     work = sums.get(rank)
     if work is None:
+        # Ranks come and go with the routes, and each estimate adds up all of them.
+        for other, known in list(sums.items()):
+            if known.get(now) < FORGOTTEN_WORK_S:
+                del sums[other]
         work = sums[rank] = DecayingSum(OFFERED_WORK_AVERAGE_S)
     work.add(work_s, now)
 
@@ -129,9 +150,10 @@
 
 
 class _Class:
-    __slots__ = ("offered", "started")
+    __slots__ = ("is_call", "offered", "started")
 
     def __init__(self):
+        self.is_call = False
         self.offered = DecayingSum(SHARES_AVERAGE_S)
         self.started = DecayingSum(SHARES_AVERAGE_S)
 
@@ -151,9 +173,13 @@
         """Return the number of known classes."""
         return len(self._classes)
 
-    def record_offer(self, rank: int, route: str, amount: float, now: float) -> None:
+    def record_offer(
+        self, rank: int, route: str, amount: float, now: float, is_call: bool = False
+    ) -> None:
         """Record an offered request, or a part of one."""
-        self._get_class(rank, route, now).offered.add(amount, now)
+        known = self._get_class(rank, route, now)
+        known.offered.add(amount, now)
+        known.is_call = is_call
 
     def record_start(self, rank: int, route: str, now: float) -> None:
         """Record a request that starts."""
@@ -164,22 +190,43 @@
         known = self._classes.get((rank, route))
         return None if known is None else _get_share(known, now)
 
-    def is_starving(self, rank: int, route: str, now: float) -> bool:
-        """Return whether a class is served far less often than the best served one."""
-        share = self.get_share(rank, route, now)
-        if share is None or share >= STARVING_SHARE:
+    def is_starving(self, rank: int, route: str, preferred: int, now: float) -> bool:
+        """Return whether a class is served far less often than the best served one.
+
+        Parameters
+        ----------
+        rank : int
+            Rank of the class.
+        route : str
+            Its route.
+        preferred : int
+            Number of its requests that wait and are preferred already. They start
+            soon; without them, all that arrive meanwhile would be preferred.
+        now : float
+            Monotonic time, in seconds.
+        """
+        known = self._classes.get((rank, route))
+        if known is None:
+            return False
+        share = _get_share(known, now, preferred)
+        bound = CALL_STARVING_RATIO if known.is_call else STARVING_RATIO
+        if share is None or share >= bound:
             return False
         if now >= self._best_at + BEST_INTERVAL_S:
             self._update_best(now)
-        return share < STARVING_SHARE * self._best
+        best = self._best
+        if known.is_call:
+            served = 1.0 - (1.0 - best) ** ATTEMPTS
+            return share < CALL_STARVING_RATIO * served
+        return share < (STARVING_RATIO * best if best < FULL_SHARE else STARVING_SHARE)
 
     def _update_best(self, now: float) -> None:
         """Compute the share of the best served class."""
         self._best, self._best_at = 0.0, now
-        for (rank, _), known in self._classes.items():
+        for known in self._classes.values():
             share = _get_share(known, now)
-            # Ranks below 0 do not count: they are calls, which go first in any case.
-            if rank >= 0 and share is not None:
+            # Calls precede new requests whose share is low in any case.
+            if not known.is_call and share is not None:
                 self._best = max(self._best, share)
 
     def _get_class(self, rank: int, route: str, now: float) -> _Class:
@@ -198,8 +245,8 @@
                 del self._classes[key]
 
 
-def _get_share(known: _Class, now: float) -> float | None:
+def _get_share(known: _Class, now: float, preferred: int = 0) -> float | None:
     offered = known.offered.get(now)
     if offered < MIN_OFFERED:
         return None
-    return min(1.0, known.started.get(now) / offered)
+    return min(1.0, (known.started.get(now) + preferred) / offered)
