--- a/packages/core/src/mangowell_core/mesh/revisions.py
+++ b/packages/core/src/mangowell_core/mesh/revisions.py
@@ -6,7 +6,7 @@
 term in front of an index of a replicated log.
 """
 
-from mangowell_core.mesh.model import Endpoint
+from mangowell_core.mesh.model import Departure, Endpoint
 
 # Bits of the store's own revision number. JSON carries integers of 53 bits exactly.
 NUMBER_BITS = 53
@@ -63,14 +63,16 @@
 
 
 def is_copy_of_departed(
-    new: Endpoint, departed: Endpoint, restored_through: int
+    new: Endpoint, departed: Departure, restored_through: int
 ) -> bool:
     """Return whether an entry is an earlier one of a worker that was removed.
 
     Parameters
     ----------
-    new, departed : Endpoint
-        Entry that is read, and the last one before the removal.
+    new : Endpoint
+        Entry that is read.
+    departed : Departure
+        Its last known write and its removal.
     restored_through : int
         As in `is_later_write`.
     """
@@ -78,8 +80,17 @@
         return False
     if new.revision > restored_through:
         return False
-    return _get_write_order(new) <= _get_write_order(departed)
+    if _get_write_order(new) <= _get_write_order(departed):
+        return True
+    # The copy may have been taken between a last write that was never read here and
+    # the removal. A worker that has started since the removal has another start time.
+    return (
+        new.born_ms == departed.born_ms
+        and get_era(departed.removed_at) == get_era(departed.revision)
+        and get_number(departed.revision) < get_number(new.revision)
+        and get_number(new.revision) <= get_number(departed.removed_at)
+    )
 
 
-def _get_write_order(endpoint: Endpoint) -> tuple[int, int, bool]:
+def _get_write_order(endpoint: Endpoint | Departure) -> tuple[int, int, bool]:
     return endpoint.born_ms, endpoint.seq, endpoint.draining
