Show that a payment that has run is answered with a promise

A worker that fails a request after it has run it answers 503 without Not-Executed. The node passes the status on, which promises that the request has not run, so the client pays again (REFUSED).

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A client gets bytes of the node inside the body of a worker's answer."""
+"""A client is told that a payment has not run although it has."""
 
 import asyncio
 import sys
@@ -15,70 +15,95 @@
     run_case,
 )
 
-TRIALS = 3
-TIMEOUT_MS = 2500
-LONG_BODY = b"sheet " * 60_000
-SHORT_BODY = b"found"
-PARTS = 20
-PART_INTERVAL_S = 0.03
-SEARCH = b"words"
-
-
-async def answer(request) -> None:
-    """Write a long answer in parts, or a short one at once."""
-    if request.method == "POST":
-        request.writer.write(make_head(request.id, len(SHORT_BODY)) + SHORT_BODY)
-        return
-    request.writer.write(make_head(request.id, len(LONG_BODY)))
-    size = len(LONG_BODY) // PARTS
-    for start in range(0, len(LONG_BODY), size):
-        request.writer.write(LONG_BODY[start : start + size])
-        await request.writer.drain()
-        await asyncio.sleep(PART_INTERVAL_S)
-
-
-async def pipeline(node, record: Record, number: int, expects: bool) -> bool:
-    """Send a second request while the first answer arrives; return if it is foreign."""
+PAYMENTS = 40
+TIMEOUT_MS = 1500
+ORDER = b"one clue pack"
+PAID = b"paid"
+# Statuses that promise that a request has not run and never will.
+PROMISES = frozenset({408, 421, 429, 503})
+# The worker in trouble fails this share of its requests, after it has run them.
+FAILED_SHARE = 0.45
+FAILURE = (
+    "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\n"
+    "Response-Stamp: stamp-of-{id}\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+class CheckoutWorker:
+    """Charges for each order that it runs; it may fail when it is about to answer.
+
+    Its failure bears no `Not-Executed`, as it has run the request.
+    """
+
+    def __init__(self, is_in_trouble: bool):
+        self._is_in_trouble = is_in_trouble
+        self._due = 0.0
+        self.charges: dict[str, list[str]] = {}
+
+    async def __call__(self, request) -> None:
+        """Charge, then answer."""
+        order = request.target.rpartition("/")[2]
+        self.charges.setdefault(order, []).append(request.id)
+        await asyncio.sleep(0.02)
+        self._due += FAILED_SHARE if self._is_in_trouble else 0.0
+        if self._due >= 1:
+            self._due -= 1
+            request.writer.write(FAILURE.format(id=request.id).encode())
+            return
+        request.writer.write(make_head(request.id, len(PAID)) + PAID)
+
+
+async def answer_page(request) -> None:
+    """Answer a page."""
+    request.writer.write(make_head(request.id, 2) + b"ok")
+
+
+async def pay(node, record: Record, order: str, attempt: int) -> tuple[str, int]:
+    """Send one attempt of a payment; return its id and the status of its answer."""
+    request_id = f"{order}-attempt-{attempt}"
     reader, writer = await node.connect()
-    first, second = f"{number}-first", f"{number}-second"
-    writer.write(make_request(first, "/sheets/1", TIMEOUT_MS))
-    record.write(f"client sends {first}")
-    await asyncio.sleep(PARTS * PART_INTERVAL_S / 4)
-    fields = f"Content-Length: {len(SEARCH)}\r\n"
-    if expects:
-        fields += "Expect: 100-continue\r\n"
-    writer.write(make_request(second, "/sheets/search", TIMEOUT_MS, "POST", fields))
-    record.write(f"client sends the head of {second}, 100-continue: {expects}")
-    # The client does not wait for the interim answer for long.
-    await asyncio.sleep(0.05)
-    writer.write(SEARCH)
-    is_foreign = False
-    for request_id, expected in ((first, LONG_BODY), (second, SHORT_BODY)):
-        status, headers, body = await read_answer(reader)
-        at = body.find(b"HTTP/1.1")
-        text = f"{request_id}: {status}, id {headers.get('request-id')}, "
-        text += f"{len(body)} bytes, whole body of the worker: {body == expected}"
-        record.write(text + (f", at {at}: {body[at : at + 25]!r}" if at >= 0 else ""))
-        if status == 200 and body != expected:
-            is_foreign = True
-            break
+    fields = f"Content-Length: {len(ORDER)}\r\n"
+    target = f"/orders/{order}"
+    writer.write(make_request(request_id, target, TIMEOUT_MS, "POST", fields) + ORDER)
+    status, headers, _ = await read_answer(reader)
     writer.close()
-    return is_foreign
+    stamp = headers.get("response-stamp", "none")
+    record.write(f"client: {request_id} gets {status}, stamp {stamp}")
+    return request_id, status
 
 
 async def case(record: Record, has_trouble: bool) -> bool:
-    """Return whether a client got a success with another body than the worker's."""
+    """Return whether a request that is not idempotent got a promise and has run."""
     deployment = Deployment(record)
+    worker = CheckoutWorker(has_trouble)
     try:
-        node = await deployment.add("partner-desk", "a", answer)
-        deployment.configure({"r-1": make_route("/sheets/", "partner-desk")})
+        beside = await deployment.add("checkout", "a", worker)
+        other = await deployment.add("catalogue", "a", answer_page)
+        deployment.configure(
+            {
+                "r-1": make_route("/orders/", "checkout", "unsafe", TIMEOUT_MS),
+                "r-2": make_route("/pages/", "catalogue"),
+            }
+        )
         await deployment.wait_until_ready()
-        results = [
-            await pipeline(node, record, number, has_trouble)
-            for number in range(1, TRIALS + 1)
-        ]
-        record.conclude(f"{sum(results)} of {TRIALS} answers had a foreign body")
-        return any(results)
+        false_promises = 0
+        for number in range(PAYMENTS):
+            node = (beside, other)[number % 2]
+            order = f"order-{number}"
+            request_id, status = await pay(node, record, order, 1)
+            if status not in PROMISES:
+                continue
+            has_run = request_id in worker.charges.get(order, ())
+            false_promises += has_run
+            # The pages tell a client to send such a request again, with another id.
+            await pay(node, record, order, 2)
+        twice = sum(len(ids) > 1 for ids in worker.charges.values())
+        record.conclude(
+            f"{PAYMENTS} payments: {false_promises} answered with a status that "
+            f"promises that they have not run although they have; {twice} orders "
+            "charged twice"
+        )
+        return false_promises > 0
     finally:
         await deployment.stop()
 
