--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import re
+import shutil
 import socket
 import sys
 import tempfile
@@ -24,6 +25,7 @@
 # Variables that the platform passes on to a process.
 PASSED_VARIABLES = ("PATH", "HOME", "JAVA_HOME", "LANG")
 START_TIMEOUT_S = 30.0
+MIN_PORT, END_PORT = 12_000, 30_000
 STATUS_BROKEN, STATUS_HELD, STATUS_NOT_RUN = 1, 0, 2
 
 
@@ -243,18 +245,22 @@
 
 
 def find_ports(hosts: list[str], count: int) -> list[int]:
-    """Return ports that are free on all hosts."""
+    """Return ports that are free on all hosts.
+
+    They are below the range from which the system gives ports to connections and to
+    listeners that ask for any port.
+    """
     ports: list[int] = []
-    while len(ports) < count:
+    first = MIN_PORT + os.getpid() * 7 % (END_PORT - MIN_PORT)
+    for port in (*range(first, END_PORT), *range(MIN_PORT, first)):
         with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
-            port = 0
             for host in hosts:
                 sock = stack.enter_context(socket.socket())
                 sock.bind((host, port))
-                port = sock.getsockname()[1]
-            if port not in ports:
-                ports.append(port)
-    return ports
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise NotRunError("no free ports")
 
 
 class Node:
@@ -405,7 +411,8 @@
                 for node in self.nodes:
                     while not await node.is_ready():
                         if node.process.returncode is not None:
-                            raise NotRunError(f"{node.name} has ended")
+                            log = (self._folder / f"{node.name}.log").read_text()
+                            raise NotRunError(f"{node.name} has ended: {log[-600:]}")
                         await asyncio.sleep(0.1)
         except TimeoutError:
             raise NotRunError("nodes do not become ready") from None
@@ -413,11 +420,12 @@
         await asyncio.sleep(1.5)
 
     async def stop(self) -> None:
-        """End all processes."""
+        """End all processes and remove their files."""
         for node in self.nodes:
             if node.process is not None and node.process.returncode is None:
                 node.process.kill()
                 await node.process.wait()
+        shutil.rmtree(self._folder, ignore_errors=True)
 
 
 def make_route(
