Bound the work for what a worker sends before its answer

Callers saw: while a worker sent empty lines without end to 60 exchanges, the node beside it held a full core, ordinary requests came 1.6 to 2.5 s late, and one not at all.

Cause: an empty line was taken for the end of a head, so that each pair of them was a call of the parser and a copy of the rest of the read: 16,000 calls within the bound of 65,536 bytes, and 2,400 heads of interim answers. The body of an answer to another request went on until the deadline.

Evidence: tests/node/test_endless_answers.py with the constants added to the code before: 4 of the new tests fail (empty lines, interim answers, both, a late answer's body).

Change: empty lines are counted and dropped in one step; an exchange has at most 64 heads, and 1 MiB of bodies that belong to other requests.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -39,6 +39,10 @@
 # Limit of the heads of one exchange: status line and fields of the answer, of the
 # interim answers before it, and of late answers to earlier requests.
 MAX_HEAD_BYTES = 65_536
+# Limit of the number of these heads: each takes as much work as an answer.
+MAX_HEADS = 64
+# Limit of the bodies of late answers within one exchange, which nobody reads.
+MAX_SKIPPED_BYTES = 1_048_576
 # Limit of the chunk sizes, extensions and trailers of a body: a fixed number, and a
 # multiple of the body's bytes. Chunks of one byte take five bytes of framing each.
 MAX_FRAMING_BYTES = 65_536
@@ -119,6 +123,7 @@
         "_head",
         "_head_bytes",
         "_heads_bytes",
+        "_heads_count",
         "_is_aborted",
         "_is_repeatable",
         "_is_reusable",
@@ -127,6 +132,7 @@
         "_pool",
         "_reads_until_eof",
         "_sent_body_bytes",
+        "_skipped_bytes",
         "_timer",
         "_waiter",
         "exchanges",
@@ -150,9 +156,13 @@
         self._is_aborted = False
         self._is_repeatable = False
         self._head_bytes = bytearray()
-        # Bytes of all complete heads since the request, and of the framing of the body.
+        # Since the request: bytes of all complete heads and of empty lines before them,
+        # number of these heads, bytes of the framing of the body, and bytes of bodies
+        # that belong to other requests.
         self._heads_bytes = 0
+        self._heads_count = 0
         self._framing_bytes = 0
+        self._skipped_bytes = 0
         # Body bytes of the current answer that have not arrived; -1 if only the
         # parser can find the end, None while no body is being read.
         self._body_bytes_left: int | None = None
@@ -239,7 +249,8 @@
         self._is_repeatable = head.idempotent
         self._expected_id = head.request
         self._head_bytes.clear()
-        self._heads_bytes = self._framing_bytes = 0
+        self._heads_bytes = self._heads_count = 0
+        self._framing_bytes = self._skipped_bytes = 0
         self._body_bytes_left = None
         self._chunks_end = b""
         self._reads_until_eof = False
@@ -456,29 +467,45 @@
                     data[self._body_bytes_left :],
                 )
                 self._body_bytes_left -= len(part)
-                if not self._is_skipping_body:
+                if self._is_skipping_body:
+                    self._count_skipped(len(part))
+                else:
                     self._feed(part)
                 if not self._body_bytes_left:
                     self._body_bytes_left = None
 
+    def _count_skipped(self, size: int) -> None:
+        self._skipped_bytes += size
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            reason = f"answers to other requests of more than {MAX_SKIPPED_BYTES} bytes"
+            raise ValueError(reason)
+
     def _parse_head(self, data: bytes) -> bytes:
         """Parse the head of an answer and return the bytes that follow it."""
         head = self._head_bytes
+        if not head:
+            # Empty lines before a head are no part of it. The parser would take each of
+            # them for a head of its own.
+            size = len(data)
+            data = data.lstrip(b"\r\n")
+            self._count_head_bytes(size - len(data))
+            if not data:
+                return b""
         start = max(0, len(head) - len(_HEAD_END) + 1)
         head += data
         # Bytes that begin no answer, such as the body of an interim one, must not keep
         # the request waiting for the end of a head until its time limit.
-        prefix = bytes(head[:16]).lstrip(b"\r\n")[: len(_HEAD_START)]
-        if not _HEAD_START.startswith(prefix):
+        if not _HEAD_START.startswith(head[: len(_HEAD_START)]):
             raise ValueError("bytes that begin no answer")
         end = head.find(_HEAD_END, start)
-        size = len(head) if end < 0 else end + len(_HEAD_END)
-        if self._heads_bytes + size > MAX_HEAD_BYTES:
-            raise ValueError(f"answer heads of more than {MAX_HEAD_BYTES} bytes")
         if end < 0:
+            self._check_head_bytes(len(head))
             return b""
-        self._heads_bytes += size
-        end = size
+        end += len(_HEAD_END)
+        self._count_head_bytes(end)
+        self._heads_count += 1
+        if self._heads_count > MAX_HEADS:
+            raise ValueError(f"more than {MAX_HEADS} answer heads")
         rest = bytes(head[end:])
         messages = self._feed(bytes(head[:end]))
         head.clear()
@@ -486,6 +513,14 @@
             self._handle_head(message, payload)
         return rest
 
+    def _count_head_bytes(self, size: int) -> None:
+        self._check_head_bytes(size)
+        self._heads_bytes += size
+
+    def _check_head_bytes(self, size: int) -> None:
+        if self._heads_bytes + size > MAX_HEAD_BYTES:
+            raise ValueError(f"answer heads of more than {MAX_HEAD_BYTES} bytes")
+
     def _feed_unframed(self, data: bytes) -> None:
         """Parse a part of a body whose end only the parser can find.
 
--- a/tests/mesh/support_callers.py
+++ b/tests/mesh/support_callers.py
@@ -94,7 +94,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_limited_node(directory, memory_mb, max_fds):
+async def run_limited_node(directory, memory_mb, max_fds, answer=_answer):
     """Run the process of one node, whose settings name low limits."""
     route = make_route("/", timeout="8000ms")
     upload = make_route("/upload/", "upload", timeout="4000ms")
@@ -115,7 +115,7 @@
         "limits.max-fds": str(max_fds),
     }
     process = NodeProcess(1, directory, fields)
-    worker = await ScriptedBackend(_answer).start(host=process.host)
+    worker = await ScriptedBackend(answer).start(host=process.host)
     fields["app-addr"] = f"{process.host}:{worker.port}"
     process.fields |= fields
     store.put("servers/i-1", make_entry(process.host, worker.port))
--- a/tests/node/test_endless_answers.py
+++ b/tests/node/test_endless_answers.py
@@ -7,7 +7,13 @@
 import pytest
 
 from mangowell_core.policy.types import Cause
+from mangowell_node.backend.connection import (
+    MAX_HEADS,
+    MAX_SKIPPED_BYTES,
+    BackendConnection,
+)
 from mangowell_node.exchange import AttemptError
+from mangowell_node.platform.headers import PlatformDialect
 from node.support_calls import make_answer
 from node.test_backend import HEAD, exchange, make_head, run_pool
 
@@ -30,6 +36,14 @@
     "one-field": (HEAD + b"x-a: ", b"b" * 8192),
     "status-line": (b"HTTP/1.1 200 ", b"b" * 8192),
     "no-http": (b"", b"\0" * 8192),
+    "empty-lines": (b"", b"\r\n" * 4096),
+}
+# Starts of bytes without end, each of which took the parser thousands of calls.
+SMALL_PIECES = {
+    "empty-lines": b"\r\n" * 4096,
+    "line-feeds": b"\n" * 8192,
+    "interim-answers": b"HTTP/1.1 102 Processing\r\n\r\n" * 300,
+    "empty-lines-between": (b"\r\n" * 500 + b"HTTP/1.1 102 P\r\n\r\n") * 8,
 }
 
 
@@ -62,6 +76,64 @@
         assert pool.take_idle() is None
 
 
+def count_calls(monkeypatch):
+    """Return a list that gets the size of each piece that the parser is given."""
+    sizes = []
+    feed = BackendConnection._feed
+
+    def count(conn, data):
+        sizes.append(len(data))
+        return feed(conn, data)
+
+    monkeypatch.setattr(BackendConnection, "_feed", count)
+    return sizes
+
+
+@pytest.mark.parametrize("repeated", SMALL_PIECES.values(), ids=SMALL_PIECES)
+async def test_bytes_before_an_answer_take_few_calls_of_the_parser(
+    monkeypatch, repeated
+):
+    """16,000 calls for each exchange held a core, and other requests came late."""
+    sizes = count_calls(monkeypatch)
+    async with run_pool(write_endlessly(b"", repeated)) as (_, pool):
+        with pytest.raises(AttemptError) as info:
+            await read_whole_answer(pool)
+        assert info.value.refusal.cause is Cause.BAD_ANSWER
+    assert len(sizes) <= MAX_HEADS
+
+
+@pytest.mark.parametrize("line", [b"\r\n", b"\n", b"\r\n" * 2000])
+async def test_answer_behind_empty_lines_is_read(line):
+    answer_bytes = line + make_answer(b"ok")
+
+    async def handler(request):
+        return answer_bytes
+
+    async with run_pool(handler) as (_, pool):
+        for _ in range(2):
+            assert (await exchange(pool, make_head())).head.body == b"ok"
+
+
+async def test_endless_body_of_a_late_answer_is_refused_at_a_bound(monkeypatch):
+    """Nobody reads such a body, so it went on until the deadline of the request."""
+    length = 2**40
+    body = HEAD + b"Request-Id: other\r\nContent-Length: %d\r\n\r\n" % length
+    sizes = []
+    received = BackendConnection.data_received
+
+    def count(conn, data):
+        sizes.append(len(data))
+        received(conn, data)
+
+    monkeypatch.setattr(BackendConnection, "data_received", count)
+    async with run_pool(write_endlessly(body, b"x" * 8192)) as (_, pool):
+        pool.dialect = PlatformDialect()
+        with pytest.raises(AttemptError) as info:
+            await read_whole_answer(pool)
+        assert info.value.refusal.cause is Cause.BAD_ANSWER
+    assert sum(sizes) < 2 * MAX_SKIPPED_BYTES
+
+
 async def test_endless_body_ends_incomplete_at_the_deadline():
     """A body that makes progress is passed on, but must not look complete."""
     chunk = b"400\r\n" + b"x" * 1024 + b"\r\n"
