Parse the framing of chunked answers at a rate that bodies share

Callers saw: while a worker sent answers in chunks of one byte without end to 60 callers, ordinary requests of its node came late: 76 ms in the median, 1.9 s at most.

Cause: a byte of such a body takes the parser as much work as a whole chunk, 10 to 20 ms for a read of 32 KB, in one call for each connection. The body is valid and makes progress, so that no bound in bytes ends it.

Change: FramingBudget. A chunked body is parsed in pieces of 4,096 bytes; beyond 8,192 bytes and 1/64 of the body, framing has a rate of 262,144 bytes/s for all bodies of a worker, which take turns. Reading stops for a body that waits.

--- a/packages/node/src/mangowell_node/backend/connection.py
+++ b/packages/node/src/mangowell_node/backend/connection.py
@@ -11,6 +11,7 @@
 from aiohttp.streams import StreamReader
 
 from mangowell_core import formats
+from mangowell_core.mesh.framing_budget import BodyFraming
 from mangowell_core.policy.deadlines import compute_remaining_ms
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause
@@ -47,6 +48,8 @@
 # multiple of the body's bytes. Chunks of one byte take five bytes of framing each.
 MAX_FRAMING_BYTES = 65_536
 MAX_FRAMING_RATIO = 16
+# Bytes of a chunked body that are parsed at once.
+PARSED_PIECE_BYTES = 4096
 _BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
 _HEAD_START = b"HTTP/"
 _HEAD_END = b"\r\n\r\n"
@@ -112,12 +115,13 @@
     """
 
     __slots__ = (
+        "_backlog",
         "_body",
         "_body_bytes_left",
         "_chunks_end",
         "_expected_id",
         "_expects_body",
-        "_framing_bytes",
+        "_framing",
         "_has_skipped_answer",
         "_has_skipped_refusal",
         "_head",
@@ -129,6 +133,7 @@
         "_is_reusable",
         "_is_skipping_body",
         "_is_taken",
+        "_pace_timer",
         "_pool",
         "_reads_until_eof",
         "_sent_body_bytes",
@@ -157,12 +162,15 @@
         self._is_repeatable = False
         self._head_bytes = bytearray()
         # Since the request: bytes of all complete heads and of empty lines before them,
-        # number of these heads, bytes of the framing of the body, and bytes of bodies
-        # that belong to other requests.
+        # number of these heads, framing of the body, and bytes of bodies that belong to
+        # other requests.
         self._heads_bytes = 0
         self._heads_count = 0
-        self._framing_bytes = 0
+        self._framing = BodyFraming(pool.framing_budget)
         self._skipped_bytes = 0
+        # Bytes of a chunked body that are not parsed yet, and the timer that goes on.
+        self._backlog = b""
+        self._pace_timer: asyncio.TimerHandle | None = None
         # Body bytes of the current answer that have not arrived; -1 if only the
         # parser can find the end, None while no body is being read.
         self._body_bytes_left: int | None = None
@@ -249,8 +257,8 @@
         self._is_repeatable = head.idempotent
         self._expected_id = head.request
         self._head_bytes.clear()
-        self._heads_bytes = self._heads_count = 0
-        self._framing_bytes = self._skipped_bytes = 0
+        self._heads_bytes = self._heads_count = self._skipped_bytes = 0
+        self._framing = BodyFraming(self._pool.framing_budget)
         self._body_bytes_left = None
         self._chunks_end = b""
         self._reads_until_eof = False
@@ -319,7 +327,7 @@
 
     def finish(self) -> None:
         """End the exchange and return the connection to its pool if it is reusable."""
-        self._stop_timer()
+        self._stop_timers()
         head, body = self._head, self._body
         self._head = self._body = None
         if (
@@ -360,7 +368,7 @@
 
     def abort(self) -> None:
         """Close the connection, which cancels the request at the backend server."""
-        self._stop_timer()
+        self._stop_timers()
         self._record_unanswered()
         self._waiter = None
         self._head = None
@@ -379,6 +387,7 @@
         """
         self._parser = None
         self._head_bytes = bytearray()
+        self._backlog = b""
         if self._is_taken or self._head is None:
             self._body = None
 
@@ -399,10 +408,13 @@
             reason = "connection to the backend server is silent"
             self._fail(AttemptError.at(Cause.CONNECTION_SILENT, Stage.SENT, reason))
 
-    def _stop_timer(self) -> None:
+    def _stop_timers(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        if self._pace_timer is not None:
+            self._pace_timer.cancel()
+            self._pace_timer = None
 
     def _on_deadline(self) -> None:
         self._timer = None
@@ -415,7 +427,7 @@
         body = self._body
         if body is not None and not body.is_eof() and body.exception() is None:
             body.set_exception(error)
-        self._stop_timer()
+        self._stop_timers()
         self._record_unanswered()
         self._is_aborted = True
         if self.transport is not None:
@@ -448,9 +460,12 @@
         received both together, an error in the later bytes would fail the answer.
         Without bytes, it continues with those that it kept while reading was paused.
         """
-        if not data and self._body is not None and self._feed(data):
-            # Another answer in the bytes behind a chunked body.
-            self._is_reusable = False
+        if not data and self._body is not None:
+            if self._feed(data):
+                # Another answer in the bytes behind a chunked body.
+                self._is_reusable = False
+            if self._backlog:
+                self._feed_unframed(data)
         while data:
             if self._body_bytes_left is None:
                 if self._waiter is None:
@@ -524,19 +539,53 @@
     def _feed_unframed(self, data: bytes) -> None:
         """Parse a part of a body whose end only the parser can find.
 
+        What the parser cannot take yet, or what has to wait for its turn, is kept, and
+        reading is paused.
+        """
+        if self._reads_until_eof:
+            self._feed(data)
+            return
+        data = self._backlog + data
+        position = 0
+        while (
+            position < len(data) and not self._reading_paused and not self._pace_timer
+        ):
+            piece = data[position : position + PARSED_PIECE_BYTES]
+            position += len(piece)
+            self._feed_piece(piece)
+        self._backlog = data[position:]
+        if self._backlog:
+            self._pause_reading_for_buffer()
+        elif self._buffer_paused:
+            self._resume_reading_for_buffer()
+
+    def _feed_piece(self, piece: bytes) -> None:
+        """Parse a piece of a chunked body, and check its framing.
+
         The parser accepts a chunk size or extension of any length, so that a body
-        could keep the processor busy without making progress.
+        could keep the processor busy without making progress. Small chunks make
+        progress, but take as much work.
         """
         body = self._body
-        received = body.total_bytes
-        if self._feed(data):
+        if self._feed(piece):
             # Another answer in the bytes behind the body.
             self._is_reusable = False
-        self._chunks_end = (self._chunks_end + data[-4:])[-4:]
-        self._framing_bytes += len(data) - (body.total_bytes - received)
+        self._chunks_end = (self._chunks_end + piece[-4:])[-4:]
+        now = monotonic()
+        resume_at = self._framing.count(len(piece), body.total_bytes, now)
         limit = MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body.total_bytes
-        if self._framing_bytes > limit:
+        if self._framing.compute_bytes(body.total_bytes) > limit:
             raise ValueError(f"chunk framing of more than {limit} bytes")
+        if resume_at > now and not body.is_eof():
+            self._pace_timer = self._loop.call_later(
+                resume_at - now, self._continue_parsing
+            )
+
+    def _continue_parsing(self) -> None:
+        self._pace_timer = None
+        # Otherwise the reader of the body goes on when it has taken enough.
+        if not self._reading_paused:
+            self.data_received(b"")
 
     def _feed(self, data: bytes):
         messages, upgraded, tail = self._parser.feed_data(data)
@@ -669,7 +718,7 @@
                 self._parser.feed_eof()
             self._body_bytes_left = None
             self._reads_until_eof = False
-            self._stop_timer()
+            self._stop_timers()
             self._is_aborted = True
             self._pool.forget(self)
             self._release()
--- a/packages/node/src/mangowell_node/backend/pool.py
+++ b/packages/node/src/mangowell_node/backend/pool.py
@@ -8,6 +8,7 @@
 
 from aiohttp.streams import StreamReader
 
+from mangowell_core.mesh.framing_budget import FramingBudget
 from mangowell_core.policy.outcome import Stage
 from mangowell_core.policy.types import Cause
 from mangowell_node.backend.connection import (
@@ -115,6 +116,7 @@
         self._port = port
         self._reach = reach
         self._receive_buffer = bytearray(RECEIVE_BYTES)
+        self.framing_budget = FramingBudget()
         self._idle: deque[BackendConnection] = deque()
         self._open: set[BackendConnection] = set()
         self._opening = 0
--- a/tests/node/test_endless_answers.py
+++ b/tests/node/test_endless_answers.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from mangowell_core.mesh.framing_budget import FRAMING_RATE, FREE_FRAMING_BYTES
 from mangowell_core.policy.types import Cause
 from mangowell_node.backend.connection import (
     MAX_HEADS,
     MAX_SKIPPED_BYTES,
+    PARSED_PIECE_BYTES,
     BackendConnection,
 )
 from mangowell_node.exchange import AttemptError
@@ -181,3 +183,21 @@
         ends = await asyncio.gather(*readers, return_exceptions=True)
         assert [end.refusal.cause for end in ends] == [Cause.BAD_ANSWER] * 10
         assert process_time() - started < REFUSED_WITHIN_S * 2
+
+
+async def test_one_byte_chunks_are_parsed_at_a_bounded_rate(monkeypatch):
+    """20 such answers took all of the processor, and other requests came late."""
+    sizes = count_calls(monkeypatch)
+    endless = write_endlessly(CHUNKED, b"1\r\nx\r\n" * 2000)
+    async with run_pool(endless, limit=20) as (_, pool):
+        started = monotonic()
+        readers = [asyncio.create_task(read_whole_answer(pool)) for _ in range(20)]
+        await asyncio.sleep(1.0)
+        parsed = sum(sizes)
+        elapsed = monotonic() - started
+        for reader in readers:
+            reader.cancel()
+        await asyncio.gather(*readers, return_exceptions=True)
+    # Five of the six bytes of such a chunk are framing.
+    free = 20 * (2 * FREE_FRAMING_BYTES + 2 * PARSED_PIECE_BYTES)
+    assert free < parsed <= free + 1.2 * FRAMING_RATE * elapsed
