Release the answer of an attempt that no caller gets

Callers saw: after a worker had failed an attempt with 500 and a body without end, that worker served one request less at a time until the time limit of the request.

Cause: the answer of an earlier attempt was overwritten in the state of the request, and its body not closed; the same for a request whose caller had gone. It kept its connection, what had been read of it, and a slot.

Change: RequestState.set_answer closes the body of the earlier answer; a request that ends without an answer sets none.

--- a/packages/node/src/mangowell_node/mesh/attempts.py
+++ b/packages/node/src/mangowell_node/mesh/attempts.py
@@ -450,9 +450,9 @@
             placement.record_failure(endpoint, now)
             state.refusals += 1
             state.may_have_run = may_have_run_before
-            state.answer = answer
+            state.set_answer(answer)
             return False
-        state.answer = answer
+        state.set_answer(answer)
         if is_failure(answer.head.status):
             placement.record_failure(endpoint, now)
             # A worker answers 504 at the time limit, so no time is left for another.
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -292,9 +292,12 @@
             reason = "time limit of the route or the caller reached"
             if self._is_cut_by_stop(state):
                 reason = "time for stopping has passed"
-            state.answer = None
+            state.set_answer(None)
             state.ended_by = EndReason.DEADLINE
             state.error = AttemptError.at(Cause.DEADLINE, stage, reason)
+        except BaseException:
+            state.set_answer(None)
+            raise
         return self._make_reply(state, request)
 
     # Trials: decisions on requests that are not sent
@@ -502,9 +505,8 @@
     def _make_reply(self, state: RequestState, request: str) -> Reply:
         answer = state.caller_answer
         if answer is None:
-            if state.answer is not None and state.answer.stream is not None:
-                state.answer.stream.close()
             refusal = state.make_refusal()
+            state.set_answer(None)
             return self._make_refusal_reply(
                 request, state, refusal, state.call.arrived_at
             )
--- a/packages/node/src/mangowell_node/mesh/request_state.py
+++ b/packages/node/src/mangowell_node/mesh/request_state.py
@@ -109,6 +109,16 @@
         """Record that the current attempt leaves this node."""
         self.is_passed_on = True
 
+    def set_answer(self, answer: Answer | None) -> None:
+        """Record the answer of an attempt, and release that of an earlier one.
+
+        The rest of a body that nobody reads would keep its connection and its slot at
+        the worker until the deadline.
+        """
+        earlier, self.answer = self.answer, answer
+        if earlier is not None and earlier.stream is not None:
+            earlier.stream.close()
+
     @property
     def caller_answer(self) -> Answer | None:
         """Answer that the caller gets, or None if it gets a refusal of the node.
