Answer requests that are pipelined behind a late body

Cause: the parser counts requests that are complete and not consumed. The connection took a request off when it started; one that started before its body was complete was counted afterwards and for ever. The parser then stopped one request before the connection expected it, and nobody fed it again. Also, reading stayed paused when a kept request had just been parsed, even if that one waited for its body.

Evidence: tests/mesh/test_pipelining.py on the code before: all 16 cases of 16 to 100 requests behind a late body fail, and all 10 of a late body behind others; the cases of 14 and 15 pass.

Change: a request that starts early is consumed when its body is complete, and the parser is asked once more. Reading goes on unless the parser has stopped at its limit.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -118,15 +118,16 @@
         "_is_closing",
         "_is_dropped",
         "_is_held_back",
+        "_is_parser_full",
         "_linger_deadline",
         "_linger_timer",
         "_messages",
         "_parse_error",
         "_parse_status",
-        "_parsed_count",
         "_request_bytes",
         "_server",
         "_undelivered",
+        "_unfinished",
         "_unread_bytes",
         "_unread_since",
         "_upload_deadline",
@@ -153,17 +154,20 @@
         self._messages: deque[tuple[RawRequestMessage, StreamReader, int]] = deque()
         self._exchanges: deque[_Exchange] = deque()
         self._writer: asyncio.Task | None = None
-        self._parsed_count = 0
         self._parse_error = ""
         self._parse_status = HTTPStatus.BAD_REQUEST
-        # What was read while the parser was paused.
+        # What was read while the parser was paused, and whether the parser itself may
+        # keep bytes of further requests.
         self._backlog = b""
+        self._is_parser_full = False
         # Bytes of an incomplete head, and of framing since the last byte of a body.
         self._head_bytes = 0
         self._framing_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         # Body of the request that was parsed last.
         self._content: StreamReader | None = None
+        # Body of a request that has started before its body was complete.
+        self._unfinished: StreamReader | None = None
         # Bytes of the requests that are parsed and not answered.
         self._request_bytes = 0
         # Whether reading is paused as the node holds too much for this connection.
@@ -239,7 +243,7 @@
         self._cancel_head_timer()
         self._messages.clear()
         self._backlog = b""
-        self._content = None
+        self._content = self._unfinished = None
         self._head_bytes = 0
         self._request_bytes = sum(exchange.held_bytes for exchange in self._exchanges)
 
@@ -295,6 +299,7 @@
             status = _MALFORMED_STATUSES.get(type(exc), HTTPStatus.BAD_REQUEST)
             self._handle_malformed(exc.message, status)
             return
+        is_incomplete = self._consume_unfinished()
         if not messages:
             if is_in_body:
                 self._count_body(content, body_bytes)
@@ -308,7 +313,6 @@
         # been read in part. What follows the empty line of others is their body.
         rest = data[data.rfind(_HEAD_END) + len(_HEAD_END) :]
         has_partial_head = self._content is EMPTY_PAYLOAD and _HEAD_END in data and rest
-        self._parsed_count += len(messages)
         for message, content in messages:
             if message.version not in _VERSIONS:
                 self._handle_malformed("unknown version of HTTP")
@@ -326,11 +330,26 @@
         self._head_bytes = 0
         self._cancel_head_timer()
         # The parser buffers unparsed bytes once it has reached this number.
-        if len(self._messages) >= MAX_PIPELINED_REQUESTS and not self._buffer_paused:
+        self._is_parser_full = len(self._messages) >= MAX_PIPELINED_REQUESTS
+        if self._is_parser_full and not self._buffer_paused:
             self._pause_reading_for_buffer()
         elif has_partial_head and not self._is_closing:
             self._count_head(len(rest))
         self._start_requests()
+        if is_incomplete and not self._is_closing and self._parser is not None:
+            self._parse(b"")
+
+    def _consume_unfinished(self) -> bool:
+        """Tell the parser of the request that has started before it was complete.
+
+        The parser counts each request when it is complete, and stops at a number that
+        are not consumed. Returns whether it may have stopped one request too early.
+        """
+        if self._unfinished is None or not self._unfinished.is_eof():
+            return False
+        self._unfinished = None
+        self._parser.message_consumed()
+        return True
 
     def _count_head(self, size: int) -> None:
         """Count bytes of a head that is incomplete, or of empty lines before it."""
@@ -482,7 +501,10 @@
             return
         while self._messages and len(self._exchanges) < MAX_CONCURRENT_REQUESTS:
             message, content, held = self._messages.popleft()
-            self._parser.message_consumed()
+            if content.is_eof():
+                self._parser.message_consumed()
+            else:
+                self._unfinished = content
             exchange = _Exchange(IncomingCall(self, message, content), content, held)
             self._exchanges.append(exchange)
             refusal = self._server.refuse(self, exchange.call)
@@ -530,13 +552,14 @@
             self.idle_since = monotonic()
 
     def _resume_parsing(self) -> None:
+        """Parse what is kept, and read on once there is room for more requests."""
         if self._is_held_back or not self._buffer_paused:
             return
         if len(self._messages) <= MAX_PIPELINED_REQUESTS // 2:
-            parsed_count = self._parsed_count
+            self._is_parser_full = False
             self.data_received(b"")
-            if self._parsed_count == parsed_count and not self._is_held_back:
-                # The parser has no buffered request left.
+            if not (self._is_parser_full or self._is_held_back):
+                # A request that was parsed just now may wait for its body.
                 self._resume_reading_for_buffer()
 
     async def _complete_exchange(self, exchange: _Exchange) -> bool:
--- /dev/null
+++ b/tests/mesh/test_pipelining.py
@@ -0,0 +1,82 @@
+"""Guards against requests of one connection that disturb each other."""
+
+import asyncio
+
+import pytest
+
+from mangowell_standins.platform_values import make_document, make_route
+from mesh.support_mesh import make_request, run_mesh, until
+from node.support_calls import make_answer, read_response
+
+TIMEOUT_MS = 8000
+BODY = b"0123456789"
+CHUNKED_BODY = b"a\r\n" + BODY + b"\r\n0\r\n\r\n"
+# Framing of a body, and its bytes on the connection.
+FRAMINGS = {
+    "length": (b"Content-Length: 10", BODY),
+    "chunks": (b"Transfer-Encoding: chunked", CHUNKED_BODY),
+}
+DOCUMENT = make_document(routes={"r1": make_route("/", timeout="8000ms")})
+
+
+async def echo_target(request):
+    """Answer with the target and the body of the request."""
+    fields = f"Request-Id: {request.headers['request-id']}\r\n"
+    return make_answer(request.target.encode() + request.body, headers=fields)
+
+
+def make_post_head(framing, *fields, request="post"):
+    head = make_request("/post", "POST", request=request, timeout_ms=TIMEOUT_MS)
+    lines = [head.removesuffix(b"\r\n\r\n"), framing, *fields]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def make_gets(count, start=0):
+    return [
+        make_request(f"/{n}", request=f"get-{n}", timeout_ms=TIMEOUT_MS)
+        for n in range(start, start + count)
+    ]
+
+
+@pytest.mark.parametrize("count", [14, 15, 16, 17, 30, 100])
+@pytest.mark.parametrize("first_bytes", [0, 5])
+@pytest.mark.parametrize("framing,body", FRAMINGS.values(), ids=FRAMINGS)
+async def test_requests_behind_a_late_body_are_answered(
+    count, first_bytes, framing, body
+):
+    """All but 15 of them were read, and none of these answered."""
+    async with run_mesh(document=DOCUMENT) as (_, (machine,)):
+        machine.worker.handler = echo_target
+        gateway = machine.node.gateway
+        reader, writer = await machine.connect()
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            for is_apart in (True, False):
+                writer.write(make_post_head(framing) + body[:first_bytes])
+                await until(lambda: gateway.in_flight == 1)
+                writer.write(body[first_bytes:])
+                if is_apart:
+                    assert (await read_response(reader)).body == b"/post" + BODY
+                writer.write(b"".join(make_gets(count)))
+                if not is_apart:
+                    assert (await read_response(reader)).body == b"/post" + BODY
+                for number in range(count):
+                    assert (await read_response(reader)).body == b"/%d" % number
+        writer.close()
+
+
+@pytest.mark.parametrize("count", range(12, 22))
+async def test_late_body_behind_pipelined_requests_is_read(count):
+    """A request that waits for its body must not wait for others to be answered."""
+    async with run_mesh(document=DOCUMENT) as (_, (machine,)):
+        machine.worker.handler = echo_target
+        reader, writer = await machine.connect()
+        framing, body = FRAMINGS["length"]
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            writer.write(b"".join(make_gets(count)) + make_post_head(framing))
+            for number in range(count):
+                assert (await read_response(reader)).body == b"/%d" % number
+            writer.write(body + b"".join(make_gets(20, count)))
+            assert (await read_response(reader)).body == b"/post" + BODY
+            for number in range(20):
+                assert (await read_response(reader)).body == b"/%d" % (count + number)
+        writer.close()
