Parse the framing of chunked uploads at a rate that callers share

Callers saw: while others uploaded chunks of one byte without end, a node parsed nothing else for about 0.1 s with each read of 256 KiB.

The bound of framing bytes starts again with each byte of the body, and all that was read was parsed at once.

Change: UploadFraming asks the budget after each piece of 16,384 bytes, also where several uploads arrive together; a connection that has to wait keeps the rest and is not read. Framing that is free for each body is 2,048 bytes now, about the work of one request.

--- a/packages/core/src/mangowell_core/mesh/framing_budget.py
+++ b/packages/core/src/mangowell_core/mesh/framing_budget.py
@@ -8,9 +8,10 @@
 # Framing that all such bodies together are parsed at, in bytes per second. Chunks of
 # one byte have five bytes of it; parsing 50,000 of them takes about 0.15 s.
 FRAMING_RATE = 262_144.0
-# Framing of one body that is parsed without delay, in bytes, and in addition its share
-# of the bytes of the body. Chunks of 512 bytes and more are never delayed.
-FREE_FRAMING_BYTES = 8192
+# Framing of one body that is parsed without delay, in bytes, which takes about the work
+# of a request; and in addition its share of the bytes of the body. Chunks of 512 bytes
+# and more are never delayed.
+FREE_FRAMING_BYTES = 2048
 FREE_FRAMING_SHARE = 1 / 64
 
 
@@ -41,18 +42,21 @@
 
 
 class BodyFraming:
-    """Framing of one chunked body.
+    """Framing of one chunked body, or of several that have arrived together.
 
     Parameters
     ----------
     budget : FramingBudget
         Shared by the bodies from one side.
+    bodies : int
+        Number of bodies.
     """
 
-    __slots__ = ("_budget", "_charged", "_total")
+    __slots__ = ("_budget", "_charged", "_free", "_total")
 
-    def __init__(self, budget: FramingBudget):
+    def __init__(self, budget: FramingBudget, bodies: int = 1):
         self._budget = budget
+        self._free = FREE_FRAMING_BYTES * bodies
         self._total = 0
         self._charged = 0
 
@@ -64,12 +68,12 @@
         size : int
             Bytes as they arrived.
         body_bytes : int
-            Bytes of the whole body so far, without framing.
+            Bytes of all bodies so far, without framing.
         now : float
             Monotonic time in seconds; returned if there is nothing to wait for.
         """
         self._total += size
-        free = FREE_FRAMING_BYTES + int(body_bytes * FREE_FRAMING_SHARE)
+        free = self._free + int(body_bytes * FREE_FRAMING_SHARE)
         excess = self.compute_bytes(body_bytes) - free - self._charged
         if excess <= 0:
             return now
--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -23,6 +23,7 @@
     Body,
     MessageFormatError,
 )
+from mangowell_node.ingress.framing import UploadFraming
 from mangowell_node.ingress.messages import IncomingCall, Reply
 
 if TYPE_CHECKING:
@@ -111,6 +112,7 @@
         "_caller_closes",
         "_content",
         "_exchanges",
+        "_framing",
         "_framing_bytes",
         "_has_unread_upload",
         "_head_bytes",
@@ -122,6 +124,7 @@
         "_linger_deadline",
         "_linger_timer",
         "_messages",
+        "_pace_timer",
         "_parse_error",
         "_parse_status",
         "_request_bytes",
@@ -164,6 +167,9 @@
         self._head_bytes = 0
         self._framing_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
+        self._framing = UploadFraming(server.framing_budget)
+        # Set while parsing waits because of the framing of chunked bodies.
+        self._pace_timer: asyncio.TimerHandle | None = None
         # Body of the request that was parsed last.
         self._content: StreamReader | None = None
         # Body of a request that has started before its body was complete.
@@ -241,6 +247,9 @@
         """
         self._parser = None
         self._cancel_head_timer()
+        if self._pace_timer is not None:
+            self._pace_timer.cancel()
+            self._pace_timer = None
         self._messages.clear()
         self._backlog = b""
         self._content = self._unfinished = None
@@ -261,7 +270,8 @@
             or (self._is_closing and not self._exchanges)
         ):
             return
-        if not self._backlog and len(data) <= PARSED_PIECE_BYTES:
+        is_small = len(data) <= PARSED_PIECE_BYTES
+        if is_small and not (self._backlog or self._pace_timer):
             self._parse(data)
         else:
             self._parse_pieces(data)
@@ -286,6 +296,7 @@
             self._reading_paused
             or self._is_held_back
             or self._is_closing
+            or self._pace_timer
             or len(self._messages) >= MAX_PIPELINED_REQUESTS
         )
 
@@ -300,19 +311,26 @@
             self._handle_malformed(exc.message, status)
             return
         is_incomplete = self._consume_unfinished()
+        now = monotonic()
         if not messages:
             if is_in_body:
                 self._count_body(content, body_bytes)
                 self._count_framing(content, body_bytes, len(data))
+                is_parsed = not self._reading_paused
+                self._pause_until(
+                    self._framing.go_on(len(data), content, is_parsed, now), now
+                )
             elif data:
                 self._count_head(len(data))
             return
+        ended_bytes = content.total_bytes - body_bytes if is_in_body else 0
         self._content = messages[-1][1]
         self._framing_bytes = 0
         # A request without a body ends with an empty line; a head that follows it has
         # been read in part. What follows the empty line of others is their body.
         rest = data[data.rfind(_HEAD_END) + len(_HEAD_END) :]
         has_partial_head = self._content is EMPTY_PAYLOAD and _HEAD_END in data and rest
+        size = len(data) - (len(rest) if has_partial_head else 0)
         for message, content in messages:
             if message.version not in _VERSIONS:
                 self._handle_malformed("unknown version of HTTP")
@@ -321,12 +339,14 @@
             if head_bytes > self._server.max_header_bytes:
                 self._refuse_large_head()
                 break
+            size -= head_bytes
             held = compute_request_bytes(head_bytes) + content.total_bytes
             self._request_bytes += held
             self._messages.append((message, content, held))
         if upgraded:
             # The bytes that follow are not HTTP/1.1, but the request is answered.
             self._is_closing = True
+        self._pause_until(self._framing.start(messages, size, ended_bytes, now), now)
         self._head_bytes = 0
         self._cancel_head_timer()
         # The parser buffers unparsed bytes once it has reached this number.
@@ -385,6 +405,24 @@
             self._server.count_closing("framing")
             self._handle_malformed("chunk framing too long")
 
+    def _pause_until(self, resume_at: float, now: float) -> None:
+        """Parse and read no more until then; monotonic seconds."""
+        if resume_at > now and not self._is_closing:
+            if self._pace_timer is not None:
+                self._pace_timer.cancel()
+            self._pace_timer = self._loop.call_later(
+                resume_at - now, self._continue_parsing
+            )
+            self._pause_reading_for_buffer()
+
+    def _continue_parsing(self) -> None:
+        self._pace_timer = None
+        if not self._reading_paused:
+            self._resume_parsing()
+        elif not (self._is_parser_full or self._is_held_back):
+            # The reader of the body goes on when it has taken enough.
+            self._resume_reading_for_buffer()
+
     def _refuse_large_head(self) -> None:
         limit = self._server.max_header_bytes
         self._server.count_closing("head-size")
@@ -553,12 +591,12 @@
 
     def _resume_parsing(self) -> None:
         """Parse what is kept, and read on once there is room for more requests."""
-        if self._is_held_back or not self._buffer_paused:
+        if self._is_held_back or self._pace_timer or not self._buffer_paused:
             return
         if len(self._messages) <= MAX_PIPELINED_REQUESTS // 2:
             self._is_parser_full = False
             self.data_received(b"")
-            if not (self._is_parser_full or self._is_held_back):
+            if not (self._is_parser_full or self._is_held_back or self._pace_timer):
                 # A request that was parsed just now may wait for its body.
                 self._resume_reading_for_buffer()
 
--- a/packages/node/src/mangowell_node/ingress/server.py
+++ b/packages/node/src/mangowell_node/ingress/server.py
@@ -8,6 +8,7 @@
 from time import monotonic
 
 from mangowell_core.mesh.caller_memory import CallerMemory
+from mangowell_core.mesh.framing_budget import FramingBudget
 from mangowell_node.ingress.connection import CallerConnection
 from mangowell_node.ingress.messages import IncomingCall, Reply
 
@@ -67,6 +68,7 @@
         self._refuse = refuse
         self.memory = memory or CallerMemory(UNLIMITED_BYTES)
         self._max_connections = max_connections
+        self.framing_budget = FramingBudget()
         self.header_timeout_s = 0.0
         self.unread_timeout_s = float("inf")
         self.max_header_bytes = DEFAULT_MAX_HEADER_BYTES
--- a/tests/mesh/support_callers.py
+++ b/tests/mesh/support_callers.py
@@ -219,6 +219,11 @@
     await _write_on(writer, BLOCK)
 
 
+async def send_endless_small_chunks(reader, writer, rng):
+    writer.write(_make_chunked_head())
+    await _write_on(writer, b"1\r\nx\r\n" * 4000)
+
+
 async def send_endless_trailers(reader, writer, rng):
     writer.write(_make_chunked_head() + b"0\r\n")
     await _write_on(writer, b"".join(b"T%d: b\r\n" % n for n in range(2000)))
@@ -237,6 +242,7 @@
     "stalled-uploads": stall_upload,
     "endless-chunk-size": send_endless_chunk_size,
     "endless-chunk-extension": send_endless_chunk_extension,
+    "endless-small-chunks": send_endless_small_chunks,
     "endless-trailers": send_endless_trailers,
 }
 
