Discard the rest of refused uploads at a bounded rate

Callers saw: while others went on sending refused uploads, ordinary requests of the node took 56 ms in the median and up to 1 s.

Cause: the rest of such an upload was read as fast as it came, for up to 30 s.

Evidence: test_rest_of_a_refused_upload_is_discarded_at_a_bounded_rate fails before.

Change: a closing connection gets one read with each check, every 20 ms.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -261,6 +261,10 @@
         if self._linger_timer and self._has_unread_upload:
             linger_deadline = min(monotonic() + LINGER_S, self._upload_deadline)
             self._linger_deadline = max(self._linger_deadline, linger_deadline)
+        if self._linger_timer and data:
+            # Each check discards one read, so that an upload without end takes little
+            # work.
+            self._pause_transport_reading()
         # What follows a refused head or body has no reply of its own: it would be taken
         # for that of the refused request.
         if (
@@ -656,6 +660,7 @@
         if now >= self._linger_deadline:
             self.transport.close()
             return
+        self._resume_transport_reading()
         self._linger_timer = self._loop.call_later(
             LINGER_CHECK_INTERVAL_S, self._check_linger
         )
--- a/tests/mesh/test_small_chunks.py
+++ b/tests/mesh/test_small_chunks.py
@@ -7,7 +7,11 @@
 import pytest
 
 from mangowell_core.mesh.framing_budget import FRAMING_RATE, FREE_FRAMING_BYTES
-from mangowell_node.ingress.connection import PARSED_PIECE_BYTES, CallerConnection
+from mangowell_node.ingress.connection import (
+    LINGER_CHECK_INTERVAL_S,
+    PARSED_PIECE_BYTES,
+    CallerConnection,
+)
 from mangowell_standins.platform_values import make_document, make_route
 from mesh.support_callers import send_endless_small_chunks
 from mesh.support_mesh import make_request, run_mesh
@@ -84,3 +88,36 @@
             async with asyncio.timeout(8.0):
                 assert (await read_response(reader)).body == b"/post" + b"x" * 300
         writer.close()
+
+
+async def test_rest_of_a_refused_upload_is_discarded_at_a_bounded_rate(monkeypatch):
+    """60 callers that went on sending kept a node's core busy for 30 s."""
+    calls = []
+    receive = CallerConnection.data_received
+
+    def count(connection, data):
+        calls.append(len(data))
+        receive(connection, data)
+
+    monkeypatch.setattr(CallerConnection, "data_received", count)
+    async with run_mesh(document=DOCUMENT) as (_, (machine,)):
+        reader, writer = await machine.connect()
+        writer.write(make_post_head(b"Content-Length: %d" % 2**40))
+        assert (await read_response(reader)).status == 413
+        calls.clear()
+        started = monotonic()
+        sending = asyncio.create_task(send_blocks(writer))
+        await asyncio.sleep(1.0)
+        discarded, elapsed = len(calls), monotonic() - started
+        assert not sending.done()
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        writer.close()
+    assert 0 < discarded <= elapsed / LINGER_CHECK_INTERVAL_S + 2
+
+
+async def send_blocks(writer):
+    while True:
+        writer.write(b"x" * 32_768)
+        await writer.drain()
+        await asyncio.sleep(0)
