Bound what a node reads from the platform's store

Callers saw: a store that sends a body, a listing or interim answers without end takes a node's memory, and with it the requests of all its callers.

Cause: the client read bodies and pages to their end, within 10 s for each call, and the HTTP library queues interim answers without a limit.

Evidence: tests/mesh/test_endless_store.py on the code before, memory of the node's process after 3 s: 175 MB with interim answers, 3,148 to 3,837 MB with a body of stated length, without one, and in large chunks; its machine has 80. The listing did not end within the 40 s that were left of the run.

Change: bodies and listings have at most 16 MiB; after a part of at most 4,096 bytes, a body is read on 20 ms later; a connection ends once 16 heads wait to be read.

Result: 11 of 11 pass, at most 61 MB.

--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -4,12 +4,14 @@
 import base64
 import socket
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import Annotated, Any
 from urllib.parse import quote
 
 import aiohttp
 import msgspec
+from aiohttp.client_proto import ResponseHandler
 from msgspec import Meta
 
 from mangowell_core import formats
@@ -55,6 +57,17 @@
 # which all of it does, in seconds. A long document takes its time on a slow link.
 STALL_TIMEOUT_S = 0.5
 MAX_ANSWER_S = 10.0
+# Longest body of an answer and longest listing of all pages, in bytes. Nodes send each
+# other no longer documents either.
+MAX_ANSWER_BYTES = 16_777_216
+# Pause after a small part of a body, in seconds, so that a body in chunks of one byte
+# is not parsed as fast as it arrives. A slow link fills it with more bytes.
+SMALL_PART_BYTES = 4096
+SMALL_PART_PAUSE_S = 0.02
+# Bytes that are parsed at once, and heads that may wait to be read on one connection:
+# the library keeps interim answers without a limit.
+PARSED_PIECE_BYTES = 4096
+MAX_WAITING_HEADS = 16
 # TCP keepalive probes detect a dead connection to the store, as a watch may be
 # silent for its whole wait.
 KEEPALIVE_IDLE_S = 1
@@ -228,6 +241,8 @@
         connector = aiohttp.TCPConnector(
             limit=4, keepalive_timeout=10.0, socket_factory=_make_socket
         )
+        # The library has no public way to replace its protocol.
+        connector._factory = partial(_StoreConnection, asyncio.get_running_loop())
         self._session = aiohttp.ClientSession(
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -266,6 +281,7 @@
         refused: list[str] = []
         keys: set[str] = set()
         revision = 0
+        size = 0
         after = ""
         while True:
             path = f"kv-range?prefix={quote(prefix, safe='')}"
@@ -274,6 +290,9 @@
             era, body = await self._get(path, READ_TIMEOUT_S)
             if body is None:
                 raise StoreError("list refused: 404")
+            size += len(body)
+            if size > MAX_ANSWER_BYTES:
+                raise StoreError(f"listing of more than {MAX_ANSWER_BYTES} bytes")
             reply = _decode(_RangeReply, body)
             revision = revision or make_revision(era, reply.as_of)
             if era != get_era(revision):
@@ -363,13 +382,34 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + MAX_ANSWER_S
         chunks = []
+        size = 0
         while chunk := await resp.content.readany():
             chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_ANSWER_BYTES:
+                raise StoreError(f"answer of more than {MAX_ANSWER_BYTES} bytes")
             limit.reschedule(min(end, max(limit.when(), loop.time() + STALL_TIMEOUT_S)))
             self.on_progress()
+            if len(chunk) <= SMALL_PART_BYTES and not resp.content.at_eof():
+                await asyncio.sleep(SMALL_PART_PAUSE_S)
         return b"".join(chunks)
 
 
+class _StoreConnection(ResponseHandler):
+    """Connection that ends if the store sends heads without end."""
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes in pieces."""
+        if len(data) <= PARSED_PIECE_BYTES:
+            super().data_received(data)
+            return
+        for start in range(0, len(data), PARSED_PIECE_BYTES):
+            super().data_received(data[start : start + PARSED_PIECE_BYTES])
+            if len(self._buffer) > MAX_WAITING_HEADS:
+                self.abort()
+                return
+
+
 def _ignore_progress() -> None:
     """Do nothing; replaced by the reader of the store."""
 
--- a/tests/mesh/support_callers.py
+++ b/tests/mesh/support_callers.py
@@ -93,17 +93,12 @@
     return make_answer(body, headers=f"Request-Id: {request_id}\r\n")
 
 
-@contextlib.asynccontextmanager
-async def run_limited_node(directory, memory_mb, max_fds, answer=_answer):
-    """Run the process of one node, whose settings name low limits."""
-    route = make_route("/", timeout="8000ms")
-    upload = make_route("/upload/", "upload", timeout="4000ms")
-    store = await PlatformStore().start()
-    store.put("op/config", make_document(routes={"r1": route, "r2": upload}))
-    fields = {
+def make_fields(store_port, memory_mb):
+    """Return the settings of a node's process."""
+    return {
         "zone": "z",
         "service": "orders",
-        "platform.address": f"127.0.0.1:{store.port}",
+        "platform.address": f"127.0.0.1:{store_port}",
         "bounds.grace": "3s",
         "bounds.retry-budget-ratio": "0.2",
         "bounds.budget-min-retries": "60",
@@ -112,8 +107,17 @@
         "bounds.warmup-slack": "8",
         "bounds.evacuate": "5s",
         "limits.memory-mb": str(memory_mb),
-        "limits.max-fds": str(max_fds),
     }
+
+
+@contextlib.asynccontextmanager
+async def run_limited_node(directory, memory_mb, max_fds, answer=_answer):
+    """Run the process of one node, whose settings name low limits."""
+    route = make_route("/", timeout="8000ms")
+    upload = make_route("/upload/", "upload", timeout="4000ms")
+    store = await PlatformStore().start()
+    store.put("op/config", make_document(routes={"r1": route, "r2": upload}))
+    fields = make_fields(store.port, memory_mb) | {"limits.max-fds": str(max_fds)}
     process = NodeProcess(1, directory, fields)
     worker = await ScriptedBackend(answer).start(host=process.host)
     fields["app-addr"] = f"{process.host}:{worker.port}"
