Keep no answers to pings for a peer that does not read

Callers saw: nothing so far. A node that sends pings on a link and does not read takes the memory of the other one, and with it the requests of its callers.

Cause: each ping was answered whether or not the peer takes what waits. A part of a body without bytes had no place in the window of its stream and looked like the end.

Evidence: the two new cases of tests/node/test_link.py fail before.

Change: a ping is not answered while the transport is full, a part without bytes ends the link.

These are tests within one process: what a peer sends was not played through processes.

--- a/packages/node/src/mangowell_node/link/connection.py
+++ b/packages/node/src/mangowell_node/link/connection.py
@@ -67,6 +67,9 @@
         """Add a chunk that has arrived."""
         if self.ended:
             raise LinkError("data after the end of a body")
+        if not chunk:
+            # It would count for nothing in the window, and look like the end.
+            raise LinkError("data without bytes")
         self._unread_bytes += len(chunk)
         self.received += len(chunk)
         if self._unread_bytes + self._uncredited_bytes > WINDOW_BYTES:
@@ -394,7 +397,9 @@
         self._last_ping_at = self._ping_sent_at = now
 
     def _on_ping(self, stream_id: int, payload: bytes) -> None:
-        self.send(FrameType.PONG)
+        # A peer that does not read gets bytes in any case once it does.
+        if not self._paused:
+            self.send(FrameType.PONG)
 
     def _on_pong(self, stream_id: int, payload: bytes) -> None:
         sent_at, self._ping_sent_at = self._ping_sent_at, 0.0
--- a/tests/node/test_link.py
+++ b/tests/node/test_link.py
@@ -180,6 +180,7 @@
 
 
 REQUEST = msgspec.msgpack.encode(make_head())
+STREAMING_REQUEST = msgspec.msgpack.encode(make_head(streaming=True))
 BAD_FRAMES = {
     "garbage": b"\xff" * 64,
     "too-large": FRAME.pack(MAX_FRAME + 1, FrameType.REQUEST, 1),
@@ -193,6 +194,8 @@
     "unopened": frame(FrameType.DATA, 7, b"x"),
     "no-body": frame(FrameType.REQUEST, 1, REQUEST) + frame(FrameType.DATA, 1, b"x"),
     "window": frame(FrameType.REQUEST, 1, REQUEST) + frame(FrameType.WINDOW, 1, b"x"),
+    "data-without-bytes": frame(FrameType.REQUEST, 1, STREAMING_REQUEST)
+    + frame(FrameType.DATA, 1),
     "answer-from-client": frame(FrameType.ANSWER, 1, b""),
 }
 
@@ -243,6 +246,23 @@
         writer.close()
 
 
+async def test_pings_of_a_peer_that_does_not_read_fill_no_memory():
+    """The answers to all of them were kept."""
+    async with run_link_pair() as pair:
+        _, writer = await pair.connect_raw()
+        writer.transport.pause_reading()
+        (link,) = pair.server.links
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                while True:
+                    writer.write(frame(FrameType.PING) * 10_000)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+        assert link.transport.get_write_buffer_size() <= 262_144
+        assert not link.closed
+        writer.transport.abort()
+
+
 async def test_frames_may_arrive_byte_by_byte():
     async with run_link_pair() as pair:
         reader, writer = await pair.connect_raw()
