Search parents and routes without work that grows with the square

Cause: each prefix of the id that ends at a dot was joined and looked up among the running requests, and each prefix of the path that ends at a slash among the routes.

Change: the search for the parent goes through the running requests, that for the route through the lengths of the prefixes of the document.

--- a/packages/core/src/mangowell_core/mesh/routes.py
+++ b/packages/core/src/mangowell_core/mesh/routes.py
@@ -17,21 +17,24 @@
     __slots__ = ("_hosts",)
 
     def __init__(self, document: MeshDocument):
-        self._hosts: dict[str, dict[str, MeshRoute]] = {}
+        hosts: dict[str, dict[str, MeshRoute]] = {}
         for route in document.routes:
-            self._hosts.setdefault(route.host, {})[route.prefix] = route
+            hosts.setdefault(route.host, {})[route.prefix] = route
+        # Routes of each host by prefix, and the lengths of these, longest first. A
+        # prefix ends with a slash, so that it matches whole segments.
+        self._hosts = {
+            host: (by_prefix, sorted({len(p) for p in by_prefix}, reverse=True))
+            for host, by_prefix in hosts.items()
+        }
 
     def match(self, host: str, path: str) -> MeshRoute | None:
         """Return the route whose prefix is the longest one of `path`, or None."""
-        prefixes = self._hosts.get(host.partition(":")[0].lower())
-        if prefixes is None:
-            return None
-        end = path.rfind("/") + 1
-        while end > 0:
-            route = prefixes.get(path[:end])
+        routes, lengths = self._hosts.get(host.partition(":")[0].lower(), ({}, ()))
+        # The work depends on the document, not on the segments of the path.
+        for length in lengths:
+            route = routes.get(path[:length])
             if route is not None:
                 return route
-            end = path.rfind("/", 0, end - 1) + 1
         return None
 
 
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -67,9 +67,6 @@
 MIN_REMAINING_RETRY_S = 0.01
 # Causes that last longer than a caller waits.
 _FIXED_RETRY_CAUSES = frozenset({Cause.QUARANTINED, Cause.LEAVING})
-# While a worker runs a request, it prefixes the id of each call that it makes with
-# the id of that request and this separator.
-CALL_SEPARATOR = "."
 # Longest time that a request waits for the first document, in seconds.
 DOCUMENT_WAIT_S = 0.25
 # Retry-After value of a node that stops and is usually started again, in seconds.
@@ -391,21 +388,7 @@
 
     def is_call(self, request: str) -> bool:
         """Return whether the local worker made a request while running another."""
-        return self._find_parent_priority(request) is not None
-
-    def _find_parent_priority(self, request: str) -> int | None:
-        """Return the priority of the running request whose worker made this call.
-
-        The parent may be a call itself, whose id contains the separator. None if the
-        request is no call.
-        """
-        parts = request.split(CALL_SEPARATOR)
-        for count in range(1, len(parts)):
-            parent = CALL_SEPARATOR.join(parts[:count])
-            priority = self._runner.get_running_priority(parent)
-            if priority is not None:
-                return priority
-        return None
+        return self._runner.find_parent_priority(request) is not None
 
     async def _wait_for_document(self) -> None:
         """Wait for the first document, which the store sends within milliseconds."""
@@ -444,7 +427,7 @@
         if body is None:
             reason = f"body of more than {limits.max_body_bytes} bytes"
             return Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 413, 0.0, reason)
-        parent_priority = self._find_parent_priority(request)
+        parent_priority = self._runner.find_parent_priority(request)
         is_call = parent_priority is not None
         state.head = RequestHead(
             request,
--- a/packages/node/src/mangowell_node/mesh/runner.py
+++ b/packages/node/src/mangowell_node/mesh/runner.py
@@ -57,6 +57,9 @@
 # then learns that it was not run: the refusal has to arrive before the node at which
 # the request entered gives it up, over a link of up to 10 ms and a busy event loop.
 QUEUE_MARGIN_S = 0.03
+# While a worker runs a request, it prefixes the id of each call that it makes with
+# the id of that request and this separator.
+CALL_SEPARATOR = "."
 # Retry-After value of a request that has waited until its deadline, in seconds.
 QUEUE_RETRY_AFTER_S = 0.2
 # Limit of concurrent requests until the worker is listed: that of a small worker.
@@ -267,9 +270,25 @@
         """Return the load of the worker for the placement at other nodes."""
         return self.admission.compute_load(monotonic())
 
-    def get_running_priority(self, request: str) -> int | None:
-        """Return the priority of a request that the worker runs now, else None."""
-        return self._running_priorities.get(request)
+    def find_parent_priority(self, request: str) -> int | None:
+        """Return the priority of the running request whose worker made this call.
+
+        The parent may be a call itself, whose id contains the separator. None if the
+        request is no call.
+        """
+        if CALL_SEPARATOR not in request:
+            return None
+        # There are as many running requests as the worker has slots. Separators are as
+        # many as the caller likes.
+        parents = [
+            parent
+            for parent in self._running_priorities
+            if request.startswith(CALL_SEPARATOR, len(parent))
+            and request.startswith(parent)
+        ]
+        if not parents:
+            return None
+        return self._running_priorities[min(parents, key=len)]
 
     async def run(
         self,
--- a/tests/mesh/test_caller_memory.py
+++ b/tests/mesh/test_caller_memory.py
@@ -211,7 +211,7 @@
     async with run_mesh() as (_, (machine,)):
         ingress = machine.node._ingress
         priorities = {"parent": 1}
-        machine.node.runner.get_running_priority = priorities.get
+        machine.node.runner._running_priorities = priorities
         assert (await machine.call(request="parent.1")).status == 200
         assert (await machine.call(request="other.1")).status == 503
         assert ingress.refused == 1
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -357,7 +357,7 @@
     async with run_mesh() as (_, (machine,)):
 
         def is_running(request):
-            return machine.node.runner.get_running_priority(request) is not None
+            return machine.node.gateway.is_call(f"{request}.call")
 
         calls = []
 
