Discard small parts of a refused upload without a pause

Callers saw: the rest of a refused upload that comes in small parts is read one part every 20 ms, so that a caller may get its connection closed before it has sent all.

Change: reading pauses once 65,536 bytes have been discarded since the last check.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -48,6 +48,8 @@
 # everything, so that the caller itself can read it.
 DELIVERED_LINGER_S = 0.5
 LINGER_CHECK_INTERVAL_S = 0.02
+# Bytes of a refused upload that are discarded between two checks, and one read.
+DISCARDED_BYTES = 65_536
 # Bytes of a request line beside the method and the target, and of a field beside its
 # name and value: at least a colon and CRLF.
 _LINE_OVERHEAD_BYTES = 12
@@ -111,6 +113,7 @@
         "_backlog",
         "_caller_closes",
         "_content",
+        "_discarded_bytes",
         "_exchanges",
         "_framing",
         "_framing_bytes",
@@ -193,6 +196,8 @@
         # until which they are discarded.
         self._has_unread_upload = False
         self._upload_deadline = 0.0
+        # Bytes that were discarded since the last check.
+        self._discarded_bytes = 0
         self._accepts_requests = True
         # Whether the caller has announced that it sends no further request.
         self._caller_closes = False
@@ -261,10 +266,12 @@
         if self._linger_timer and self._has_unread_upload:
             linger_deadline = min(monotonic() + LINGER_S, self._upload_deadline)
             self._linger_deadline = max(self._linger_deadline, linger_deadline)
-        if self._linger_timer and data:
-            # Each check discards one read, so that an upload without end takes little
-            # work.
-            self._pause_transport_reading()
+        if self._linger_timer:
+            # What arrives until the next check stays unread, so that an upload without
+            # end takes little work.
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes >= DISCARDED_BYTES:
+                self._pause_transport_reading()
         # What follows a refused head or body has no reply of its own: it would be taken
         # for that of the refused request.
         if (
@@ -660,6 +667,7 @@
         if now >= self._linger_deadline:
             self.transport.close()
             return
+        self._discarded_bytes = 0
         self._resume_transport_reading()
         self._linger_timer = self._loop.call_later(
             LINGER_CHECK_INTERVAL_S, self._check_linger
