Write interim replies between the replies of a connection

Cause: the interim reply was written when the node began to read the body, whatever reply was being written.

Evidence: on the code before, all 6 cases of test_interim_reply_stands_between_replies fail, and the case of a body that has come.

Change: the connection writes it when all earlier replies are written, unless the body has come or the caller speaks HTTP/1.0.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -137,6 +137,7 @@
         "_unread_bytes",
         "_unread_since",
         "_upload_deadline",
+        "_withholding_call",
         "_writer",
         "idle_since",
         "peer",
@@ -177,6 +178,9 @@
         self._content: StreamReader | None = None
         # Body of a request that has started before its body was complete.
         self._unfinished: StreamReader | None = None
+        # Request whose caller waits for an interim reply before it sends the body: the
+        # last one that was parsed.
+        self._withholding_call: IncomingCall | None = None
         # Bytes of the requests that are parsed and not answered.
         self._request_bytes = 0
         # Whether reading is paused as the node holds too much for this connection.
@@ -257,7 +261,7 @@
             self._pace_timer = None
         self._messages.clear()
         self._backlog = b""
-        self._content = self._unfinished = None
+        self._content = self._unfinished = self._withholding_call = None
         self._head_bytes = 0
         self._request_bytes = sum(exchange.held_bytes for exchange in self._exchanges)
 
@@ -576,6 +580,7 @@
         keep_alive = True
         while self._exchanges and keep_alive:
             exchange = self._exchanges[0]
+            self._write_due_continue()
             keep_alive = await self._complete_exchange(exchange)
             if self._exchanges:
                 self._exchanges.popleft()
@@ -686,9 +691,19 @@
 
     # Writing
 
-    def write_continue(self) -> None:
-        """Tell the caller to send the body that it withholds."""
-        if self.transport is not None:
+    def write_continue(self, call: IncomingCall) -> None:
+        """Tell the caller to send the body that it withholds, after earlier replies."""
+        self._withholding_call = call
+        self._write_due_continue()
+
+    def _write_due_continue(self) -> None:
+        """Write an interim reply if all replies to earlier requests are written."""
+        call = self._withholding_call
+        if call is None or not self._exchanges or self._exchanges[0].call is not call:
+            return
+        self._withholding_call = None
+        # A caller need not wait for it.
+        if self.transport is not None and not self._exchanges[0].content.is_eof():
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _write_error(self, status: HTTPStatus, outcome: Outcome, message: str) -> None:
--- a/packages/node/src/mangowell_node/ingress/messages.py
+++ b/packages/node/src/mangowell_node/ingress/messages.py
@@ -41,8 +41,8 @@
     peer: str
     """Host of the caller."""
 
-    def write_continue(self) -> None:
-        """Tell the caller to send the body that it withholds."""
+    def write_continue(self, call: "IncomingCall") -> None:
+        """Tell the caller to send the body that it withholds, after earlier replies."""
         ...
 
 
@@ -164,6 +164,12 @@
         content = self._content
         return content.is_eof() and content.total_bytes <= MAX_BUFFERED_BODY
 
+    @property
+    def _withholds_body(self) -> bool:
+        # HTTP/1.0 has no interim replies.
+        expected = self.headers.get(_EXPECT, "").lower()
+        return expected == "100-continue" and not self.is_http_1_0
+
     def get_complete_body(self) -> bytes:
         """Return the body once `is_body_complete` is true."""
         return self._content.read_nowait(-1)
@@ -184,8 +190,8 @@
             If the body is malformed or cut off.
         """
         content = self._content
-        if self.headers.get(_EXPECT, "").lower() == "100-continue":
-            self._connection.write_continue()
+        if self._withholds_body:
+            self._connection.write_continue(self)
         chunks = []
         size = 0
         stated_length = int(self.headers.get(_CONTENT_LENGTH, -1))
--- a/tests/mesh/test_pipelining.py
+++ b/tests/mesh/test_pipelining.py
@@ -80,3 +80,82 @@
             for number in range(20):
                 assert (await read_response(reader)).body == b"/%d" % (count + number)
         writer.close()
+
+
+EXPECT = b"Expect: 100-continue"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+async def read_continue(reader):
+    assert await reader.readexactly(len(CONTINUE)) == CONTINUE
+
+
+@pytest.mark.parametrize("earlier", [1, 2, 15])
+@pytest.mark.parametrize("framing,body", FRAMINGS.values(), ids=FRAMINGS)
+async def test_interim_reply_stands_between_replies(earlier, framing, body):
+    """It stood inside the body of the reply before it, whose end was cut off."""
+    page = b"page" * 90_000
+
+    async def answer_slowly(request):
+        if request.method == "POST":
+            return await echo_target(request)
+        head = f"HTTP/1.1 200 OK\r\nRequest-Id: {request.headers['request-id']}\r\n"
+        head += f"Content-Length: {len(page)}\r\n\r\n"
+        request.writer.write(head.encode())
+        last = len(page) - 36_000
+        for start in range(0, last, 36_000):
+            request.writer.write(page[start : start + 36_000])
+            await asyncio.sleep(0.02)
+        return page[last:]
+
+    async with run_mesh(document=DOCUMENT) as (_, (machine,)):
+        machine.worker.handler = answer_slowly
+        reader, writer = await machine.connect()
+        writer.write(b"".join(make_gets(earlier)))
+        writer.write(make_post_head(framing, EXPECT))
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            for _ in range(earlier):
+                answer = await read_response(reader)
+                assert answer.complete and answer.body == page
+            await read_continue(reader)
+            writer.write(body + make_gets(1)[0])
+            assert (await read_response(reader)).body == b"/post" + BODY
+            assert (await read_response(reader)).body == page
+        writer.close()
+
+
+async def test_no_interim_reply_is_written_for_a_body_that_has_come():
+    async with run_mesh(document=DOCUMENT) as (_, (machine,)):
+        reader, writer = await machine.connect()
+        framing, body = FRAMINGS["length"]
+        gate = asyncio.Event()
+
+        async def wait(request):
+            if request.method == "GET":
+                await gate.wait()
+            return await echo_target(request)
+
+        machine.worker.handler = wait
+        writer.write(make_gets(1)[0] + make_post_head(framing, EXPECT))
+        await until(lambda: machine.node.gateway.in_flight == 2)
+        writer.write(body)
+        await until(lambda: machine.worker.executions == 2)
+        gate.set()
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            assert (await read_response(reader)).body == b"/0"
+            assert (await read_response(reader)).body == b"/post" + BODY
+        writer.close()
+
+
+async def test_interim_reply_is_written_at_once_if_nothing_is_due():
+    async with run_mesh(document=DOCUMENT) as (_, (machine,)):
+        machine.worker.handler = echo_target
+        reader, writer = await machine.connect()
+        framing, body = FRAMINGS["length"]
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            for _ in range(2):
+                writer.write(make_post_head(framing, EXPECT))
+                await read_continue(reader)
+                writer.write(body)
+                assert (await read_response(reader)).body == b"/post" + BODY
+        writer.close()
