Show that a worker which has left goes on getting requests

A script with seven nodes: a reader of the store is suspended for 4.8 s. In that time a worker of its zone registers and leaves. After the reader goes on, other nodes of the zone keep the worker and send it requests, as the reader's notice names neither its entry nor its removal.

--- /dev/null
+++ b/review/11/run.py
@@ -0,0 +1,146 @@
+"""A worker that has left goes on getting requests after a reader was suspended."""
+
+import asyncio
+import signal
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+sys.dont_write_bytecode = True
+
+import harness_3 as harness  # noqa: E402
+
+# Machines 1 and 2 read the store for zone a; machine 5 is the one whose worker comes
+# and goes, machine 4 the one whose requests are counted.
+SPEC = (
+    ("a", "stock"),
+    ("a", "orders"),
+    ("a", "orders"),
+    ("a", "stock"),
+    ("a", "orders"),
+    ("b", "orders"),
+    ("c", "orders"),
+)
+READER, SENDER, LEAVER, STARTER = 0, 3, 4, 6
+DRAIN_S, CONTACT_S = 2.0, 3.0
+WORK_S = 0.6
+ROUNDS, LIMIT_S = 7, 112.0
+# Times within a round, in seconds from the start of the suspension, which lasts for
+# `SUSPENDED_S`.
+REGISTERED_S, REMOVED_S, SUSPENDED_S = 2.3, 4.75, 4.8
+# Times at which the worker of another zone changes its entry. It has just started and
+# tells for how much longer it is slow.
+CHANGED_S = (3.2, 4.0, 4.66)
+STAYS_S = 6.0
+CALLERS = ((READER, 16), (SENDER, 12))
+
+
+def make_prefix(node: harness.Node) -> str:
+    """Return how the ids of the requests begin that a machine sends."""
+    return f"machine{node.number}-"
+
+
+class Case:
+    """Rounds in which one reader is suspended while a worker comes and goes."""
+
+    def __init__(self, deployment: harness.Deployment, has_trouble: bool):
+        self.deployment = deployment
+        self.has_trouble = has_trouble
+        self.sent = 0
+        self.is_held = True
+
+    def configure(self) -> None:
+        """Write the document."""
+        routes = {"orders": harness.make_route("/orders/", "orders")}
+        document = harness.make_document(1, routes, ("orders", "stock"))
+        self.deployment.store.put("op/config", document)
+
+    async def call(self, node: harness.Node) -> None:
+        """Send safe requests, one after another."""
+        while True:
+            self.sent += 1
+            request = f"{make_prefix(node)}{self.sent}"
+            data = harness.make_request(request, f"/orders/{self.sent}", 3000)
+            try:
+                status, _, _ = await harness.ask(
+                    node.host, harness.CALLER_PORT, data, 4.0
+                )
+            except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
+                status = type(exc).__name__
+            self.deployment.note(f"{request}: {status}")
+            await asyncio.sleep(0.03)
+
+    async def play_round(self, number: int) -> None:
+        """Suspend the reader; its zone gets a worker, which then leaves."""
+        deployment, store = self.deployment, self.deployment.store
+        worker, reader = deployment.workers[LEAVER], deployment.nodes[READER]
+        worker.restart(f"i-5-{number}")
+        begin = time.monotonic()
+
+        async def wait_until(seconds: float) -> None:
+            await asyncio.sleep(max(0.0, begin + seconds - time.monotonic()))
+
+        if self.has_trouble:
+            reader.send_signal(signal.SIGSTOP)
+            deployment.note(f"round {number}: machine 1 is suspended")
+        await wait_until(REGISTERED_S)
+        store.put(worker.key, worker.make_entry())
+        deployment.note(f"worker {worker.id} is registered")
+        starter = deployment.workers[STARTER]
+        for warmup_ms, changed_s in zip((1500, 700, 0), CHANGED_S, strict=True):
+            await wait_until(changed_s)
+            starter.warmup_ms = warmup_ms
+            store.put(starter.key, starter.make_entry())
+            deployment.note(f"worker {starter.id} changes its entry")
+        await wait_until(REMOVED_S)
+        removed_at = store.delete(worker.key)
+        deployment.note(f"entry of worker {worker.id} is removed")
+        await wait_until(SUSPENDED_S)
+        if self.has_trouble:
+            reader.send_signal(signal.SIGCONT)
+            deployment.note("machine 1 goes on")
+        await asyncio.sleep(STAYS_S)
+        ran = [run for run in worker.runs if run[0] > begin]
+        # Only machine 4 sends: machine 1 is out of touch.
+        prefix = make_prefix(deployment.nodes[SENDER])
+        late = [
+            run
+            for run in ran
+            if run[0] > removed_at + DRAIN_S and run[1].startswith(prefix)
+        ]
+        for reached_at, request in ran:
+            seconds = reached_at - removed_at
+            deployment.note(f"{worker.id} ran {request} {seconds:+.3f} s from removal")
+        deployment.note(f"round {number}: {len(ran)} runs, {len(late)} too late")
+        print(f"round {number}: {len(ran)} requests on {worker.id}, {len(late)} late")
+        self.is_held = not late
+
+    async def play(self) -> bool:
+        """Return whether the rule held in all rounds."""
+        deployment, store = self.deployment, self.deployment.store
+        began = time.monotonic()
+        for number, worker in enumerate(deployment.workers):
+            worker.work_s = WORK_S
+            if number != LEAVER:
+                store.put(worker.key, worker.make_entry())
+        self.configure()
+        with harness.make_directory() as directory:
+            await deployment.start(Path(directory))
+            await asyncio.sleep(CONTACT_S)
+            for number, count in CALLERS:
+                for _ in range(count):
+                    deployment.spawn(self.call(deployment.nodes[number]))
+            round_s = SUSPENDED_S + STAYS_S + CONTACT_S
+            for number in range(ROUNDS):
+                await asyncio.sleep(CONTACT_S)
+                await self.play_round(number)
+                if not self.is_held or time.monotonic() - began + round_s > LIMIT_S:
+                    break
+            await deployment.end()
+        return self.is_held
+
+
+if __name__ == "__main__":
+    harness.run_case(FOLDER, SPEC, lambda d, trouble: Case(d, trouble).play())
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -252,6 +252,7 @@
         self.zone = zone
         self.born_ms = int(time.time() * 1000)
         self.seq = 0
+        self.warmup_ms = 0
         self.work_s = 0.05
         # Each run: time at which the request has reached the worker, and its id.
         self.runs: list[tuple[float, str]] = []
@@ -276,7 +277,8 @@
             "zone": self.zone,
             "slots": 12,
         }
-        status = {"state": state, "seq": self.seq, "warmup-left": "0ms"}
+        warmup = f"{self.warmup_ms}ms"
+        status = {"state": state, "seq": self.seq, "warmup-left": warmup}
         return json.dumps(
             {
                 "address": f"{self.host}:{WORKER_PORT}",
