Show that requests name the former service of a machine

A script with four nodes: the worker of a machine is replaced by one of another service, and the settings of the machine change without a signal. Requests of the machine name its former service for up to a second.

--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -256,7 +256,10 @@
         self.work_s = 0.05
         # Each run: time at which the request has reached the worker, and its id.
         self.runs: list[tuple[float, str]] = []
+        # What each of these has in its field `Caller-Service`, by id.
+        self.callers: dict[str, str] = {}
         self.server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     def restart(self, worker_id: str) -> None:
         """Become another incarnation with an id of its own."""
@@ -294,7 +297,14 @@
             self._serve, self.host, WORKER_PORT, limit=LINE_LIMIT
         )
 
+    def end(self) -> None:
+        """End the worker: listen no more, and close its connections."""
+        self.server.close()
+        for writer in self._writers:
+            writer.close()
+
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(
             ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
         ):
@@ -304,6 +314,7 @@
                 if not await self._answer(line.split(" ")[1], fields, writer):
                     break
                 await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, target: str, fields: dict[str, str], writer) -> bool:
@@ -317,6 +328,7 @@
             return True
         request = fields.get("request-id", "")
         self.runs.append((time.monotonic(), request))
+        self.callers[request] = fields.get("caller-service", "")
         await asyncio.sleep(self.work_s)
         return self.send_result(target, request, writer)
 
@@ -331,6 +343,11 @@
         return head.encode() + body
 
 
+def read_role() -> dict:
+    """Return the role of the nodes in the deploy file."""
+    return tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"][ROLE]
+
+
 class Node:
     """Process of one node, started with the command of the deploy file."""
 
@@ -340,9 +357,10 @@
         self.zone = zone
         self.service = service
         self.process: asyncio.subprocess.Process | None = None
+        self.settings = Path()
 
-    async def start(self, directory: Path, store: str) -> None:
-        """Write the settings as the platform does, and start the process."""
+    def write_settings(self, directory: Path, store: str) -> None:
+        """Write the settings as the platform does, all at once."""
         fields = {
             "node-name": f"sidecar-{self.zone}-{self.number}",
             "ip": self.host,
@@ -362,18 +380,24 @@
             "bounds.budget-min-retries": "60",
             "bounds.budget-window": "10s",
         }
-        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"][ROLE]
-        text = (ROOT / role["template"]).read_text()
-        settings = directory / f"node-{self.number}.ini"
-        settings.write_text(
+        text = (ROOT / read_role()["template"]).read_text()
+        self.settings = directory / f"node-{self.number}.ini"
+        new = self.settings.with_suffix(".new")
+        new.write_text(
             re.sub("{{(.*?)}}", lambda match: fields.get(match[1], ""), text)
         )
+        new.replace(self.settings)
+
+    async def start(self, directory: Path, store: str) -> None:
+        """Write the settings, and start the process."""
+        self.write_settings(directory, store)
+        command = read_role()["run"].split()
         names = ("PATH", "HOME", "LANG")
         environment = {name: os.environ[name] for name in names if name in os.environ}
-        environment["MANGOWELL_CONFIG"] = str(settings)
+        environment["MANGOWELL_CONFIG"] = str(self.settings)
         with (directory / f"node-{self.number}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                *role["run"].split(), cwd=ROOT, env=environment, stdout=log, stderr=log
+                *command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
     def send_signal(self, number: signal.Signals) -> None:
@@ -426,6 +450,11 @@
         self._record = (folder / "record.txt").open("w")
         self._tasks: set[asyncio.Task] = set()
 
+    @property
+    def store_address(self) -> str:
+        """Address of the store."""
+        return f"{self.store_host}:{self.store.port}"
+
     def note(self, text: str) -> None:
         """Write a line to `record.txt`."""
         self._record.write(f"{time.monotonic() - self.started_at:8.3f} {text}\n")
@@ -440,11 +469,10 @@
     async def start(self, directory: Path) -> None:
         """Start everything and wait until all nodes are ready."""
         await self.store.start(self.store_host)
-        address = f"{self.store_host}:{self.store.port}"
         for worker in self.workers:
             await worker.start()
         for node in self.nodes:
-            await node.start(directory, address)
+            await node.start(directory, self.store_address)
         limit = time.monotonic() + START_LIMIT_S
         for node in self.nodes:
             while not await node.is_ready():
