Withdraw a service in the case on weights

The script now also sets the weights to 1 and 0 after they were 1 and 1, as a share alone may not count as a request that runs where it must not.

--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,4 +1,4 @@
-"""After new weights, a split sends all requests to one of two equal services."""
+"""After new weights, a split goes on with requests to a service that gets none."""
 
 import asyncio
 import sys
@@ -12,9 +12,10 @@
 import harness_3 as harness  # noqa: E402
 
 SPEC = tuple((zone, service) for zone in "abc" for service in ("stable", "canary"))
-BEFORE, AFTER = {"stable": 90, "canary": 10}, {"stable": 1, "canary": 1}
-# Requests of each machine before the change and after it.
-FEW, MANY = 5, 40
+BEFORE = {"stable": 90, "canary": 10}
+EQUAL, WITHDRAWN = {"stable": 1, "canary": 1}, {"stable": 1, "canary": 0}
+# Requests of each machine on the new route, with equal weights, and after those.
+FEW, MANY, LAST = 5, 40, 10
 # The rule needs 200 requests, and allows a share to be this far off its weight's.
 LEAST_REQUESTS, ALLOWED_OFF = 200, 0.2
 CONFIG_APPLY_S, CONTACT_S = 2.0, 3.0
@@ -61,24 +62,32 @@
                     self.deployment.note(f"{worker.service} ran {request}")
         return counts
 
+    async def send_and_count(self, count: int) -> dict[str, int]:
+        """Send requests to each machine once the last version is in force."""
+        await asyncio.sleep(CONFIG_APPLY_S + CONTACT_S)
+        since = time.monotonic()
+        await self.send(count)
+        return self.count_runs(since)
+
     async def play(self) -> bool:
-        """Return whether each service gets its share."""
+        """Return whether each service gets its share, and none without a weight."""
         deployment = self.deployment
         for worker in deployment.workers:
             worker.work_s = 0.0
             deployment.store.put(worker.key, worker.make_entry())
         self.configure(1, BEFORE)
-        weights = AFTER if self.has_trouble else BEFORE
+        weights = EQUAL if self.has_trouble else BEFORE
         with harness.make_directory() as directory:
             await deployment.start(Path(directory))
             await asyncio.sleep(CONTACT_S)
             await self.send(FEW)
             if self.has_trouble:
-                self.configure(2, AFTER)
-            await asyncio.sleep(CONFIG_APPLY_S + CONTACT_S)
-            since = time.monotonic()
-            await self.send(MANY)
-            counts = self.count_runs(since)
+                self.configure(2, EQUAL)
+            counts = await self.send_and_count(MANY)
+            withdrawn = 0
+            if self.has_trouble:
+                self.configure(3, WITHDRAWN)
+                withdrawn = (await self.send_and_count(LAST))["canary"]
             await deployment.end()
         total = sum(counts.values())
         if total < LEAST_REQUESTS:
@@ -88,7 +97,8 @@
             for name in counts
         )
         print(f"weights {weights}, requests run {counts}, off by {off:.2f}")
-        return off <= ALLOWED_OFF
+        print(f"{withdrawn} requests run by the service with weight 0")
+        return off <= ALLOWED_OFF and not withdrawn
 
 
 if __name__ == "__main__":
