--- a/review/11/run.py
+++ b/review/11/run.py
@@ -24,9 +24,9 @@
     ("c", "orders"),
 )
 READER, SENDER, LEAVER, STARTER = 0, 3, 4, 6
-DRAIN_S, CONTACT_S = 2.0, 3.0
+DRAIN_S, CONTACT_S, RESTART_S = 2.0, 3.0, 0.3
 WORK_S = 0.6
-ROUNDS, LIMIT_S = 3, 112.0
+ROUNDS, LIMIT_S = 4, 112.0
 # Times within a round, in seconds from the start of the suspension, which lasts for
 # `SUSPENDED_S`.
 REGISTERED_S, REMOVED_S, SUSPENDED_S = 2.3, 4.75, 4.8
@@ -72,6 +72,17 @@
             self.deployment.note(f"{request}: {status}")
             await asyncio.sleep(0.03)
 
+    async def restart_node(self, directory: Path) -> None:
+        """Stop the node whose worker has ended, and start it for the next worker."""
+        deployment, node = self.deployment, self.deployment.nodes[LEAVER]
+        node.send_signal(signal.SIGTERM)
+        await node.process.wait()
+        await asyncio.sleep(RESTART_S)
+        await node.start(directory, deployment.store_address)
+        while not await node.is_ready():
+            await asyncio.sleep(0.1)
+        deployment.note(f"node of machine {node.number} was restarted")
+
     async def play_round(self, number: int) -> None:
         """Suspend the reader; its zone gets a worker, which then leaves."""
         deployment, store = self.deployment, self.deployment.store
@@ -131,14 +142,15 @@
             for number, count in CALLERS:
                 for _ in range(count):
                     deployment.spawn(self.call(deployment.nodes[number]))
-            round_s = SUSPENDED_S + STAYS_S + CONTACT_S
+            round_s = harness.GRACE_S + SUSPENDED_S + STAYS_S + 3 * CONTACT_S
             # The first worker of machine 5 leaves in calm, as any worker does.
             leaver = deployment.workers[LEAVER]
             store.put(leaver.key, leaver.make_entry("draining"))
             await asyncio.sleep(DRAIN_S)
             store.delete(leaver.key)
             for number in range(ROUNDS):
-                await asyncio.sleep(CONTACT_S)
+                await self.restart_node(Path(directory))
+                await asyncio.sleep(2 * CONTACT_S)
                 await self.play_round(number)
                 if not self.is_held or time.monotonic() - began + round_s > LIMIT_S:
                     break
