--- a/review/11/run.py
+++ b/review/11/run.py
@@ -23,16 +23,16 @@
     ("b", "orders"),
     ("c", "orders"),
 )
-READER, SENDER, LEAVER, STARTER = 0, 3, 4, 6
+READER, SENDER, LEAVER = 0, 3, 4
 DRAIN_S, CONTACT_S, RESTART_S = 2.0, 3.0, 0.3
 WORK_S = 0.6
 ROUNDS, LIMIT_S = 4, 112.0
 # Times within a round, in seconds from the start of the suspension, which lasts for
 # `SUSPENDED_S`.
-REGISTERED_S, REMOVED_S, SUSPENDED_S = 2.3, 4.75, 4.8
-# Times at which the worker of another zone changes its entry. It has just started and
-# tells for how much longer it is slow.
-CHANGED_S = (3.2, 4.0, 4.66)
+REMOVED_S, SUSPENDED_S = 4.95, 5.0
+# Times at which the worker writes its entry, as it warms up, and for how much longer it
+# is slow. The first is its registration.
+WRITES = ((1.95, 3000), (3.4, 1550), (4.85, 100))
 STAYS_S = 6.0
 CALLERS = ((READER, 16), (SENDER, 12))
 
@@ -75,6 +75,7 @@
     async def restart_node(self, directory: Path) -> None:
         """Stop the node whose worker has ended, and start it for the next worker."""
         deployment, node = self.deployment, self.deployment.nodes[LEAVER]
+        deployment.workers[LEAVER].end()
         node.send_signal(signal.SIGTERM)
         await node.process.wait()
         await asyncio.sleep(RESTART_S)
@@ -96,17 +97,17 @@
         if self.has_trouble:
             reader.send_signal(signal.SIGSTOP)
             deployment.note(f"round {number}: machine 1 is suspended")
-        await wait_until(REGISTERED_S)
-        store.put(worker.key, worker.make_entry())
-        deployment.note(f"worker {worker.id} is registered")
-        starter = deployment.workers[STARTER]
-        for warmup_ms, changed_s in zip((1500, 700, 0), CHANGED_S, strict=True):
-            await wait_until(changed_s)
-            starter.warmup_ms = warmup_ms
-            store.put(starter.key, starter.make_entry())
-            deployment.note(f"worker {starter.id} changes its entry")
+        for at, warmup_ms in WRITES:
+            await wait_until(at)
+            if (at, warmup_ms) == WRITES[0]:
+                await worker.start()
+            worker.warmup_ms = warmup_ms
+            worker.work_s = 2 * WORK_S if warmup_ms > 1000 else WORK_S
+            store.put(worker.key, worker.make_entry())
+            deployment.note(f"worker {worker.id} writes its entry")
         await wait_until(REMOVED_S)
         removed_at = store.delete(worker.key)
+        worker.is_leaving = True
         deployment.note(f"entry of worker {worker.id} is removed")
         await wait_until(SUSPENDED_S)
         if self.has_trouble:
@@ -146,7 +147,8 @@
             # The first worker of machine 5 leaves in calm, as any worker does.
             leaver = deployment.workers[LEAVER]
             store.put(leaver.key, leaver.make_entry("draining"))
-            await asyncio.sleep(DRAIN_S)
+            leaver.is_leaving = True
+            await asyncio.sleep(DRAIN_S + 0.5)
             store.delete(leaver.key)
             for number in range(ROUNDS):
                 await self.restart_node(Path(directory))
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -253,6 +253,8 @@
         self.born_ms = int(time.time() * 1000)
         self.seq = 0
         self.warmup_ms = 0
+        # Whether it is about to end, which its answers tell by `Connection: close`.
+        self.is_leaving = False
         self.work_s = 0.05
         # Each run: time at which the request has reached the worker, and its id.
         self.runs: list[tuple[float, str]] = []
@@ -263,7 +265,7 @@
 
     def restart(self, worker_id: str) -> None:
         """Become another incarnation with an id of its own."""
-        self.id, self.seq = worker_id, 0
+        self.id, self.seq, self.is_leaving = worker_id, 0, False
         self.born_ms = int(time.time() * 1000)
 
     @property
@@ -320,8 +322,9 @@
     async def _answer(self, target: str, fields: dict[str, str], writer) -> bool:
         """Answer one request; return whether the connection stays open."""
         if target == "/healthz":
-            writer.write(self._make_answer("200 OK", b"", f"Instance-Id: {self.id}"))
-            return True
+            status = "503 Leaving" if self.is_leaving else "200 OK"
+            writer.write(self._make_answer(status, b"", f"Instance-Id: {self.id}"))
+            return not self.is_leaving
         if fields.get("expected-instance", self.id) != self.id:
             lines = f"Not-Executed: 1\r\nInstance-Id: {self.id}"
             writer.write(self._make_answer("421 Misdirected Request", b"", lines))
@@ -336,9 +339,11 @@
         """Send the answer to a request that has run."""
         lines = f"Request-Id: {request}\r\nResponse-Stamp: stamp-{self.id}"
         writer.write(self._make_answer("200 OK", b"done " + request.encode(), lines))
-        return True
+        return not self.is_leaving
 
     def _make_answer(self, status: str, body: bytes, lines: str) -> bytes:
+        if self.is_leaving:
+            lines += "\r\nConnection: close"
         head = f"HTTP/1.1 {status}\r\n{lines}\r\nContent-Length: {len(body)}\r\n\r\n"
         return head.encode() + body
 
