Keep the workers of each node those of its revision

Cause: a notice is the difference between two states of its sender. It names no worker that came and left between them, but receivers that had heard of one from another reader took the notice for complete and its revision over. Two more ways led to workers of another revision: a list of several pages was published at that of its first page, and a late answer of the store brought removed entries back.

Change: a list is completed by the changes between its calls before it is applied; what was written before the revision of a node and is missing there is ignored; a notice names all that was written after its start, and a receiver that has heard of more fetches the state, so that nobody guesses from revisions alone.

--- a/packages/core/src/mangowell_core/mesh/changes.py
+++ b/packages/core/src/mangowell_core/mesh/changes.py
@@ -132,6 +132,9 @@
     ) -> ChangeNotice | None:
         """Return the changes since the last published state and mark them published.
 
+        They name each entry that was written after that state, also if it has been
+        published, so that a receiver can tell which entries of others they leave out.
+
         The evacuated failure domains are few, so each notice names all of them, or
         none if they are not known.
 
@@ -152,7 +155,7 @@
         changed = tuple(
             endpoint
             for endpoint in endpoints.values()
-            if published.get(endpoint.id) is not endpoint
+            if published.get(endpoint.id) is not endpoint or endpoint.revision > since
         )
         removed = tuple(name for name in published if name not in endpoints)
         has_changed = revision != since or has_new_orders
--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -141,21 +141,34 @@
             self._invalidate_indexes()
         return True
 
-    def put(self, endpoint: Endpoint) -> None:
-        """Add or replace an endpoint, unless a later write of it is known."""
+    def put(self, endpoint: Endpoint, listed_at: int = 0) -> None:
+        """Add or replace an endpoint, unless something later is known of it.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            Entry of a worker.
+        listed_at : int
+            Latest revision at which the store is known to list the entry, if that is
+            later than its last write.
+        """
         restored_through = self._restored_through
+        listed_at = max(listed_at, endpoint.revision)
         current = self._endpoints.get(endpoint.id)
         if current is not None:
             if not is_later_write(endpoint, current, restored_through):
                 return
-            if _was_removed_later(endpoint, self._held.get(endpoint.id)):
+            if _was_removed_later(listed_at, self._held.get(endpoint.id)):
                 return
         elif (departed := self._departed.get(endpoint.id)) is not None:
             if is_copy_of_departed(endpoint, departed, restored_through):
                 self._withheld[endpoint.id] = endpoint
                 return
-            if _was_removed_later(endpoint, departed.removed_at):
+            if _was_removed_later(listed_at, departed.removed_at):
                 return
+        if current is None and listed_at < self.revision:
+            # The entries at that revision are complete, so this one was removed since.
+            return
         self._held.pop(endpoint.id, None)
         self._withheld.pop(endpoint.id, None)
         if current == endpoint:
@@ -292,7 +305,7 @@
         self._apply_evacuations(evacuated, revision)
         listed_by_id = {endpoint.id: endpoint for endpoint in endpoints}
         for endpoint in listed_by_id.values():
-            self.put(endpoint)
+            self.put(endpoint, revision)
         for endpoint_id in [*self._endpoints, *self._withheld]:
             if endpoint_id not in listed_by_id:
                 self.remove(endpoint_id, revision, now)
@@ -338,17 +351,33 @@
             return True
         if changes.since > self.revision or not self._apply_delta(changes.delta):
             return False
-        if self.document_version < changes.version:
+        if self.document_version < changes.version or self._contradicts(changes):
             return False
         self._follow_restore(changes.revision, now)
         self._apply_evacuations(changes.evacuated, changes.revision)
         for endpoint in changes.endpoints:
-            self.put(endpoint)
+            self.put(endpoint, changes.revision)
         for endpoint_id in changes.removed:
             self.remove(endpoint_id, changes.revision, now)
         self.revision = changes.revision
         return True
 
+    def _contradicts(self, changes: ChangeNotice) -> bool:
+        """Return whether the changes leave open what became of an entry.
+
+        The sender names all entries that were written after `since` and are still
+        listed, but no worker that registered and left after it. If other nodes have
+        told of one, only the whole state of the sender shows whether it has left.
+        """
+        if not changes.since < self.revision < changes.revision:
+            return False
+        named = {endpoint.id for endpoint in changes.endpoints}
+        named.update(changes.removed)
+        return any(
+            endpoint.revision > changes.since and endpoint.id not in named
+            for endpoint in self.listed.values()
+        )
+
     def _apply_delta(self, delta: DocumentDelta | None) -> bool:
         """Apply a document change; return False if an earlier one is missing."""
         if delta is None or delta.version <= self.document_version:
@@ -395,7 +424,7 @@
         if self._withheld and now >= self._withheld_until:
             for endpoint in list(self._withheld.values()):
                 self._departed.forget(endpoint.id)
-                self.put(endpoint)
+                self.put(endpoint, self.revision)
         self._departed.expire(now)
 
     @property
@@ -500,11 +529,11 @@
         return is_named, endpoint.born_ms, endpoint.revision
 
 
-def _was_removed_later(endpoint: Endpoint, removed_at: int | None) -> bool:
-    """Return whether the entry was missing at a later revision of the same era."""
-    if removed_at is None or get_era(removed_at) != get_era(endpoint.revision):
+def _was_removed_later(listed_at: int, removed_at: int | None) -> bool:
+    """Return whether an entry was missing at a later revision of the same era."""
+    if removed_at is None or get_era(removed_at) != get_era(listed_at):
         return False
-    return endpoint.revision <= removed_at
+    return listed_at < removed_at
 
 
 def _get_named_services(document: MeshDocument) -> frozenset[str]:
--- a/packages/node/src/mangowell_node/mesh/feed.py
+++ b/packages/node/src/mangowell_node/mesh/feed.py
@@ -16,6 +16,7 @@
     Changes,
     HistoryGoneError,
     Item,
+    Listing,
     PlatformFormatError,
     StoreClient,
     StoreError,
@@ -234,8 +235,11 @@
             except _ReadingStoppedError:
                 continue
             except HistoryGoneError as exc:
+                was_listing = not self._revision
                 self._revision = 0
                 self._emit(Event(EventCode.SOURCE_STALE, {"reason": str(exc)}))
+                if was_listing:
+                    await self._pause(COALESCE_S)
             except StoreError as exc:
                 # Changes may have been missed, so all items are read again.
                 self._revision = 0
@@ -296,35 +300,75 @@
             self._watch_task = None
 
     async def _read_all(self) -> None:
-        # The list comes first: the next watch starts at its revision, so it contains
-        # any change made while the document is read.
         sent_at = asyncio.get_running_loop().time()
-        listing = await self._store.list_endpoints()
-        document = await self._store.read_document()
-        evacuated = None
+        listings = [
+            await self._store.list_endpoints(),
+            await self._store.read_document(),
+        ]
         if self._reads_evacuations:
-            orders = await self._store.list_evacuations()
-            domains = {item.evacuated_domain for item in orders.items}
-            evacuated = domains - {""}
+            listings.append(await self._store.list_evacuations())
+        items, revision = await self._complete(listings)
         now = asyncio.get_running_loop().time()
-        self._record_era(listing.revision, now)
+        self._record_era(revision, now)
         self._record_up(now, sent_at)
-        for item in document.items:
-            self._apply(item)
-        self._emit_refused_items(listing.refused)
         endpoints = []
         unreadable = []
-        for item in listing.items:
-            try:
-                endpoints.append(self._read_endpoint(item))
-            except PlatformFormatError:
-                unreadable.append(item)
+        domains = set()
+        for item in items:
+            if item.is_document:
+                self._apply_document(item)
+            elif item.endpoint_id:
+                try:
+                    endpoints.append(self._read_endpoint(item))
+                except PlatformFormatError:
+                    unreadable.append(item)
+            else:
+                domains.add(item.evacuated_domain)
         known = self._directory.evacuated
-        self._directory.load(endpoints, listing.revision, now, evacuated)
-        self._emit_evacuations(known, listing.revision)
+        evacuated = domains - {""} if self._reads_evacuations else None
+        self._directory.load(endpoints, revision, now, evacuated)
+        self._emit_evacuations(known, revision)
         for item in unreadable:
             self._directory.discard(item.endpoint_id, item.revision, now)
-        self._advance_revision(listing.revision)
+        self._advance_revision(revision)
+
+    async def _complete(self, listings: list[Listing]) -> tuple[list[Item], int]:
+        """Return the items that were read, as they are at one revision.
+
+        Pages and lists are read one after the other, while the store changes. The
+        changes since the first page are applied, so that other nodes can be told what
+        the store contains at a revision.
+
+        Parameters
+        ----------
+        listings : list of Listing
+            Results of the calls, in their order.
+
+        Raises
+        ------
+        HistoryGoneError
+            If the store no longer has these changes, or was restored meanwhile.
+        """
+        items = {}
+        for listing in listings:
+            items.update((item.key, item) for item in listing.items)
+            self._emit_refused_items(listing.refused)
+        revision = listings[0].revision
+        through = max(listing.through for listing in listings)
+        while revision < through:
+            changes = await self._store.watch(revision)
+            if changes.revision <= revision:
+                raise StoreError("store does not tell what changed while it was read")
+            self._emit_refused_items(changes.refused)
+            for item in changes.items:
+                if item.is_document and item.value is None:
+                    self._apply_document(item)
+                elif item.value is None:
+                    items.pop(item.key, None)
+                else:
+                    items[item.key] = item
+            revision = changes.revision
+        return list(items.values()), revision
 
     def _record_era(self, revision: int, now: float) -> None:
         """Notice that the store was restored since the state that is known here."""
--- a/packages/node/src/mangowell_node/platform/store.py
+++ b/packages/node/src/mangowell_node/platform/store.py
@@ -153,13 +153,24 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Items of a prefix, read at `revision` or shortly after.
+    """Items of a prefix.
 
-    `refused` holds a reason for each item that could not be decoded.
+    Parameters
+    ----------
+    items : list of Item
+        Items of all pages.
+    revision : int
+        Revision at which the first page was read.
+    through : int
+        Revision at which the last page was read. If it is later, the items are those
+        of no revision, and all changes between the two have to be applied to them.
+    refused : tuple of str
+        Reasons, one for each item that could not be decoded.
     """
 
     items: list[Item]
     revision: int
+    through: int
     refused: tuple[str, ...] = ()
 
 
@@ -259,9 +270,10 @@
         path = f"kv-key?key={quote(DOCUMENT_KEY)}"
         era, body = await self._get(path, READ_TIMEOUT_S)
         if body is None:
-            return Listing([], 0)
+            return Listing([], 0, 0)
         reply = _decode(_KeyReply, body)
-        return Listing([_make_item(reply, era)], make_revision(era, reply.as_of))
+        revision = make_revision(era, reply.as_of)
+        return Listing([_make_item(reply, era)], revision, revision)
 
     async def list_endpoints(self) -> Listing:
         """List the entries of all workers; see `_list`."""
@@ -272,11 +284,7 @@
         return await self._list(EVACUATION_PREFIX)
 
     async def _list(self, prefix: str) -> Listing:
-        """List the items whose keys begin with a prefix.
-
-        The revision is that of the first page, so that a watch from this revision
-        contains all changes that are made while further pages are read.
-        """
+        """List the items whose keys begin with a prefix."""
         items: list[Item] = []
         refused: list[str] = []
         keys: set[str] = set()
@@ -294,13 +302,14 @@
             if size > MAX_ANSWER_BYTES:
                 raise StoreError(f"listing of more than {MAX_ANSWER_BYTES} bytes")
             reply = _decode(_RangeReply, body)
-            revision = revision or make_revision(era, reply.as_of)
+            through = make_revision(era, reply.as_of)
+            revision = revision or through
             if era != get_era(revision):
                 raise StoreError("store was restored between two pages")
             page = _read_items(reply.items, era, refused)
             items += page
             if not reply.has_more or not reply.items:
-                return Listing(items, revision, tuple(refused))
+                return Listing(items, revision, through, tuple(refused))
             if not page or page[-1].key in keys:
                 # What follows is unknown, so no worker may be taken for removed.
                 raise StoreError("unreadable answer: page does not advance")
