Keep the account of a split in requests, under any weights

Cause: the splitter kept credits in the units of the old weights, and chose a service by its credit although it had no weight.

Change: services are taken in the order of their names, each by an account of the fraction of a request that is owed to it, which starts at random in each node and outlives documents. A service without a weight has no part in it. The docstring states the bound.

--- a/packages/core/src/mangowell_core/mesh/routes.py
+++ b/packages/core/src/mangowell_core/mesh/routes.py
@@ -1,5 +1,7 @@
 """Selection of the route of a request and of the service that answers it."""
 
+import random
+
 from mangowell_core.mesh.model import MeshDocument, MeshRoute
 
 
@@ -41,35 +43,86 @@
 class TrafficSplitter:
     """Distributes the requests of a route over the services of its split.
 
-    It uses smooth weighted round robin: over any sequence of requests, each
-    service gets its share to within one request. Random selection would need
-    thousands of requests for that precision.
+    The services are taken in the order of their names. Each takes its share of the
+    requests that the services before it have left, by an account of the fractions of
+    a request that are owed to it. An account starts at a random fraction and outlives
+    documents: it is in requests, so that it holds for any weights.
+
+    Each request goes to each service with the probability of its share, whatever
+    documents came before. While the weights stay, the n-th service gets its share of
+    any sequence of requests of this node to within n requests, and two services to
+    within one. Nodes start independently of each other, so that the mean share over
+    many nodes with a few requests each is at least as close as that of independent
+    draws: a standard deviation of at most half the root of their number, in requests.
+    A service with a weight of 0 gets nothing.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of random numbers, different in each node.
     """
 
-    __slots__ = ("_credits",)
+    __slots__ = ("_rng", "_splits")
 
-    def __init__(self):
-        self._credits: dict[str, dict[str, float]] = {}
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._splits: dict[str, _Split] = {}
 
     def select_service(self, route: MeshRoute) -> str:
         """Select the service for the next request of `route`."""
-        parts = route.parts
-        if len(parts) == 1:
-            return parts[0][0]
-        credits = self._credits.get(route.name)
-        if credits is None or credits.keys() != {name for name, _ in parts}:
-            credits = self._credits[route.name] = dict.fromkeys(
-                (name for name, _ in parts), 0.0
-            )
-        total = 0.0
-        for name, weight in parts:
-            credits[name] += weight
-            total += weight
-        chosen = max(parts, key=lambda part: credits[part[0]])[0]
-        credits[chosen] -= total
-        return chosen
+        if len(route.parts) == 1:
+            return route.parts[0][0]
+        split = self._splits.get(route.name)
+        if split is None:
+            split = self._splits[route.name] = _Split()
+        if split.parts != route.parts:
+            split.set_parts(route.parts, self._rng)
+        return split.select()
 
     def keep(self, names: set[str]) -> None:
         """Drop the state of all routes except `names`."""
-        for name in self._credits.keys() - names:
-            del self._credits[name]
+        for name in self._splits.keys() - names:
+            del self._splits[name]
+
+
+class _Split:
+    """Accounts of the services of one route."""
+
+    __slots__ = ("_accounts", "_shares", "parts")
+
+    def __init__(self):
+        self.parts: tuple[tuple[str, float], ...] = ()
+        # Fraction of a request that is owed to each service, from 0 to below 1.
+        self._accounts: dict[str, float] = {}
+        # Services with a weight, each with its share of what those before it leave.
+        self._shares: tuple[tuple[str, float], ...] = ()
+
+    def set_parts(
+        self, parts: tuple[tuple[str, float], ...], rng: random.Random
+    ) -> None:
+        """Follow a change of the services or weights; the accounts of others stay."""
+        self.parts = parts
+        weights: dict[str, float] = {}
+        for name, weight in sorted(parts):
+            weights[name] = weights.get(name, 0.0) + weight
+        self._accounts = {
+            name: self._accounts[name] if name in self._accounts else rng.random()
+            for name in weights
+        }
+        shares = []
+        rest = 0.0
+        # The last service takes all that is left, without a rounding error.
+        for name, weight in reversed(weights.items()):
+            rest += weight
+            if weight:
+                shares.append((name, weight / rest))
+        self._shares = tuple(reversed(shares))
+
+    def select(self) -> str:
+        """Select the service for the next request."""
+        for name, share in self._shares:
+            account = self._accounts[name] + share
+            self._accounts[name] = account % 1.0
+            if account >= 1.0:
+                return name
+        raise ValueError("no service of the split has a weight")
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -137,7 +137,7 @@
         self._document: MeshDocument | None = None
         self._route_table: RouteTable | None = None
         self._document_arrived = asyncio.Event()
-        self._traffic_splitter = TrafficSplitter()
+        self._traffic_splitter = TrafficSplitter(rng)
         self.attempts = AttemptLoop(
             settings,
             directory,
--- a/tests/mesh/test_decisions.py
+++ b/tests/mesh/test_decisions.py
@@ -65,7 +65,7 @@
 
 def test_traffic_split_is_exact_over_a_short_sequence():
     route = MeshRoute("r", "h", "/", True, 1, 1, 1, 2, (("a", 70.0), ("b", 30.0)))
-    splitter = TrafficSplitter()
+    splitter = TrafficSplitter(random.Random(1))
     chosen = [splitter.select_service(route) for _ in range(20)]
     assert (chosen.count("a"), chosen.count("b")) == (14, 6)
 
--- a/tests/mesh/test_random_bytes.py
+++ b/tests/mesh/test_random_bytes.py
@@ -129,7 +129,7 @@
 
 
 def use_document(document):
-    splitter = TrafficSplitter()
+    splitter = TrafficSplitter(random.Random(1))
     routes = RouteTable(document)
     for route in document.routes:
         routes.match(route.host, route.prefix)
