Look at the settings file before the head of each request is made

Cause: the node looked at the file once a second only.

Change: the state of the file is compared for each request, and the file is read if it has changed. A fault of the reload fails no request, and an unusable file is not read again with each of them.

--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -127,6 +127,8 @@
         caller_memory: CallerMemory | None = None,
     ):
         self._settings = settings
+        # Reads the settings again if they have changed; replaced by the program.
+        self.refresh_settings: Callable[[], None] = _keep_settings
         self._directory = directory
         self._runner = runner
         self._links = links
@@ -429,6 +431,8 @@
             return Refusal(Outcome.NOT_RUN, Cause.NO_ROUTE, 413, 0.0, reason)
         parent_priority = self._runner.find_parent_priority(request)
         is_call = parent_priority is not None
+        # The file may have changed without a signal, and names the caller's service.
+        self.refresh_settings()
         state.head = RequestHead(
             request,
             state.service,
@@ -587,3 +591,7 @@
     return refuse(
         Cause.LEAVING, "node is stopping", retry_after_s=RESTART_RETRY_AFTER_S
     )
+
+
+def _keep_settings() -> None:
+    """Do nothing; settings that are not read from a file do not change."""
--- a/packages/node/src/mangowell_node/mesh/program.py
+++ b/packages/node/src/mangowell_node/mesh/program.py
@@ -39,7 +39,15 @@
         Receives refusals of invalid settings.
     """
 
-    __slots__ = ("_node", "_path", "_reason", "_settings", "_stamp", "_telemetry")
+    __slots__ = (
+        "_node",
+        "_path",
+        "_reason",
+        "_seen_stamp",
+        "_settings",
+        "_stamp",
+        "_telemetry",
+    )
 
     def __init__(self, path: Path, settings: MeshSettings, node, telemetry):
         self._path = path
@@ -49,6 +57,8 @@
         # State of the file that was read; None if it could not be used, and before the
         # first reload, as it may have changed since `settings` were read.
         self._stamp: tuple[int, int, int] | None = None
+        # State of the file at the last reload, also of one that could not be used.
+        self._seen_stamp: tuple[int, int, int] | None = None
         # Why the file was refused, so that it is reported once.
         self._reason = ""
 
@@ -62,9 +72,26 @@
             if self._stamp is None or self._read_stamp() != self._stamp:
                 self.reload()
 
+    def reload_if_changed(self) -> None:
+        """Reload the file if it has changed since the last time that it was read.
+
+        The platform changes it before a worker of another service starts, at times
+        without a signal, so each request needs the service that it names by then.
+        """
+        if self._read_stamp() == self._seen_stamp:
+            return
+        try:
+            self.reload()
+        except Exception as exc:
+            # A fault of this node, which does not concern the request. `run` retries.
+            asyncio.get_running_loop().call_exception_handler(
+                {"message": "settings not reloaded", "exception": exc}
+            )
+
     def reload(self) -> None:
         """Read the file again; if it is invalid, the settings in force stay."""
         stamp, self._stamp = self._read_stamp(), None
+        self._seen_stamp = stamp
         try:
             text = self._path.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as exc:
@@ -119,6 +146,7 @@
     try:
         node = MeshNode.from_settings(settings, telemetry)
         reloader = SettingsReloader(path, settings, node, telemetry)
+        node.gateway.refresh_settings = reloader.reload_if_changed
         loop.add_signal_handler(signal.SIGHUP, reloader.reload)
         if reload_requested.is_set():
             reloader.reload()
--- a/tests/mesh/test_mesh_settings.py
+++ b/tests/mesh/test_mesh_settings.py
@@ -5,6 +5,7 @@
 import re
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,6 +15,8 @@
 from mangowell_node.mesh import program
 from mangowell_node.mesh.program import SettingsReloader
 from mangowell_node.telemetry import Telemetry
+from mangowell_standins.scripted_http import make_answer
+from mesh.support_mesh import run_mesh
 
 TEMPLATE = Path(__file__).parents[2] / "deploy/settings.ini.template"
 VALUES = {
@@ -275,3 +278,51 @@
     path.unlink()
     settings_reloader.reload()
     assert node.reloaded_settings == []
+
+
+def test_file_that_changed_without_a_signal_is_read_with_the_next_request(reloader):
+    """Guards against requests with the service of the machine's former worker."""
+    path, node, _, settings_reloader = reloader
+    settings_reloader.reload_if_changed()
+    path.write_text(render_template(service="stock"))
+    settings_reloader.reload_if_changed()
+    assert [settings.service for settings in node.reloaded_settings] == ["stock"]
+
+
+def test_unchanged_file_is_not_read_with_each_request(reloader, monkeypatch):
+    path, node, telemetry, settings_reloader = reloader
+    path.write_text("")
+    for _ in range(3):
+        settings_reloader.reload_if_changed()
+    assert len(telemetry.select_events()) == 1
+    assert node.reloaded_settings == []
+
+
+async def test_request_names_the_service_of_the_changed_settings():
+    """Guards against a head that was made from settings no longer in force."""
+    async with run_mesh() as (_, (machine,)):
+        services = []
+
+        async def answer(request):
+            services.append(request.headers["caller-service"])
+            return make_answer(b"ok")
+
+        machine.worker.handler = answer
+        await machine.call()
+        changed = msgspec.structs.replace(machine.settings, service="stock")
+        gateway = machine.node.gateway
+        gateway.refresh_settings = lambda: gateway.reload(changed)
+        await machine.call(request="id-2")
+        assert services == ["orders", "stock"]
+
+
+async def test_settings_that_cannot_be_taken_fail_no_request(reloader, monkeypatch):
+    """Guards against a fault of the reload that costs a caller its answer."""
+    path, node, _, settings_reloader = reloader
+    path.write_text(render_template(service="stock"))
+    monkeypatch.setattr(node, "reload", lambda settings: 1 / 0)
+    faults = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: faults.append(context))
+    settings_reloader.reload_if_changed()
+    assert len(faults) == 1
