Start requests behind a long answer once it has ended

An answer that streams and breaks off ends the connection, and the answers behind it are lost.

Change: no request starts behind one whose answer streams, or probably will as others of its route have. The time limit of a request that waits counts from its arrival. What remains: the first long answer of a route at a node is not foreseen.

--- a/packages/node/src/mangowell_node/ingress/connection.py
+++ b/packages/node/src/mangowell_node/ingress/connection.py
@@ -66,15 +66,19 @@
 
 
 class _Exchange:
-    """One request of a connection and the task that produces its reply."""
+    """One request of a connection and the task that produces its reply.
 
-    __slots__ = ("call", "content", "held_bytes", "task")
+    `holds_others` tells whether its reply streams, or probably will.
+    """
+
+    __slots__ = ("call", "content", "held_bytes", "holds_others", "task")
 
     def __init__(self, call: IncomingCall, content: StreamReader, held_bytes: int):
         self.call = call
         self.content = content
         # Memory of the request and, once there is one, of its reply.
         self.held_bytes = held_bytes
+        self.holds_others = False
         self.task: asyncio.Future[Reply] | None = None
 
     def cancel(self) -> None:
@@ -105,7 +109,9 @@
     """HTTP/1.1 connection of a caller.
 
     Pipelined requests are served concurrently. Their replies are written in the
-    order of the requests.
+    order of the requests. Those behind a reply that streams start after it, as its
+    worker may break it off: only the end of the connection tells that to the caller,
+    and the replies behind it would be lost although their workers have run them.
     """
 
     __slots__ = (
@@ -157,8 +163,11 @@
         )
         super().__init__(loop, parser)
         self._server = server
-        # Parsed requests that are not started, with their bytes in the account.
-        self._messages: deque[tuple[RawRequestMessage, StreamReader, int]] = deque()
+        # Parsed requests that are not started, with their bytes in the account
+        # and the time of their arrival.
+        self._messages: deque[tuple[RawRequestMessage, StreamReader, int, float]] = (
+            deque()
+        )
         self._exchanges: deque[_Exchange] = deque()
         self._writer: asyncio.Task | None = None
         self._parse_error = ""
@@ -357,7 +366,7 @@
             size -= head_bytes
             held = compute_request_bytes(head_bytes) + content.total_bytes
             self._request_bytes += held
-            self._messages.append((message, content, held))
+            self._messages.append((message, content, held, monotonic()))
         if upgraded:
             # The bytes that follow are not HTTP/1.1, but the request is answered.
             self._is_closing = True
@@ -402,8 +411,8 @@
         if size <= 0:
             return
         if self._messages:
-            message, _, held = self._messages[-1]
-            self._messages[-1] = (message, content, held + size)
+            message, _, held, arrived_at = self._messages[-1]
+            self._messages[-1] = (message, content, held + size, arrived_at)
         elif self._exchanges:
             self._exchanges[-1].held_bytes += size
         else:
@@ -543,7 +552,7 @@
         self._head_bytes = 0
         for exchange in self._exchanges:
             _fail_content(exchange.content, message)
-        for _, content, _ in self._messages:
+        for _, content, _, _ in self._messages:
             _fail_content(content, message)
         if self._writer is None and not self._messages:
             self._write_error(status, Outcome.NOT_RUN, message)
@@ -553,12 +562,16 @@
         if not self._accepts_requests:
             return
         while self._messages and len(self._exchanges) < MAX_CONCURRENT_REQUESTS:
-            message, content, held = self._messages.popleft()
+            if any(exchange.holds_others for exchange in self._exchanges):
+                break
+            message, content, held, arrived_at = self._messages.popleft()
             if content.is_eof():
                 self._parser.message_consumed()
             else:
                 self._unfinished = content
             exchange = _Exchange(IncomingCall(self, message, content), content, held)
+            exchange.call.arrived_at = arrived_at
+            exchange.holds_others = self._server.expects_stream(exchange.call)
             self._exchanges.append(exchange)
             refusal = self._server.refuse(self, exchange.call)
             if refusal is None:
@@ -571,6 +584,7 @@
 
     async def _serve(self, exchange: _Exchange) -> Reply:
         reply = await self._server.serve(exchange.call)
+        exchange.holds_others = reply.stream is not None
         size = len(reply.headers) + len(reply.body)
         exchange.held_bytes += size
         self._request_bytes += size
--- a/packages/node/src/mangowell_node/ingress/server.py
+++ b/packages/node/src/mangowell_node/ingress/server.py
@@ -25,6 +25,11 @@
 RequestHandler = Callable[[IncomingCall], Awaitable[Reply]]
 
 
+def _expect_no_stream(call: IncomingCall) -> bool:
+    """Return that a reply comes whole."""
+    return False
+
+
 class IngressServer:
     """HTTP server for callers on one port.
 
@@ -40,6 +45,8 @@
         Account of the bytes that are held for callers; without it, there is no bound.
     max_connections : int
         Number of connections of callers, or 0 for no bound.
+    expects_stream : callable
+        Takes an `IncomingCall` and returns whether its reply will probably stream.
 
     Attributes
     ----------
@@ -63,8 +70,10 @@
         refuse: Callable[[IncomingCall], Reply | None] | None = None,
         memory: CallerMemory | None = None,
         max_connections: int = 0,
+        expects_stream: Callable[[IncomingCall], bool] = _expect_no_stream,
     ) -> None:
         self.serve = serve
+        self.expects_stream = expects_stream
         self._refuse = refuse
         self.memory = memory or CallerMemory(UNLIMITED_BYTES)
         self._max_connections = max_connections
--- a/packages/node/src/mangowell_node/mesh/gateway.py
+++ b/packages/node/src/mangowell_node/mesh/gateway.py
@@ -140,6 +140,8 @@
         self._route_table: RouteTable | None = None
         self._document_arrived = asyncio.Event()
         self._traffic_splitter = TrafficSplitter(rng)
+        # Names of the routes that have had answers too long to be read whole.
+        self._streaming_routes: set[str] = set()
         self.attempts = AttemptLoop(
             settings,
             directory,
@@ -194,7 +196,9 @@
             self._route_table = RouteTable(document)
             self._document = document
             self._document_arrived.set()
-            self._traffic_splitter.keep({route.name for route in document.routes})
+            names = {route.name for route in document.routes}
+            self._traffic_splitter.keep(names)
+            self._streaming_routes &= names
         self.attempts.sync(monotonic())
 
     @property
@@ -231,6 +235,13 @@
             # its connection would stay until a full collection.
             state.error = None
 
+    def expects_stream(self, call: IncomingCall) -> bool:
+        """Return whether the answer to a request is probably too long to come whole."""
+        if not self._streaming_routes:
+            return False
+        route, _ = self._match_route(call)
+        return route is not None and route.name in self._streaming_routes
+
     def _check_stop(self, request: str) -> Refusal | None:
         if self._refuses_callers and not self.is_call(request):
             return _make_stopping_refusal()
@@ -498,6 +509,8 @@
                 request, state, refusal, state.call.arrived_at
             )
         head = answer.head
+        if answer.stream is not None:
+            self._streaming_routes.add(state.route.name)
         outcome = "failed" if head.status >= 500 else "done"
         seconds = monotonic() - state.call.arrived_at
         self._observe(state.route.name, state.service, outcome, seconds)
--- a/packages/node/src/mangowell_node/mesh/node.py
+++ b/packages/node/src/mangowell_node/mesh/node.py
@@ -172,6 +172,7 @@
             self._refuse_for_memory,
             self.caller_memory,
             compute_max_connections(settings.max_fds),
+            self.gateway.expects_stream,
         )
         self._free_memory = FreeMemory()
         self._caller_report = CallerReport(self._ingress, emit)
--- a/tests/mesh/test_pipelining.py
+++ b/tests/mesh/test_pipelining.py
@@ -159,3 +159,65 @@
                 writer.write(body)
                 assert (await read_response(reader)).body == b"/post" + BODY
         writer.close()
+
+
+LONG_BODY = b"x" * 100_000
+
+
+@pytest.mark.parametrize("broken", [1, 2, 5])
+async def test_request_behind_a_broken_long_answer_is_not_run(broken):
+    """Guards against answers that are lost with the connection, though they ran."""
+    ran = []
+
+    async def answer(request):
+        ran.append(request.target)
+        if request.target.startswith("/short"):
+            return await echo_target(request)
+        fields = f"Request-Id: {request.headers['request-id']}\r\n"
+        whole = make_answer(LONG_BODY, headers=fields)
+        is_broken = sum(t.startswith("/long") for t in ran) == broken + 1
+        return whole[: len(whole) // 2] if is_broken else whole
+
+    routes = {
+        name: make_route(f"/{name}/", timeout="8000ms") for name in ("long", "short")
+    }
+    async with run_mesh(document=make_document(routes=routes)) as (_, (machine,)):
+        machine.worker.handler = answer
+        assert (await machine.call("/long/0", request="first")).body == LONG_BODY
+        answered = []
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            for batch in range(broken):
+                reader, writer = await machine.connect()
+                names = [f"/long/{batch}", *(f"/short/{batch}-{n}" for n in range(4))]
+                for name in names:
+                    writer.write(make_request(name, request=name.replace("/", "_")))
+                for name in names:
+                    try:
+                        response = await read_response(reader)
+                    except (asyncio.IncompleteReadError, ConnectionError):
+                        break
+                    if len(response.body) < len(LONG_BODY) and "long" in name:
+                        break
+                    answered.append(name)
+                writer.close()
+        short = {name for name in ran if name.startswith("/short")}
+        assert short == {name for name in answered if name.startswith("/short")}
+        assert len(short) == 4 * (broken - 1)
+
+
+async def test_requests_behind_a_whole_long_answer_are_answered():
+    """Guards against requests that wait behind a long answer for good."""
+
+    async def answer(request):
+        fields = f"Request-Id: {request.headers['request-id']}\r\n"
+        return make_answer(LONG_BODY, headers=fields)
+
+    async with run_mesh(document=DOCUMENT) as (_, (machine,)):
+        machine.worker.handler = answer
+        async with asyncio.timeout(TIMEOUT_MS / 1000):
+            for _ in range(2):
+                reader, writer = await machine.connect()
+                writer.write(b"".join(make_gets(40)))
+                for _ in range(40):
+                    assert (await read_response(reader)).body == LONG_BODY
+                writer.close()
