Tell the last write of a worker with its removal

Cause: a node that was told of the removal alone does not know of the last write before it. If the first state that it gets after the restore has the worker's next write, the revision of that lies between the two, and the node takes it for a copy from before the removal.

Evidence: the new test of that order in tests/mesh/test_notice_histories.py fails on the code before.

Change: the publisher sends its last write of each removed worker behind the removal. The model of histories gives the entries of workers the number of their writes, which it had left at 1.

--- a/packages/node/src/mangowell_node/mesh/gossip.py
+++ b/packages/node/src/mangowell_node/mesh/gossip.py
@@ -463,6 +463,7 @@
             if changes is None:
                 return
             payload = encode_notice(self._add_store_uptime(changes))
+            departures = self._encode_departures(changes.removed)
         except Exception:
             # The next call sends these changes too. Until then, other nodes learn of
             # them by the revision in the status and fetch the whole state.
@@ -472,6 +473,8 @@
             is_open = link.is_authenticated and not link.closed
             if is_open and self._is_same_domain(link):
                 _send(link, payload, "changes")
+                if departures:
+                    _send(link, departures, "changes")
         # Other domains get only the revision, by which they notice changes even if the
         # store is silent to both of their readers.
         now = monotonic()
@@ -485,6 +488,16 @@
             self._other_domains_due_at = now
         self._announce_to_other_domains(now)
 
+    def _encode_departures(self, removed: tuple[str, ...]) -> bytes:
+        """Return a notice of the last writes of removed workers, or no bytes.
+
+        Other nodes may have been told only of earlier writes. After a restore of the
+        store they would take what the worker writes next for one that they missed.
+        """
+        known = self._directory.export_departures(monotonic()) if removed else ()
+        departures = tuple(d for d in known if d.id in removed)
+        return encode_notice(DepartureNotice(departures)) if departures else b""
+
     def _handle_changes(self, link: Link, changes: ChangeNotice) -> None:
         directory = self._directory
         before, evacuated = directory.generation, directory.evacuated
--- a/tests/mesh/support_histories.py
+++ b/tests/mesh/support_histories.py
@@ -71,8 +71,10 @@
         if drains:
             worker[2] = "draining"
         born, seq, state = worker
-        entry = json.loads(make_entry(f"127.0.0.{number}", 80, state=state, seq=seq))
-        self.put(f"servers/w{number}", json.dumps(entry | {"born": born}).encode())
+        entry = json.loads(make_entry(f"127.0.0.{number}", 80, state=state))
+        entry["born"] = born
+        entry["status"]["seq"] = seq
+        self.put(f"servers/w{number}", json.dumps(entry).encode())
 
     def remove_worker(self, number):
         self.workers.pop(number, None)
@@ -339,6 +341,8 @@
                 self.store.write_worker(worker, drains=True)
             case "leave":
                 self.store.remove_worker(worker)
+            case "lapse":
+                self.store.delete(f"servers/w{worker}")
             case "order":
                 self.store.put(f"op/evacuate/d{other % 2}", b"{}")
             case "end order":
--- a/tests/mesh/test_notice_histories.py
+++ b/tests/mesh/test_notice_histories.py
@@ -1,5 +1,7 @@
 """Random orders of writes, answers of the store and notices between the nodes."""
 
+from itertools import pairwise
+
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -115,6 +117,36 @@
     assert len({node.directory.compute_digest() for node in model.nodes}) == 1
 
 
+def test_worker_that_registers_again_after_a_restore_is_used_at_all_nodes():
+    """Guards against an entry that is withheld as a copy from before the removal.
+
+    A node that was only told of the removal did not know of the last write before it.
+    """
+    hear = [("deliver", 0, 2), ("deliver", 2, 0)] * 5
+    read = [("read", 0, 0)] * 20
+    model = Model()
+    used = []
+    steps = [
+        ("take over", 0, 0),
+        *read,
+        ("write", 0, 0),
+        *read,
+        *hear,
+        ("copy", 0, 0),
+        ("write", 0, 0),
+        ("lapse", 0, 0),
+        *read,
+        *hear,
+        ("restore", 0, 0),
+        ("write", 0, 0),
+        *read,
+        *hear,
+    ]
+    model.run(steps, lambda model: used.append("w1" in model.nodes[2].listed))
+    changes = [after for before, after in pairwise(used) if before != after]
+    assert changes == [True, False, True]
+
+
 # Notices and states of nodes of the version before, which may be of no revision
 
 
