Let nodes stop and start reading in the model of histories

What is missing: in the model the same two nodes always read. A node that takes over reads on from the revision that others have told it.

Change: nodes, also those that only follow, are elected and step down. The bound of the splitter names what it counts, and a condition on revisions is written out.

--- a/packages/core/src/mangowell_core/mesh/directory.py
+++ b/packages/core/src/mangowell_core/mesh/directory.py
@@ -350,7 +350,8 @@
             self.apply_document(state.document)
         elif not self._apply_delta(notice.delta):
             return False
-        if state.revision < self.revision + (not is_repair):
+        oldest = self.revision if is_repair else self.revision + 1
+        if state.revision < oldest:
             return False
         self.load(state.endpoints, state.revision, now, state.evacuated)
         return True
--- a/packages/core/src/mangowell_core/mesh/routes.py
+++ b/packages/core/src/mangowell_core/mesh/routes.py
@@ -51,10 +51,10 @@
     Each request goes to each service with the probability of its share, whatever
     documents came before. While the weights stay, the n-th service gets its share of
     any sequence of requests of this node to within n requests, and two services to
-    within one. Nodes start independently of each other, so that the mean share over
-    many nodes with a few requests each is at least as close as that of independent
-    draws: a standard deviation of at most half the root of their number, in requests.
-    A service with a weight of 0 gets nothing.
+    within one. Nodes start independently of each other: over all nodes, the standard
+    deviation of the requests of a service is at most that of independent draws, half
+    the square root of the number of all requests. A service with a weight of 0 gets
+    nothing.
 
     Parameters
     ----------
--- a/tests/mesh/support_histories.py
+++ b/tests/mesh/support_histories.py
@@ -193,11 +193,10 @@
 
 
 class ModelNode:
-    """Directory, reader and gossip of one node; `reads` is False for a follower."""
+    """Directory, reader and gossip of one node; a follower does not read at first."""
 
     def __init__(self, number, store, reads):
         self.name, self.host = f"n{number}", f"127.0.1.{number + 1}"
-        self.reads = reads
         self.is_publisher = False
         self.events = []
         self.directory = Directory()
@@ -235,7 +234,7 @@
             self.publish,
         )
         self.gossip._election = SimpleNamespace(
-            is_publisher=lambda now: self.is_publisher,
+            is_publisher=lambda now: self.is_publisher and self.feed.is_elected,
             record_report=lambda *args: None,
             get_link_mbps=lambda now: 100.0,
         )
@@ -246,9 +245,9 @@
 
     async def read(self):
         """Take one step of the reader: to the store with a call, or back from it."""
-        if not self.reads:
-            return
         if self.task is None or self.task.done():
+            if not self.feed.is_elected:
+                return
             self.task = asyncio.ensure_future(self._read_next())
         elif self.client.gate is not None and not self.client.gate.done():
             self.client.gate.set_result(None)
@@ -353,6 +352,8 @@
                 self.store.restore()
             case "read":
                 await reader.read()
+            case "read too":
+                await node.read()
             case "read again":
                 # The task was restarted, or the store has dropped its history.
                 await reader.stop()
@@ -360,6 +361,11 @@
             case "take over":
                 for each in self.nodes[:READERS]:
                     each.is_publisher = each is reader
+            case "elect":
+                # Also a follower, which reads on from its revision.
+                node.feed.set_reading(True)
+            case "step down":
+                node.feed.set_reading(False)
             case "stand in":
                 # Both publish until they know of each other.
                 reader.is_publisher = True
@@ -399,6 +405,7 @@
         for _ in range(4):
             self.now += 5.0
             for reader in self.nodes[:READERS]:
+                reader.feed.set_reading(True)
                 reader.is_publisher = reader is self.nodes[0]
                 for _ in range(60):
                     await reader.read()
