Import only the type of the random source in the core

Cause: the splitter imports the module random for an annotation. The core gets random sources as arguments and may import their type only.

Change: the import names the type. Result: test_purity.py and test_traffic_split.py pass.

--- a/packages/core/src/mangowell_core/mesh/routes.py
+++ b/packages/core/src/mangowell_core/mesh/routes.py
@@ -1,6 +1,6 @@
 """Selection of the route of a request and of the service that answers it."""
 
-import random
+from random import Random
 
 from mangowell_core.mesh.model import MeshDocument, MeshRoute
 
@@ -64,7 +64,7 @@
 
     __slots__ = ("_rng", "_splits")
 
-    def __init__(self, rng: random.Random):
+    def __init__(self, rng: Random):
         self._rng = rng
         self._splits: dict[str, _Split] = {}
 
@@ -98,7 +98,7 @@
         self._shares: tuple[tuple[str, float], ...] = ()
 
     def set_parts(
-        self, parts: tuple[tuple[str, float], ...], rng: random.Random
+        self, parts: tuple[tuple[str, float], ...], rng: Random
     ) -> None:
         """Follow a change of the services or weights; the accounts of others stay."""
         self.parts = parts
