--- a/packages/core/src/mangowell_core/mesh/routes.py
+++ b/packages/core/src/mangowell_core/mesh/routes.py
@@ -97,9 +97,7 @@
         # Services with a weight, each with its share of what those before it leave.
         self._shares: tuple[tuple[str, float], ...] = ()
 
-    def set_parts(
-        self, parts: tuple[tuple[str, float], ...], rng: Random
-    ) -> None:
+    def set_parts(self, parts: tuple[tuple[str, float], ...], rng: Random) -> None:
         """Follow a change of the services or weights; the accounts of others stay."""
         self.parts = parts
         weights: dict[str, float] = {}
